Add the workspace, the lints and the configuration document

Cause: nothing exists yet; all later work shares the document's schema, the identifier and time types, the lints and the checks. Conclusion: a base on which parts can be built side by side.

--- /dev/null
+++ b/crates/core/src/admit/mod.rs
@@ -0,0 +1,1 @@
+//! Admission: bounded queues, fairness and deadlines.
--- /dev/null
+++ b/crates/core/src/evidence/mod.rs
@@ -0,0 +1,1 @@
+//! Counters of outcomes by version, route and region, merged between instances.
--- /dev/null
+++ b/crates/core/src/identity/mod.rs
@@ -0,0 +1,1 @@
+//! Callers' keys and the client accounts that they identify.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decisions of the carobwheel gateway.
+//!
+//! Nothing in this crate performs I/O, starts a thread or reads a clock of its own accord: time
+//! arrives as an argument, and messages and effects are values. The same code therefore runs in
+//! the daemon, in seeded randomised runs and in measurements.
+
+pub mod admit;
+pub mod document;
+pub mod evidence;
+pub mod id;
+pub mod identity;
+pub mod limit;
+pub mod member;
+pub mod once;
+pub mod order;
+pub mod retry;
+pub mod rollout;
+pub mod route;
+pub mod slot;
+pub mod time;
--- /dev/null
+++ b/crates/core/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Membership: heartbeats, suspicion, leaving.
--- /dev/null
+++ b/crates/core/src/once/mod.rs
@@ -0,0 +1,1 @@
+//! At-most-once records of non-idempotent actions.
--- /dev/null
+++ b/crates/core/src/order/mod.rs
@@ -0,0 +1,1 @@
+//! Fenced orders to engines.
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries, hedges, retry budget and outlier ejection.
--- /dev/null
+++ b/crates/core/src/rollout/mod.rs
@@ -0,0 +1,1 @@
+//! Rollouts of model versions: shares, evidence and verdicts.
--- /dev/null
+++ b/crates/core/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Placement of a request on an upstream.
--- /dev/null
+++ b/crates/core/src/slot/mod.rs
@@ -0,0 +1,1 @@
+//! Ownership of shards of client accounts inside a region.
--- /dev/null
+++ b/crates/ctl/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Commands on the configuration document.
--- /dev/null
+++ b/crates/ctl/src/demo/mod.rs
@@ -0,0 +1,1 @@
+//! Six instances and their stand-ins in one process.
--- /dev/null
+++ b/crates/ctl/src/experiment/mod.rs
@@ -0,0 +1,1 @@
+//! Seeded measurements of decisions against baselines.
--- /dev/null
+++ b/crates/ctl/src/key/mod.rs
@@ -0,0 +1,1 @@
+//! Commands on callers' keys.
--- /dev/null
+++ b/crates/ctl/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Load against an entry instance.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/options/mod.rs
@@ -0,0 +1,1 @@
+//! The command line.
--- /dev/null
+++ b/crates/ctl/src/status/mod.rs
@@ -0,0 +1,1 @@
+//! The fleet at a glance.
--- /dev/null
+++ b/crates/gateway/src/decide/mod.rs
@@ -0,0 +1,1 @@
+//! The thread that owns all decision state.
--- /dev/null
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -0,0 +1,1 @@
+//! Calls to upstreams.
--- /dev/null
+++ b/crates/gateway/src/intake/mod.rs
@@ -0,0 +1,1 @@
+//! Requests from callers.
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,1 @@
+//! Links between instances.
--- /dev/null
+++ b/crates/gateway/src/report/mod.rs
@@ -0,0 +1,1 @@
+//! Metrics, histograms, logs and the status page.
--- /dev/null
+++ b/crates/gateway/src/ring/mod.rs
@@ -0,0 +1,1 @@
+//! Bounded rings between threads.
--- /dev/null
+++ b/crates/gateway/src/store/mod.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's key-value service.
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,1 @@
+//! A model engine that speaks the OpenAI-compatible API.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins of the platform and the upstreams, and a fault-injecting proxy.
+//!
+//! They back `carobctl demo`, `carobctl load` and the tests, and run as threads on loopback.
+
+pub mod engine;
+pub mod livelist;
+pub mod proxy;
+pub mod service;
+pub mod store;
+pub mod tls;
--- /dev/null
+++ b/crates/standin/src/livelist/mod.rs
@@ -0,0 +1,1 @@
+//! The platform's live list and directory.
--- /dev/null
+++ b/crates/standin/src/proxy/mod.rs
@@ -0,0 +1,1 @@
+//! A fault-injecting proxy for TCP and UDP.
--- /dev/null
+++ b/crates/standin/src/service/mod.rs
@@ -0,0 +1,1 @@
+//! A plain ledger service whose actions can be counted.
--- /dev/null
+++ b/crates/standin/src/tls/mod.rs
@@ -0,0 +1,1 @@
+//! Certificates for demonstrations and tests.
--- /dev/null
+++ b/crates/wire/src/openai/mod.rs
@@ -0,0 +1,1 @@
+//! Shapes of the OpenAI-compatible API.
--- /dev/null
+++ b/crates/wire/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Messages between instances and their codec.
--- /dev/null
+++ b/crates/wire/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! Formats of the platform's live list and directory.
