--- /dev/null
+++ b/crates/ctl/src/load/process.rs
@@ -0,0 +1,45 @@
+//! Processor time and memory of a process, read from `/proc`.
+
+use anyhow::Context as _;
+
+// Linux reports processor time in ticks of 1/100 s on every architecture that it calls USER_HZ.
+const TICKS_PER_S: f64 = 100.0;
+const BYTES_PER_KB: u64 = 1_024;
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug)]
+pub struct Usage {
+    /// Processor time since its start, in seconds.
+    pub processor_s: f64,
+    /// Resident memory, in bytes.
+    pub memory_bytes: u64,
+}
+
+/// What the process `pid` has used.
+///
+/// # Errors
+///
+/// Fails if there is no such process or `/proc` cannot be read.
+pub fn usage(pid: u32) -> anyhow::Result<Usage> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))
+        .with_context(|| format!("no process {pid}"))?;
+    // The name of the program stands in parentheses and may hold spaces.
+    let (_, fields) = stat.rsplit_once(')').context("/proc/PID/stat is malformed")?;
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |index: usize| -> anyhow::Result<f64> {
+        let field = fields.get(index).context("/proc/PID/stat is too short")?;
+        Ok(field.parse()?)
+    };
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let resident_kb: u64 = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.split_whitespace().next())
+        .context("/proc/PID/status has no VmRSS")?
+        .parse()?;
+    Ok(Usage {
+        // Fields 14 and 15 of the file, counted from the one after the name.
+        processor_s: (ticks(11)? + ticks(12)?) / TICKS_PER_S,
+        memory_bytes: resident_kb * BYTES_PER_KB,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/daemon/mod.rs
@@ -0,0 +1,130 @@
+//! Joins the threads of one instance, and stops them in order.
+
+use crate::{
+    decide, dispatch,
+    in_flight::InFlight,
+    in_force::Current,
+    intake::{self, Server, Shared, BODY_UNIT_BYTES},
+    platform,
+    ring::Sender,
+    settings::{Settings, Shutdown},
+};
+use arc_swap::ArcSwap;
+use carobwheel_core::time::Clock;
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
+};
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// A running instance.
+pub struct Daemon {
+    shared: Arc<Shared>,
+    server: Server,
+    decide: Sender<decide::Event>,
+    clock: Clock,
+    shutdown: Shutdown,
+    cancel: CancellationToken,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+/// Starts every thread of an instance.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or a thread cannot be started.
+pub fn start(settings: &Settings) -> anyhow::Result<Daemon> {
+    let clock = Clock::default();
+    let cancel = CancellationToken::new();
+    // Ends the threads that run already if a later one cannot be started.
+    let guard = cancel.clone().drop_guard();
+    let current = Current::default();
+    let (decide, decide_thread) = decide::start(
+        &settings.instance,
+        clock,
+        current.clone(),
+        cancel.child_token(),
+    )?;
+    let (dispatch, dispatch_thread) = dispatch::start(cancel.child_token())?;
+    let callers = &settings.callers;
+    let shared = Arc::new(Shared {
+        instance: settings.instance.id.clone(),
+        clock,
+        current,
+        decide: decide.clone(),
+        dispatch,
+        credentials: settings.upstream_credentials.clone(),
+        entries: ArcSwap::default(),
+        in_flight: Arc::new(InFlight::new(callers.max_requests)),
+        body_room: Arc::new(Semaphore::new(
+            callers.max_body_bytes_held / BODY_UNIT_BYTES,
+        )),
+        body_timeout_ms: callers.body_timeout_ms,
+        is_leaving: AtomicBool::new(false),
+        requests: AtomicU64::new(0),
+        incarnation: clock.unix_now().0,
+    });
+    let server = intake::start(settings, Arc::clone(&shared))?;
+    let platform_thread = platform::start(settings, decide.clone(), cancel.child_token())?;
+    log::info!(address:% = server.address; "listening for callers");
+    Ok(Daemon {
+        shared,
+        server,
+        decide,
+        clock,
+        shutdown: settings.shutdown.clone(),
+        cancel: guard.disarm(),
+        threads: vec![decide_thread, dispatch_thread, platform_thread],
+    })
+}
+
+impl Daemon {
+    /// Address on which callers reach the instance.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> Arc<InFlight> {
+        Arc::clone(&self.shared.in_flight)
+    }
+
+    /// Announces that the instance leaves: it is not ready any more and takes no new callers,
+    /// while running requests go on.
+    pub fn leave(&self) {
+        self.shared.is_leaving.store(true, Ordering::Relaxed);
+        if self.decide.try_send(decide::Event::Leave).is_err() {
+            log::warn!("the deciding ring is full, so peers hear late that this instance leaves");
+        }
+    }
+
+    /// Announces the departure, waits for running requests and stops every thread. Returns the
+    /// number of requests that were cut because they outlasted the configured time.
+    pub fn stop(self) -> usize {
+        self.leave();
+        thread::sleep(Duration::from_millis(self.shutdown.announce_ms));
+        let began = self.clock.now();
+        while self.shared.in_flight.count() > 0
+            && self.clock.now().since(began) < self.shutdown.drain_ms
+        {
+            thread::sleep(DRAIN_POLL);
+        }
+        let cut = self.shared.in_flight.count();
+        self.server.stop();
+        self.cancel.cancel();
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("a thread panicked");
+            }
+        }
+        cut
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/event.rs
@@ -0,0 +1,115 @@
+//! What other threads tell the deciding thread, and what it answers.
+
+use crate::{in_force::InForce, refusal::Refusal};
+use carobwheel_core::{
+    id::{ClassId, InstanceId, ModelId, RegionId, RequestId, ServiceId, UpstreamId, VersionId},
+    identity::Caller,
+    time::Millis,
+};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// What a request asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A model by name.
+    Model {
+        /// Name of the model.
+        model: ModelId,
+        /// Latency class of the prompt.
+        class: ClassId,
+    },
+    /// A plain service.
+    Service {
+        /// Name of the service.
+        service: ServiceId,
+        /// Path prefix of the route, for reports and evidence.
+        route: String,
+    },
+}
+
+/// A request that asks for a place at an upstream.
+#[derive(Debug)]
+pub struct Ask {
+    /// Name of the request.
+    pub request: RequestId,
+    /// Who the request runs for.
+    pub caller: Caller,
+    /// What it asks for.
+    pub target: Target,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens of output at most.
+    pub max_output_tokens: u64,
+    /// Hashes of growing prefixes of the prompt, shortest first.
+    pub prefix: Vec<u64>,
+    /// Region that the request has to be served in, if it is bound.
+    pub bound_region: Option<RegionId>,
+    /// The request may be repeated without a further effect.
+    pub idempotent: bool,
+    /// Time by which the answer has to begin.
+    pub deadline: Millis,
+    /// Upstreams that were tried before.
+    pub tried: Vec<UpstreamId>,
+    /// Instances that the request has been forwarded by.
+    pub visited: Vec<InstanceId>,
+    /// Where the decision goes.
+    pub reply: oneshot::Sender<Result<Placed, Refusal>>,
+}
+
+/// A place at an upstream.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// Number of the placement, named again when the request settles.
+    pub ticket: u64,
+    /// Name of the upstream.
+    pub upstream: UpstreamId,
+    /// Base URL of the upstream.
+    pub url: String,
+    /// Version of the model that serves the request.
+    pub version: Option<VersionId>,
+    /// Priority passed on to the engine; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// How a placed request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The answer was whole.
+    Whole,
+    /// The upstream could not be reached; nothing ran.
+    NotConnected,
+    /// The upstream failed or its answer was not whole.
+    Failed,
+    /// The caller went away or the request was cancelled before its end.
+    Cancelled,
+}
+
+/// What a placed request used.
+#[derive(Clone, Copy, Debug)]
+pub struct Settlement {
+    /// Number of the placement.
+    pub ticket: u64,
+    /// How the request ended.
+    pub ending: Ending,
+    /// Output tokens that were relayed.
+    pub output_tokens: u64,
+}
+
+/// An event for the deciding thread.
+#[derive(Debug)]
+pub enum Event {
+    /// A request asks for a place.
+    Ask(Box<Ask>),
+    /// The first byte of an answer arrived.
+    FirstByte {
+        /// Number of the placement.
+        ticket: u64,
+    },
+    /// A placed request ended.
+    Settle(Settlement),
+    /// A document arrived from the store or a peer.
+    Document(Arc<InForce>),
+    /// The instance is leaving.
+    Leave,
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch/exchange.rs
@@ -0,0 +1,97 @@
+//! One exchange with an upstream, from the first byte sent to the last byte received.
+
+use super::{client::Clients, ExchangeError, Head, Job};
+use bytes::Bytes;
+use reqwest::Response;
+use std::time::Duration;
+use tokio::{sync::mpsc, time};
+use tokio_util::sync::CancellationToken;
+
+/// Chunks that wait for a slow caller at most.
+const CHUNKS_WAITING: usize = 16;
+/// Longest silence inside an answer.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Runs `job`. Dropping the response on any early return closes its connection, so that a late
+/// answer can never be taken for that of another request.
+pub(super) async fn run(clients: Clients, job: Job) {
+    let client = if job.fresh_connection {
+        &clients.fresh
+    } else {
+        &clients.pooled
+    };
+    let sent = client
+        .request(job.method, &job.url)
+        .headers(job.headers)
+        .body(job.body)
+        .send();
+    let answer = tokio::select! {
+        answer = time::timeout(job.head_timeout, sent) => answer,
+        () = job.cancel.cancelled() => {
+            // The receiver may be gone already.
+            let _ = job.reply.send(Err(ExchangeError::Cancelled));
+            return;
+        }
+    };
+    let response = match answer {
+        Ok(Ok(response)) => response,
+        Ok(Err(err)) => {
+            let _ = job.reply.send(Err(error_of(&err)));
+            return;
+        }
+        Err(_) => {
+            let _ = job.reply.send(Err(ExchangeError::Timeout));
+            return;
+        }
+    };
+    let (sender, chunks) = mpsc::channel(CHUNKS_WAITING);
+    let head = Head {
+        status: response.status().as_u16(),
+        headers: response.headers().clone(),
+        chunks,
+    };
+    if job.reply.send(Ok(head)).is_ok() {
+        pump(response, sender, job.cancel).await;
+    }
+}
+
+async fn pump(
+    mut response: Response,
+    sender: mpsc::Sender<Result<Bytes, ExchangeError>>,
+    cancel: CancellationToken,
+) {
+    loop {
+        let received = tokio::select! {
+            received = time::timeout(IDLE_TIMEOUT, response.chunk()) => received,
+            () = cancel.cancelled() => return,
+            () = sender.closed() => return,
+        };
+        let chunk = match received {
+            Ok(Ok(Some(chunk))) => Ok(chunk),
+            Ok(Ok(None)) => return,
+            Ok(Err(err)) => Err(error_of(&err)),
+            Err(_) => Err(ExchangeError::Timeout),
+        };
+        let is_over = chunk.is_err();
+        if sender.send(chunk).await.is_err() || is_over {
+            return;
+        }
+    }
+}
+
+fn error_of(err: &reqwest::Error) -> ExchangeError {
+    let detail = root_cause(err);
+    if err.is_connect() {
+        return ExchangeError::NotConnected(detail);
+    }
+    ExchangeError::Broken(detail)
+}
+
+// The outer errors repeat the URL, which callers have no business with.
+fn root_cause(err: &reqwest::Error) -> String {
+    let mut cause: &dyn std::error::Error = err;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -1,1 +1,54 @@
 //! Calls to upstreams.
+//!
+//! One thread with an event loop of its own runs every exchange. A job comes in through a bounded
+//! ring; its answer goes back as a head and a bounded queue of chunks, so a slow caller slows its
+//! upstream down instead of filling memory.
+
+mod client;
+mod exchange;
+mod job;
+
+pub use job::{ExchangeError, Head, Job};
+
+use crate::ring::{async_ring, Sender};
+use anyhow::Context as _;
+use client::Clients;
+use std::thread;
+use tokio::{runtime, task};
+use tokio_util::sync::CancellationToken;
+
+/// Jobs that wait for the dispatching thread at most.
+pub const RING_JOBS: usize = 8_192;
+
+/// Starts the dispatching thread, which ends when `cancel` is cancelled.
+///
+/// # Errors
+///
+/// Fails if the thread, its event loop or its HTTP clients cannot be set up.
+pub fn start(cancel: CancellationToken) -> anyhow::Result<(Sender<Job>, thread::JoinHandle<()>)> {
+    let (sender, mut receiver) = async_ring::<Job>(RING_JOBS);
+    let clients = Clients::new()?;
+    let event_loop = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot set up the dispatching event loop")?;
+    let thread = thread::Builder::new()
+        .name("dispatch".to_owned())
+        .spawn(move || {
+            let local = task::LocalSet::new();
+            local.block_on(&event_loop, async move {
+                loop {
+                    let job = tokio::select! {
+                        job = receiver.recv() => job,
+                        () = cancel.cancelled() => None,
+                    };
+                    let Some(job) = job else {
+                        return;
+                    };
+                    task::spawn_local(exchange::run(clients.clone(), job));
+                }
+            });
+        })
+        .context("cannot start the dispatching thread")?;
+    Ok((sender, thread))
+}
--- /dev/null
+++ b/crates/gateway/src/intake/answer.rs
@@ -0,0 +1,89 @@
+//! Answers to callers.
+
+use crate::{
+    refusal::{Refusal, Run},
+    relay::RelayBody,
+};
+use bytes::Bytes;
+use carobwheel_core::id::RequestId;
+use rocket::{
+    http::{Header, Status},
+    Response,
+};
+use std::io::Cursor;
+
+const MS_PER_S: u64 = 1_000;
+/// Chunk in which a relayed body is read, in bytes.
+const CHUNK_BYTES: usize = 16 * 1_024;
+
+/// Body of an answer.
+pub(super) enum AnswerBody {
+    /// A body in hand.
+    Whole(Bytes),
+    /// A body that is relayed as it arrives.
+    Stream(RelayBody),
+}
+
+/// An answer to a caller.
+pub(super) struct Answer {
+    pub(super) status: u16,
+    pub(super) headers: Vec<(&'static str, String)>,
+    pub(super) run: Run,
+    pub(super) body: AnswerBody,
+}
+
+impl Answer {
+    /// A JSON answer of the gateway's own.
+    pub(super) fn json(status: u16, run: Run, body: &serde_json::Value) -> Self {
+        Self {
+            status,
+            headers: vec![("content-type", "application/json".to_owned())],
+            run,
+            body: AnswerBody::Whole(body.to_string().into()),
+        }
+    }
+
+    /// A refusal in the shape of the OpenAI API.
+    pub(super) fn refusal(refusal: &Refusal) -> Self {
+        let body = serde_json::json!({
+            "error": {
+                "message": refusal.message,
+                "type": refusal.cause.error_type(),
+                "param": null,
+                "code": refusal.cause.code(),
+            }
+        });
+        let mut answer = Self::json(refusal.cause.status(), refusal.run, &body);
+        if let Some(retry_after_ms) = refusal.retry_after_ms {
+            let retry_after_s = retry_after_ms.div_ceil(MS_PER_S).max(1);
+            answer
+                .headers
+                .push(("retry-after", retry_after_s.to_string()));
+        }
+        answer
+    }
+
+    /// The answer as Rocket sends it.
+    pub(super) fn into_response<'r>(self, request_id: &RequestId, close: bool) -> Response<'r> {
+        let mut response = Response::build();
+        response.status(Status::new(self.status));
+        for (name, value) in self.headers {
+            response.header_adjoin(Header::new(name, value));
+        }
+        response.raw_header("x-request-id", request_id.to_string());
+        response.raw_header("carobwheel-run", self.run.as_str());
+        if close {
+            response.raw_header("connection", "close");
+        }
+        match self.body {
+            AnswerBody::Whole(bytes) => {
+                response.sized_body(bytes.len(), Cursor::new(bytes));
+            }
+            AnswerBody::Stream(body) => {
+                response.max_chunk_size(CHUNK_BYTES);
+                response.streamed_body(body);
+            }
+        }
+        response.finalize()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/intake/body.rs
@@ -0,0 +1,80 @@
+//! The body of a request: read whole, bounded in size, memory and time.
+
+use super::{head::BodyLength, Shared, BODY_UNIT_BYTES};
+use crate::refusal::{Cause, Refusal};
+use bytes::Bytes;
+use rocket::{data::ToByteUnit as _, Data};
+use std::{sync::Arc, time::Duration};
+use tokio::{sync::OwnedSemaphorePermit, time};
+
+/// A whole body and the room that it takes while its request runs.
+pub(super) struct HeldBody {
+    pub(super) bytes: Bytes,
+    _room: OwnedSemaphorePermit,
+}
+
+/// Reads the body of a request.
+pub(super) async fn read(
+    shared: &Shared,
+    data: Data<'_>,
+    length: BodyLength,
+    max_body_bytes: u64,
+) -> Result<HeldBody, Refusal> {
+    let expected_bytes = match length {
+        BodyLength::Bytes(bytes) => bytes,
+        BodyLength::Unknown => max_body_bytes,
+    };
+    if expected_bytes > max_body_bytes {
+        return Err(too_large(max_body_bytes));
+    }
+    let mut room = take_room(shared, expected_bytes)?;
+    let limit = max_body_bytes.saturating_add(1).bytes();
+    let reading = data.open(limit).into_bytes();
+    let timeout = Duration::from_millis(shared.body_timeout_ms);
+    let body = time::timeout(timeout, reading)
+        .await
+        .map_err(|_| Refusal::not_run(Cause::BodyTimeout, "the body did not arrive in time"))?
+        .map_err(|_| Refusal::not_run(Cause::InvalidRequest, "the body broke off"))?
+        .into_inner();
+    check_length(length, body.len() as u64, max_body_bytes)?;
+    let spare = room
+        .num_permits()
+        .saturating_sub(units(body.len() as u64) as usize);
+    drop(room.split(spare));
+    Ok(HeldBody {
+        bytes: body.into(),
+        _room: room,
+    })
+}
+
+fn units(bytes: u64) -> u32 {
+    u32::try_from(bytes.div_ceil(BODY_UNIT_BYTES as u64)).unwrap_or(u32::MAX)
+}
+
+fn take_room(shared: &Shared, bytes: u64) -> Result<OwnedSemaphorePermit, Refusal> {
+    Arc::clone(&shared.body_room)
+        .try_acquire_many_owned(units(bytes))
+        .map_err(|_| {
+            Refusal::not_run(Cause::Overloaded, "no room for another request body")
+                .retry_after(1_000)
+        })
+}
+
+// The server reports a body that was cut short as complete.
+fn check_length(length: BodyLength, body_bytes: u64, max_body_bytes: u64) -> Result<(), Refusal> {
+    if body_bytes > max_body_bytes {
+        return Err(too_large(max_body_bytes));
+    }
+    match length {
+        BodyLength::Bytes(expected_bytes) if expected_bytes != body_bytes => {
+            let message = format!("the body has {body_bytes} of {expected_bytes} bytes");
+            Err(Refusal::not_run(Cause::InvalidRequest, message))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn too_large(max_body_bytes: u64) -> Refusal {
+    let message = format!("the body is longer than {max_body_bytes} bytes");
+    Refusal::not_run(Cause::TooLarge, message)
+}
--- /dev/null
+++ b/crates/gateway/src/intake/classify.rs
@@ -0,0 +1,181 @@
+//! Finds out what a request asks for: a model and its class, or a plain route.
+
+use super::head::{BodyLength, RequestHead};
+use crate::{
+    decide::Target,
+    refusal::{Cause, Refusal},
+};
+use carobwheel_core::{
+    document::{Account, Class, Document, Route},
+    id::RegionId,
+};
+use rocket::http::Method;
+use serde::{de::IgnoredAny, Deserialize};
+use std::borrow::Cow;
+
+/// Bytes of prompt that are counted as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
+/// What the path of a request leads to.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Way<'a> {
+    /// A call of a model, named in the body.
+    Model,
+    /// A plain route.
+    Route(&'a Route),
+}
+
+/// What a request asks for and what it may cost.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    pub(super) target: Target,
+    pub(super) prompt_tokens: u64,
+    pub(super) max_output_tokens: u64,
+    pub(super) prefix: Vec<u64>,
+    pub(super) bound_region: Option<RegionId>,
+    pub(super) idempotent: bool,
+    pub(super) deadline_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct ModelCall<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    messages: Option<IgnoredAny>,
+    #[serde(default)]
+    prompt: Option<IgnoredAny>,
+}
+
+/// The way that the head of a request leads.
+pub(super) fn way<'a>(document: &'a Document, head: &RequestHead) -> Result<Way<'a>, Refusal> {
+    if MODEL_PATHS.contains(&head.path.as_str()) {
+        if head.method != Method::Post {
+            return Err(method_not_allowed());
+        }
+        return Ok(Way::Model);
+    }
+    let route = document
+        .routes
+        .iter()
+        .filter(|route| is_below(&head.path, &route.path))
+        .max_by_key(|route| route.path.len())
+        .ok_or_else(|| Refusal::not_run(Cause::NotFound, "no route has this path"))?;
+    if !route
+        .methods
+        .iter()
+        .any(|method| method == head.method.as_str())
+    {
+        return Err(method_not_allowed());
+    }
+    if !route.idempotent && head.length == BodyLength::Unknown {
+        let message = "this route needs a content-length, since a cut body cannot be told apart";
+        return Err(Refusal::not_run(Cause::LengthRequired, message));
+    }
+    Ok(Way::Route(route))
+}
+
+/// What the whole request asks for.
+pub(super) fn call(
+    document: &Document,
+    way: Way<'_>,
+    account: Option<&Account>,
+    body: &[u8],
+) -> Result<Call, Refusal> {
+    let bound_region = account.and_then(|account| account.bound_region.clone());
+    match way {
+        Way::Model => model_call(document, bound_region, body),
+        Way::Route(route) => route_call(route, bound_region),
+    }
+}
+
+fn is_below(path: &str, prefix: &str) -> bool {
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || prefix.ends_with('/'))
+}
+
+fn method_not_allowed() -> Refusal {
+    Refusal::not_run(
+        Cause::MethodNotAllowed,
+        "the path does not take this method",
+    )
+}
+
+fn invalid(message: impl Into<String>) -> Refusal {
+    Refusal::not_run(Cause::InvalidRequest, message)
+}
+
+fn model_call(
+    document: &Document,
+    bound_region: Option<RegionId>,
+    body: &[u8],
+) -> Result<Call, Refusal> {
+    let call: ModelCall<'_> = serde_json::from_slice(body)
+        .map_err(|err| invalid(format!("the body is not a model call: {err}")))?;
+    if call.messages.is_none() && call.prompt.is_none() {
+        return Err(invalid("`messages` or `prompt` is needed"));
+    }
+    let model = document.model(&call.model).ok_or_else(|| {
+        let message = format!(
+            "no model `{}`",
+            call.model.chars().take(64).collect::<String>()
+        );
+        Refusal::not_run(Cause::NotFound, message)
+    })?;
+    let max_output_tokens = call
+        .max_completion_tokens
+        .or(call.max_tokens)
+        .unwrap_or(model.default_max_output_tokens);
+    if !(1..=model.max_output_tokens).contains(&max_output_tokens) {
+        let message = format!("max_tokens has to be 1 to {}", model.max_output_tokens);
+        return Err(invalid(message));
+    }
+    let prompt_tokens = (body.len() as u64).div_ceil(BYTES_PER_TOKEN);
+    let class: &Class = document.class_of_prompt(prompt_tokens).ok_or_else(|| {
+        Refusal::not_run(
+            Cause::TooLarge,
+            "the prompt is longer than any class allows",
+        )
+    })?;
+    Ok(Call {
+        target: Target::Model {
+            model: model.id.clone(),
+            class: class.id.clone(),
+        },
+        prompt_tokens,
+        max_output_tokens,
+        prefix: Vec::new(),
+        bound_region,
+        idempotent: true,
+        deadline_ms: class.deadline_ms,
+    })
+}
+
+fn route_call(route: &Route, account_region: Option<RegionId>) -> Result<Call, Refusal> {
+    let bound_region = match (&route.bound_region, account_region) {
+        (Some(of_route), Some(of_account)) if *of_route != of_account => {
+            let message =
+                format!("the route is bound to region `{of_route}`, the account to `{of_account}`");
+            return Err(Refusal::not_run(Cause::WrongRegion, message));
+        }
+        (Some(region), _) => Some(region.clone()),
+        (None, region) => region,
+    };
+    Ok(Call {
+        target: Target::Service {
+            service: route.service.clone(),
+            route: route.path.clone(),
+        },
+        prompt_tokens: route.charge_tokens,
+        max_output_tokens: 0,
+        prefix: Vec::new(),
+        bound_region,
+        idempotent: route.idempotent,
+        deadline_ms: route.deadline_ms,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/intake/upstream_headers.rs
@@ -0,0 +1,114 @@
+//! What an upstream gets to see of a request.
+//!
+//! Headers are an allow-list. A caller's key may also have been put where it does not belong, so
+//! the query loses every parameter that holds it, and a request that carries it anywhere else is
+//! refused.
+
+use super::head::RequestHead;
+use crate::refusal::{Cause, Refusal};
+use carobwheel_core::id::RequestId;
+use memchr::memmem;
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue, AUTHORIZATION};
+use rocket::Request;
+
+/// Headers that are passed on to upstreams.
+const PASSED: [&str; 8] = [
+    "accept",
+    "accept-language",
+    "content-type",
+    "content-language",
+    "idempotency-key",
+    "if-match",
+    "if-none-match",
+    "traceparent",
+];
+/// Query parameters in which callers put keys.
+const KEY_PARAMETERS: [&str; 6] = [
+    "access_token",
+    "api-key",
+    "api_key",
+    "apikey",
+    "key",
+    "token",
+];
+/// Names the request to the upstream.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Priority for the engine; 0 is the most urgent.
+const PRIORITY: HeaderName = HeaderName::from_static("x-priority");
+
+/// Headers for the upstream.
+pub(super) fn headers(
+    request: &Request<'_>,
+    request_id: &RequestId,
+    priority: u8,
+    credential: Option<&str>,
+) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for name in PASSED {
+        for value in request.headers().get(name) {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.append(HeaderName::from_static(name), value);
+            }
+        }
+    }
+    let bearer = credential.and_then(|it| HeaderValue::from_str(&format!("Bearer {it}")).ok());
+    if let Some(bearer) = bearer {
+        headers.insert(AUTHORIZATION, bearer);
+    }
+    if let Ok(value) = HeaderValue::from_str(request_id.as_str()) {
+        headers.insert(REQUEST_ID, value);
+    }
+    headers.insert(PRIORITY, HeaderValue::from(u16::from(priority)));
+    headers
+}
+
+/// Path and query for the upstream.
+pub(super) fn path_and_query(head: &RequestHead) -> String {
+    let Some(query) = &head.query else {
+        return head.path.clone();
+    };
+    let passed: Vec<&str> = query
+        .split('&')
+        .filter(|pair| !is_key_parameter(pair, head.key.as_deref()))
+        .collect();
+    if passed.is_empty() {
+        return head.path.clone();
+    }
+    format!("{}?{}", head.path, passed.join("&"))
+}
+
+/// Refuses a request whose key stands in a place that is passed on to upstreams.
+pub(super) fn check_key_places(
+    request: &Request<'_>,
+    head: &RequestHead,
+    body: &[u8],
+) -> Result<(), Refusal> {
+    let Some(key) = head.key.as_deref().filter(|key| !key.is_empty()) else {
+        return Ok(());
+    };
+    let is_in_headers = PASSED
+        .iter()
+        .flat_map(|name| request.headers().get(name))
+        .any(|value| value.contains(key));
+    let is_in_path = percent_decoded(&head.path).contains(key);
+    let is_in_body = memmem::find(body, key.as_bytes()).is_some();
+    if is_in_headers || is_in_path || is_in_body {
+        let message = "the key stands in a part of the request that upstreams see";
+        return Err(Refusal::not_run(Cause::InvalidRequest, message));
+    }
+    Ok(())
+}
+
+fn is_key_parameter(pair: &str, key: Option<&str>) -> bool {
+    let name = pair.split('=').next().unwrap_or(pair);
+    let name = percent_decoded(name).to_ascii_lowercase();
+    let holds_key = key.is_some_and(|key| !key.is_empty() && percent_decoded(pair).contains(key));
+    holds_key || KEY_PARAMETERS.contains(&name.as_str())
+}
+
+// Decoded without regard to UTF-8: the text is only searched.
+fn percent_decoded(text: &str) -> String {
+    rocket::http::RawStr::new(text)
+        .percent_decode_lossy()
+        .into_owned()
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,3 +1,9 @@
-//! Entry point of the binary.
+//! Entry point of the daemon.
 
-fn main() {}
+use carobwheel_gateway::options::{self, Options};
+use clap::Parser as _;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    options::run(&Options::parse())
+}
--- a/crates/gateway/src/report/mod.rs
+++ b/crates/gateway/src/report/mod.rs
@@ -1,1 +1,5 @@
 //! Metrics, histograms, logs and the status page.
+
+mod logs;
+
+pub use logs::start as start_logs;
--- a/crates/gateway/src/ring/mod.rs
+++ b/crates/gateway/src/ring/mod.rs
@@ -1,1 +1,128 @@
 //! Bounded rings between threads.
+//!
+//! A ring has many senders and one receiver. Sending never waits: a full ring gives the value
+//! back, and the caller of [`Sender::try_send`] decides what that means. How the receiving thread
+//! is woken is a closure, so that a plain thread and an event loop can both receive.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    thread::Thread,
+    time::Duration,
+};
+use tokio::sync::Notify;
+
+type Wake = Arc<dyn Fn() + Send + Sync>;
+
+/// A value that did not fit.
+#[derive(Debug)]
+pub struct Full<T>(pub T);
+
+/// The sending side of a ring.
+pub struct Sender<T> {
+    producer: Arc<Mutex<rtrb::Producer<T>>>,
+    wake: Wake,
+}
+
+impl<T> Clone for Sender<T> {
+    fn clone(&self) -> Self {
+        Self {
+            producer: Arc::clone(&self.producer),
+            wake: Arc::clone(&self.wake),
+        }
+    }
+}
+
+impl<T> Sender<T> {
+    /// Puts `value` into the ring and wakes the receiver.
+    ///
+    /// # Errors
+    ///
+    /// Gives the value back when the ring is full or its receiver is gone.
+    pub fn try_send(&self, value: T) -> Result<(), Full<T>> {
+        let mut producer = self.producer.lock().unwrap_or_else(PoisonError::into_inner);
+        if producer.is_abandoned() {
+            return Err(Full(value));
+        }
+        producer
+            .push(value)
+            .map_err(|rtrb::PushError::Full(value)| Full(value))?;
+        drop(producer);
+        (self.wake)();
+        Ok(())
+    }
+
+    /// Whether the receiver is gone.
+    pub fn is_closed(&self) -> bool {
+        let producer = self.producer.lock().unwrap_or_else(PoisonError::into_inner);
+        producer.is_abandoned()
+    }
+}
+
+/// The receiving side of a ring, for a plain thread.
+pub struct Receiver<T> {
+    consumer: rtrb::Consumer<T>,
+}
+
+impl<T> Receiver<T> {
+    /// The oldest value, if there is one.
+    pub fn try_recv(&mut self) -> Option<T> {
+        self.consumer.pop().ok()
+    }
+
+    /// Blocks this thread until a sender wakes it or `timeout` has passed.
+    pub fn park(&self, timeout: Duration) {
+        if self.consumer.is_empty() {
+            std::thread::park_timeout(timeout);
+        }
+    }
+}
+
+/// The receiving side of a ring, for an event loop.
+pub struct AsyncReceiver<T> {
+    consumer: rtrb::Consumer<T>,
+    notify: Arc<Notify>,
+}
+
+impl<T> AsyncReceiver<T> {
+    /// Waits for the oldest value; `None` when the ring is empty and all senders are gone.
+    pub async fn recv(&mut self) -> Option<T> {
+        loop {
+            if let Ok(value) = self.consumer.pop() {
+                return Some(value);
+            }
+            if self.consumer.is_abandoned() {
+                return self.consumer.pop().ok();
+            }
+            // A sender that goes away does not notify, so the wait has an end.
+            let pause = tokio::time::sleep(Duration::from_millis(50));
+            tokio::select! {
+                () = self.notify.notified() => {}
+                () = pause => {}
+            }
+        }
+    }
+}
+
+/// A ring of `capacity` values whose receiver is the thread `receiver`.
+pub fn ring<T>(capacity: usize, receiver: Thread) -> (Sender<T>, Receiver<T>) {
+    let (producer, consumer) = rtrb::RingBuffer::new(capacity);
+    let sender = Sender {
+        producer: Arc::new(Mutex::new(producer)),
+        wake: Arc::new(move || receiver.unpark()),
+    };
+    (sender, Receiver { consumer })
+}
+
+/// A ring of `capacity` values whose receiver is a task of an event loop.
+pub fn async_ring<T>(capacity: usize) -> (Sender<T>, AsyncReceiver<T>) {
+    let (producer, consumer) = rtrb::RingBuffer::new(capacity);
+    let notify = Arc::new(Notify::new());
+    let sender = Sender {
+        producer: Arc::new(Mutex::new(producer)),
+        wake: {
+            let notify = Arc::clone(&notify);
+            Arc::new(move || notify.notify_one())
+        },
+    };
+    (sender, AsyncReceiver { consumer, notify })
+}
