Add placement of requests on upstreams

Cause: the daemon needs a pure decision on where a request runs. Change: Router with predicted first token, gossiped load, prefix affinity, packing and hop rules; residency and hops are asserted inside the program. Not measured yet.

--- /dev/null
+++ b/crates/core/src/route/router.rs
@@ -0,0 +1,379 @@
+//! One instance's view of all upstreams, and placement on them.
+
+use super::choice::{choose, Candidate};
+use super::flight::{Flight, FlightId};
+use super::upstream::UpstreamState;
+use super::{Hop, Load, Placement, Refusal, Request};
+use crate::document::{Document, Objective};
+use crate::id::{DataCentreId, InstanceId, RegionId, UpstreamId};
+use crate::time::Millis;
+use rand::Rng;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// Weight of the newest answer's length in the expected length.
+const OUTPUT_WEIGHT: f64 = 0.02;
+/// Share of its bound that an answer is expected to use before any has ended.
+const INITIAL_OUTPUT_SHARE: f64 = 0.6;
+
+/// One-way network delays from this instance, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Delays {
+    /// To an upstream of the same data centre.
+    pub same_data_centre_us: u64,
+    /// To another data centre of the region.
+    pub same_region_us: u64,
+    /// To another region.
+    pub other_region_us: u64,
+}
+
+/// Settings of a router.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Region of this instance.
+    pub region: RegionId,
+    /// Data centre of this instance.
+    pub data_centre: DataCentreId,
+    /// Network delays from this instance.
+    pub delays: Delays,
+}
+
+pub(super) struct Peer {
+    pub(super) sequence: u64,
+    pub(super) received_at: Millis,
+    pub(super) loads: Vec<(UpstreamId, Load)>,
+}
+
+/// One instance's view of all upstreams. Owned by the deciding thread.
+pub struct Router {
+    settings: Settings,
+    objective: Objective,
+    pub(super) upstreams: BTreeMap<UpstreamId, UpstreamState>,
+    pub(super) by_hash: HashMap<[u8; 4], UpstreamId>,
+    pub(super) peers: HashMap<InstanceId, Peer>,
+    pub(super) flights: HashMap<FlightId, Flight>,
+    next_flight: u64,
+    // Share of its bound that an answer uses, of short and of long requests.
+    output_share: [f64; 2],
+}
+
+impl Router {
+    /// A router with the upstreams of `document`.
+    pub fn new(settings: Settings, document: &Document, now: Millis) -> Self {
+        let mut router = Self {
+            settings,
+            objective: document.policy.objective,
+            upstreams: BTreeMap::new(),
+            by_hash: HashMap::new(),
+            peers: HashMap::new(),
+            flights: HashMap::new(),
+            next_flight: 0,
+            output_share: [INITIAL_OUTPUT_SHARE; 2],
+        };
+        router.apply_document(document, now);
+        router
+            .upstreams
+            .values_mut()
+            .for_each(|state| state.returned_at = None);
+        router
+    }
+
+    /// Takes over the upstreams of a newer document. What is known of upstreams that stay is kept;
+    /// those that are gone get no new work and are forgotten once idle.
+    pub fn apply_document(&mut self, document: &Document, now: Millis) {
+        self.objective = document.policy.objective;
+        let named: HashSet<_> = document.upstreams.iter().map(|spec| &spec.id).collect();
+        for (id, state) in &mut self.upstreams {
+            state.is_leaving_by_document |= !named.contains(id);
+        }
+        self.upstreams
+            .retain(|id, state| named.contains(id) || !state.own.is_idle());
+        for spec in &document.upstreams {
+            let is_same = |state: &UpstreamState| {
+                state.spec.serves == spec.serves && state.spec.url == spec.url
+            };
+            match self.upstreams.get_mut(&spec.id) {
+                Some(state) if is_same(state) || !state.own.is_idle() => {
+                    let was_leaving = state.is_leaving();
+                    state.spec = spec.clone();
+                    state.is_leaving_by_document = spec.leaving;
+                    if was_leaving && !state.is_leaving() {
+                        state.begin_ramp(now);
+                    }
+                }
+                _ => {
+                    let mut state = UpstreamState::new(spec);
+                    state.begin_ramp(now);
+                    self.upstreams.insert(spec.id.clone(), state);
+                }
+            }
+        }
+        self.index();
+    }
+
+    fn index(&mut self) {
+        self.by_hash = self
+            .upstreams
+            .iter()
+            .map(|(id, state)| (state.short_hash(), id.clone()))
+            .collect();
+        for state in self.upstreams.values_mut() {
+            state.peers = Load::default();
+        }
+        for peer in self.peers.values_mut() {
+            peer.loads.retain(|(id, _)| self.upstreams.contains_key(id));
+            add_peer(&mut self.upstreams, &peer.loads);
+        }
+    }
+
+    /// Chooses the upstream for a request. Nothing changes until [`Router::start`].
+    ///
+    /// # Errors
+    ///
+    /// Tells why there is no place now; the request has not run.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the choice would break residency, the hop limits or the exclusion of leaving
+    /// upstreams, which is a fault of the program.
+    pub fn place(
+        &self,
+        request: &Request<'_>,
+        now: Millis,
+        rng: &mut impl Rng,
+    ) -> Result<Placement, Refusal> {
+        if let Some(region) = request.bound_region {
+            if *region != self.settings.region {
+                return Err(Refusal::OutsideBoundRegion(region.clone()));
+            }
+        }
+        let (home, away) = self.candidates(request, now);
+        let chosen = choose(&home, &away, request, self.objective, rng);
+        let Some(chosen) = chosen else {
+            return Err(no_room(&home, &away));
+        };
+        let first_token_ms = chosen.prediction.first_token_ms as u64;
+        if first_token_ms > request.target.remaining_ms {
+            return Err(Refusal::TooLate { first_token_ms });
+        }
+        Ok(self.placement(chosen, request))
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        request: &Request<'_>,
+        now: Millis,
+    ) -> (Vec<Candidate<'a>>, Vec<Candidate<'a>>) {
+        let may_leave = request.bound_region.is_none() && request.hops.is_allowed(Hop::Across);
+        let expected = self.expected_output_tokens(request);
+        let mut home = Vec::new();
+        let mut away = Vec::new();
+        for (id, state) in &self.upstreams {
+            let is_home = state.spec.region == self.settings.region;
+            let is_allowed = is_home || may_leave;
+            let is_open = !state.is_leaving() && !state.is_ejected;
+            if !is_allowed || !is_open || !state.serves(&request.wanted) {
+                continue;
+            }
+            if request.tried.contains(id) {
+                continue;
+            }
+            let network_ms = self.network_ms(state);
+            let candidate = Candidate::new(state, request, expected, network_ms, now);
+            if is_home {
+                home.push(candidate);
+            } else {
+                away.push(candidate);
+            }
+        }
+        (home, away)
+    }
+
+    /// Network delay there and back, in milliseconds.
+    fn network_ms(&self, state: &UpstreamState) -> f64 {
+        let delays = &self.settings.delays;
+        let one_way_us = if state.spec.data_centre == self.settings.data_centre {
+            delays.same_data_centre_us
+        } else if state.spec.region == self.settings.region {
+            delays.same_region_us
+        } else {
+            delays.other_region_us
+        };
+        2.0 * one_way_us as f64 / 1_000.0
+    }
+
+    fn expected_output_tokens(&self, request: &Request<'_>) -> u64 {
+        let share = self.output_share[usize::from(request.target.is_long)];
+        (request.max_output_tokens as f64 * share) as u64
+    }
+
+    fn placement(&self, chosen: &Candidate<'_>, request: &Request<'_>) -> Placement {
+        let spec = &chosen.state.spec;
+        let is_away = spec.region != self.settings.region;
+        let hop = is_away.then_some(Hop::Across);
+        let hops = match hop {
+            Some(hop) => request.hops.used(hop),
+            None => Ok(request.hops.clone()),
+        };
+        assert!(!chosen.state.is_leaving(), "placed on a leaving upstream");
+        assert!(!chosen.state.is_ejected, "placed on an ejected upstream");
+        assert!(
+            request
+                .bound_region
+                .is_none_or(|bound| *bound == spec.region),
+            "a bound request was placed outside its region"
+        );
+        assert!(
+            !request.tried.contains(&spec.id),
+            "placed on a tried upstream"
+        );
+        let hops = hops.expect("placed in another region without a hop left");
+        let uncached = chosen.prediction.uncached_tokens;
+        let is_long = request.target.is_long;
+        Placement {
+            upstream: spec.id.clone(),
+            region: spec.region.clone(),
+            hop,
+            hops,
+            prediction: chosen.prediction,
+            load: Load {
+                requests: 1,
+                long_requests: u64::from(is_long),
+                prompt_tokens: if is_long { 0 } else { uncached },
+                long_prompt_tokens: if is_long { uncached } else { 0 },
+                output_tokens: self.expected_output_tokens(request),
+            },
+            is_long,
+            max_output_tokens: request.max_output_tokens,
+            prefix_hashes: request.prefix_hashes.to_vec(),
+        }
+    }
+
+    /// The request goes out to its place: its work counts from now on.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the placement is stale: the upstream has begun to leave since.
+    pub fn start(&mut self, placement: &Placement, now: Millis) -> FlightId {
+        let id = FlightId(self.next_flight);
+        self.next_flight += 1;
+        let state = self
+            .upstreams
+            .get_mut(&placement.upstream)
+            .expect("started on an unknown upstream");
+        assert!(!state.is_leaving(), "started on a leaving upstream");
+        state.own += placement.load;
+        state.prefixes.insert(&placement.prefix_hashes);
+        let flight = Flight {
+            upstream: placement.upstream.clone(),
+            load: placement.load,
+            is_long: placement.is_long,
+            max_output_tokens: placement.max_output_tokens,
+            output_tokens: 0,
+            started_at: now,
+            measured_at: now,
+            has_first_token: false,
+            uncorrected_ms: placement.prediction.uncorrected_ms,
+            network_ms: placement.prediction.network_ms,
+        };
+        self.flights.insert(id, flight);
+        id
+    }
+
+    /// The first token has arrived: the prompt is read.
+    pub fn first_token(&mut self, id: FlightId, now: Millis) {
+        let Some((flight, state)) = self.flight(id) else {
+            return;
+        };
+        if flight.has_first_token {
+            return;
+        }
+        flight.has_first_token = true;
+        let measured_ms = now.since(flight.started_at) as f64 - flight.network_ms;
+        state
+            .speed
+            .observe_first_token(flight.uncorrected_ms, measured_ms);
+        let mut load = flight.load;
+        load.prompt_tokens = 0;
+        load.long_prompt_tokens = 0;
+        flight.set_load(load, state);
+        flight.measured_at = now;
+    }
+
+    /// So many output tokens have arrived in all.
+    pub fn progress(&mut self, id: FlightId, output_tokens: u64, now: Millis) {
+        let Some((flight, state)) = self.flight(id) else {
+            return;
+        };
+        let new_tokens = output_tokens.saturating_sub(flight.output_tokens);
+        if new_tokens == 0 {
+            return;
+        }
+        let elapsed_ms = now.since(flight.measured_at) as f64;
+        if flight.has_first_token && flight.output_tokens > 0 {
+            let batch = state.load(now).requests.min(state.slots()) as f64;
+            state
+                .speed
+                .observe_token(batch, elapsed_ms / new_tokens as f64);
+        }
+        flight.measured_at = now;
+        flight.output_tokens = output_tokens;
+        let mut load = flight.load;
+        load.output_tokens = load.output_tokens.saturating_sub(new_tokens);
+        flight.set_load(load, state);
+    }
+
+    /// The answer is complete.
+    pub fn finish(&mut self, id: FlightId) {
+        let Some(flight) = self.remove_flight(id) else {
+            return;
+        };
+        if flight.max_output_tokens == 0 {
+            return;
+        }
+        let share = flight.output_tokens as f64 / flight.max_output_tokens as f64;
+        let expected = &mut self.output_share[usize::from(flight.is_long)];
+        *expected += (share.min(1.0) - *expected) * OUTPUT_WEIGHT;
+    }
+
+    /// The attempt has failed or was cancelled.
+    pub fn cancel(&mut self, id: FlightId) {
+        self.remove_flight(id);
+    }
+
+    fn flight(&mut self, id: FlightId) -> Option<(&mut Flight, &mut UpstreamState)> {
+        let flight = self.flights.get_mut(&id)?;
+        let state = self.upstreams.get_mut(&flight.upstream)?;
+        Some((flight, state))
+    }
+
+    fn remove_flight(&mut self, id: FlightId) -> Option<Flight> {
+        let flight = self.flights.remove(&id)?;
+        let state = self
+            .upstreams
+            .get_mut(&flight.upstream)
+            .expect("an upstream with work in flight was forgotten");
+        state.own -= flight.load;
+        Some(flight)
+    }
+}
+
+fn no_room(home: &[Candidate<'_>], away: &[Candidate<'_>]) -> Refusal {
+    let waits = home.iter().chain(away).map(|candidate| candidate.wait_ms);
+    match waits.min_by(f64::total_cmp) {
+        Some(wait_ms) => Refusal::Full {
+            wait_ms: wait_ms.ceil() as u64,
+        },
+        None => Refusal::NoUpstream,
+    }
+}
+
+pub(super) fn add_peer(
+    upstreams: &mut BTreeMap<UpstreamId, UpstreamState>,
+    loads: &[(UpstreamId, Load)],
+) {
+    for (id, load) in loads {
+        if let Some(state) = upstreams.get_mut(id) {
+            state.peers += *load;
+        }
+    }
+}
