--- /dev/null
+++ b/crates/core/src/admit/queue.rs
@@ -0,0 +1,69 @@
+//! The queue of one account and class.
+
+use crate::id::AccountId;
+use crate::time::Millis;
+use std::collections::VecDeque;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub struct Entry<T> {
+    /// Account that the request runs for; absent on open routes, which share one queue.
+    pub account: Option<AccountId>,
+    /// The account's weight in the fair queue (1 or more).
+    pub weight: u32,
+    /// Priority of the class; 0 is the most urgent.
+    pub priority: u8,
+    /// Prompt and output tokens that the request costs.
+    pub cost_tokens: u64,
+    /// Time from which it may no longer be placed.
+    pub deadline: Millis,
+    /// The request itself.
+    pub item: T,
+}
+
+/// Requests of one account and class, in order of arrival.
+#[derive(Debug)]
+pub(super) struct Queue<T> {
+    pub(super) entries: VecDeque<Entry<T>>,
+    /// Tokens that the account may place before the next round.
+    pub(super) deficit_tokens: u64,
+    pub(super) weight: u32,
+}
+
+impl<T> Queue<T> {
+    pub(super) fn new() -> Self {
+        Self {
+            entries: VecDeque::new(),
+            deficit_tokens: 0,
+            weight: 1,
+        }
+    }
+
+    pub(super) fn waiting_tokens(&self) -> u64 {
+        self.entries.iter().map(|entry| entry.cost_tokens).sum()
+    }
+
+    pub(super) fn head_tokens(&self) -> Option<u64> {
+        Some(self.entries.front()?.cost_tokens)
+    }
+
+    /// Keeps the deficit below the first request's cost and one round's share.
+    pub(super) fn limit_deficit(&mut self, quantum_tokens: u64) {
+        let most = self.most_deficit_tokens(quantum_tokens);
+        self.deficit_tokens = self.deficit_tokens.min(most);
+    }
+
+    pub(super) fn assert_bounded(&self, quantum_tokens: u64) {
+        let most = self.most_deficit_tokens(quantum_tokens);
+        assert!(
+            self.deficit_tokens <= most,
+            "a deficit of {} tokens exceeds {most}",
+            self.deficit_tokens
+        );
+    }
+
+    fn most_deficit_tokens(&self, quantum_tokens: u64) -> u64 {
+        let share_tokens = quantum_tokens * u64::from(self.weight);
+        self.head_tokens().unwrap_or(0) + share_tokens
+    }
+}
--- /dev/null
+++ b/crates/core/src/admit/queues.rs
@@ -0,0 +1,150 @@
+//! The queues of one instance.
+
+use super::queue::Entry;
+use super::round::Round;
+use super::{AdmitSettings, Rejected};
+use crate::id::AccountId;
+use crate::time::Millis;
+use std::collections::BTreeMap;
+
+/// A request that leaves its queue.
+#[derive(Debug)]
+pub enum Next<T, P> {
+    /// It has found a place.
+    Placed(Entry<T>, P),
+    /// It may no longer run, because its key was withdrawn.
+    Withdrawn(Entry<T>),
+}
+
+/// The queues of one instance, by class and account. Owned by the deciding thread.
+#[derive(Debug)]
+pub struct Admit<T> {
+    settings: AdmitSettings,
+    classes: BTreeMap<u8, Round<T>>,
+    len: usize,
+    picks: u64,
+}
+
+impl<T> Admit<T> {
+    /// Empty queues.
+    pub fn new(settings: AdmitSettings) -> Self {
+        Self {
+            settings,
+            classes: BTreeMap::new(),
+            len: 0,
+            picks: 0,
+        }
+    }
+
+    /// Queues a request. `slot_wait_ms` is the predicted time until the next slot is free, as
+    /// [`crate::route::Refusal::Full`] gives it.
+    ///
+    /// # Errors
+    ///
+    /// Gives the request back if its queue is full or if it would wait past its deadline.
+    pub fn enqueue(
+        &mut self,
+        entry: Entry<T>,
+        slot_wait_ms: u64,
+        now: Millis,
+    ) -> Result<(), (Entry<T>, Rejected)> {
+        let wait_ms = self.predicted_wait_ms(&entry, slot_wait_ms);
+        let queued = self.queue_len(entry.account.as_ref(), entry.priority);
+        let is_full = queued >= self.settings.max_queue_requests;
+        if is_full || self.len >= self.settings.max_requests {
+            return Err((entry, Rejected::QueueFull { wait_ms }));
+        }
+        if wait_ms > entry.deadline.since(now) {
+            return Err((entry, Rejected::WouldExpire { wait_ms }));
+        }
+        let class = self.classes.entry(entry.priority).or_default();
+        class.push(entry, self.settings.quantum_tokens);
+        self.len += 1;
+        assert!(
+            queued < self.settings.max_queue_requests && self.len <= self.settings.max_requests,
+            "a queue exceeds its bound"
+        );
+        Ok(())
+    }
+
+    /// Time that `entry` would wait: a slot for each request that goes before it.
+    fn predicted_wait_ms(&self, entry: &Entry<T>, slot_wait_ms: u64) -> u64 {
+        let class = self.classes.get(&entry.priority);
+        let ahead = class.map_or(0, |class| {
+            class.requests_ahead(&entry.account, entry.weight)
+        });
+        slot_wait_ms.saturating_mul(ahead + 1)
+    }
+
+    /// The next request that leaves its queue: one that finds a place, or one that is no longer
+    /// allowed. None if no request that is due can be placed. To be called until it gives none
+    /// whenever work ends or an upstream comes back, after [`Admit::expire`].
+    ///
+    /// `is_still_allowed` is asked of a request right before its placement, `can_place` gives its
+    /// place or none.
+    pub fn next<P>(
+        &mut self,
+        mut is_still_allowed: impl FnMut(&Entry<T>) -> bool,
+        mut can_place: impl FnMut(&Entry<T>) -> Option<P>,
+    ) -> Option<Next<T, P>> {
+        let quantum_tokens = self.settings.quantum_tokens;
+        let mut priorities: Vec<u8> = self.classes.keys().copied().collect();
+        if self.picks % self.settings.reverse_every == self.settings.reverse_every - 1 {
+            priorities.reverse();
+        }
+        for priority in priorities {
+            let class = self.classes.get_mut(&priority)?;
+            let next = class.next(quantum_tokens, &mut is_still_allowed, &mut can_place);
+            if let Some(next) = next {
+                self.len -= 1;
+                self.picks += 1;
+                return Some(next);
+            }
+        }
+        None
+    }
+
+    /// Takes out the requests whose deadline has passed.
+    pub fn expire(&mut self, now: Millis) -> Vec<Entry<T>> {
+        let quantum_tokens = self.settings.quantum_tokens;
+        let classes = self.classes.values_mut();
+        let expired: Vec<_> = classes
+            .flat_map(|class| class.expire(quantum_tokens, now))
+            .collect();
+        self.len -= expired.len();
+        expired
+    }
+
+    /// Takes out the requests that match, such as one whose caller has left.
+    pub fn take(&mut self, mut matches: impl FnMut(&Entry<T>) -> bool) -> Vec<Entry<T>> {
+        let quantum_tokens = self.settings.quantum_tokens;
+        let classes = self.classes.values_mut();
+        let taken: Vec<_> = classes
+            .flat_map(|class| class.take(quantum_tokens, &mut matches))
+            .collect();
+        self.len -= taken.len();
+        taken
+    }
+
+    /// Requests waiting.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Requests of one account and class waiting.
+    pub fn queue_len(&self, account: Option<&AccountId>, priority: u8) -> usize {
+        let class = self.classes.get(&priority);
+        class.map_or(0, |class| class.queue_len(&account.cloned()))
+    }
+
+    /// Tokens of one account and class waiting.
+    pub fn waiting_tokens(&self, account: Option<&AccountId>, priority: u8) -> u64 {
+        let class = self.classes.get(&priority);
+        class.map_or(0, |class| class.waiting_tokens(&account.cloned()))
+    }
+}
--- /dev/null
+++ b/crates/core/src/admit/round.rs
@@ -0,0 +1,188 @@
+//! Deficit round robin between the accounts of one class.
+
+use super::queue::{Entry, Queue};
+use super::Next;
+use crate::id::AccountId;
+use crate::time::Millis;
+use std::collections::{BTreeMap, HashSet, VecDeque};
+
+/// Accounts whose first request may fail to find a place in one pick, which bounds its work.
+const MAX_BLOCKED: usize = 32;
+
+type AccountKey = Option<AccountId>;
+
+/// The queues of one class.
+///
+/// Every account with waiting requests has a deficit, the tokens that it may place. When no deficit
+/// covers a first request, all grow by as many rounds as the nearest one needs. A deficit stays
+/// below the cost of the first request and one round's share, so two accounts that wait all the
+/// time never drift further apart than that.
+#[derive(Debug)]
+pub(super) struct Round<T> {
+    queues: BTreeMap<AccountKey, Queue<T>>,
+    turn: VecDeque<AccountKey>,
+}
+
+impl<T> Default for Round<T> {
+    fn default() -> Self {
+        Self {
+            queues: BTreeMap::new(),
+            turn: VecDeque::new(),
+        }
+    }
+}
+
+impl<T> Round<T> {
+    pub(super) fn push(&mut self, entry: Entry<T>, quantum_tokens: u64) {
+        let key = entry.account.clone();
+        let queue = self.queues.entry(key.clone()).or_insert_with(Queue::new);
+        if queue.entries.is_empty() {
+            self.turn.push_back(key);
+        }
+        queue.weight = entry.weight.max(1);
+        queue.entries.push_back(entry);
+        queue.limit_deficit(quantum_tokens);
+    }
+
+    pub(super) fn queue_len(&self, account: &AccountKey) -> usize {
+        let queue = self.queues.get(account);
+        queue.map_or(0, |queue| queue.entries.len())
+    }
+
+    pub(super) fn waiting_tokens(&self, account: &AccountKey) -> u64 {
+        self.queues.get(account).map_or(0, Queue::waiting_tokens)
+    }
+
+    /// Requests placed before a further one of `account`: its own, and what others place meanwhile
+    /// by their weights, but no more than are waiting.
+    pub(super) fn requests_ahead(&self, account: &AccountKey, weight: u32) -> u64 {
+        let weight = u64::from(weight.max(1));
+        let own = self.queue_len(account) as u64;
+        let share = |queue: &Queue<T>| {
+            let part = (own + 1) * u64::from(queue.weight) / weight;
+            part.min(queue.entries.len() as u64)
+        };
+        let others = self.queues.iter().filter(|(key, _)| *key != account);
+        own + others.map(|(_, queue)| share(queue)).sum::<u64>()
+    }
+
+    /// The next request that is withdrawn or finds a place.
+    pub(super) fn next<P>(
+        &mut self,
+        quantum_tokens: u64,
+        is_still_allowed: &mut impl FnMut(&Entry<T>) -> bool,
+        can_place: &mut impl FnMut(&Entry<T>) -> Option<P>,
+    ) -> Option<Next<T, P>> {
+        let mut blocked = HashSet::new();
+        loop {
+            for _ in 0..self.turn.len() {
+                let key = self.turn.front()?.clone();
+                let queue = self.queues.get(&key)?;
+                let entry = queue.entries.front()?;
+                if queue.deficit_tokens < entry.cost_tokens || blocked.contains(&key) {
+                    self.turn.rotate_left(1);
+                    continue;
+                }
+                if !is_still_allowed(entry) {
+                    let entry = self.pop(&key, quantum_tokens)?;
+                    return Some(Next::Withdrawn(entry));
+                }
+                if let Some(place) = can_place(entry) {
+                    self.charge(&key, quantum_tokens);
+                    let entry = self.pop(&key, quantum_tokens)?;
+                    return Some(Next::Placed(entry, place));
+                }
+                blocked.insert(key);
+                self.turn.rotate_left(1);
+                if blocked.len() >= MAX_BLOCKED {
+                    return None;
+                }
+            }
+            self.grow(quantum_tokens, &blocked)?;
+        }
+    }
+
+    /// Gives every account that is not blocked the rounds that the nearest one needs.
+    fn grow(&mut self, quantum_tokens: u64, blocked: &HashSet<AccountKey>) -> Option<()> {
+        let is_open = |key: &AccountKey| !blocked.contains(key);
+        let rounds = self
+            .queues
+            .iter()
+            .filter(|(key, _)| is_open(key))
+            .filter_map(|(_, queue)| {
+                let missing = queue.head_tokens()?.saturating_sub(queue.deficit_tokens);
+                Some(missing.div_ceil(quantum_tokens * u64::from(queue.weight)))
+            })
+            .min()?;
+        for (key, queue) in &mut self.queues {
+            if is_open(key) {
+                queue.deficit_tokens += rounds * quantum_tokens * u64::from(queue.weight);
+                queue.assert_bounded(quantum_tokens);
+            }
+        }
+        Some(())
+    }
+
+    fn charge(&mut self, key: &AccountKey, quantum_tokens: u64) {
+        let Some(queue) = self.queues.get_mut(key) else {
+            return;
+        };
+        queue.assert_bounded(quantum_tokens);
+        let cost_tokens = queue.head_tokens().unwrap_or(0);
+        assert!(
+            queue.deficit_tokens >= cost_tokens,
+            "placed more tokens than the account's share"
+        );
+        queue.deficit_tokens -= cost_tokens;
+    }
+
+    fn pop(&mut self, key: &AccountKey, quantum_tokens: u64) -> Option<Entry<T>> {
+        let queue = self.queues.get_mut(key)?;
+        let entry = queue.entries.pop_front();
+        self.settle(key, quantum_tokens);
+        entry
+    }
+
+    /// Restores the bounds of an account's queue after its first requests went: an empty queue
+    /// saves up nothing.
+    fn settle(&mut self, key: &AccountKey, quantum_tokens: u64) {
+        let Some(queue) = self.queues.get_mut(key) else {
+            return;
+        };
+        if queue.entries.is_empty() {
+            self.queues.remove(key);
+            self.turn.retain(|other| other != key);
+            return;
+        }
+        queue.limit_deficit(quantum_tokens);
+    }
+
+    /// Takes out all requests that match, in order of accounts and arrival.
+    pub(super) fn take(
+        &mut self,
+        quantum_tokens: u64,
+        matches: &mut impl FnMut(&Entry<T>) -> bool,
+    ) -> Vec<Entry<T>> {
+        let mut taken = Vec::new();
+        let keys: Vec<_> = self.queues.keys().cloned().collect();
+        for key in keys {
+            let Some(queue) = self.queues.get_mut(&key) else {
+                continue;
+            };
+            if !queue.entries.iter().any(&mut *matches) {
+                continue;
+            }
+            let entries = std::mem::take(&mut queue.entries);
+            let (gone, kept): (Vec<_>, _) = entries.into_iter().partition(&mut *matches);
+            queue.entries = kept.into();
+            taken.extend(gone);
+            self.settle(&key, quantum_tokens);
+        }
+        taken
+    }
+
+    /// Takes out all requests whose deadline has passed.
+    pub(super) fn expire(&mut self, quantum_tokens: u64, now: Millis) -> Vec<Entry<T>> {
+        self.take(quantum_tokens, &mut |entry| entry.deadline <= now)
+    }
+}
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -121,7 +121,11 @@
                 uncorrected_ms,
             },
             has_room: over == 0 && has_room_for_long(&load, slots, state, &request.target),
-            wait_ms: turnover_ms,
+            wait_ms: if request.target.is_long {
+                turnover_ms.max(read_ms)
+            } else {
+                turnover_ms
+            },
             harm_ms: read_ms * load.requests as f64,
             state,
             load,
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -15,6 +15,7 @@
 mod digest;
 mod flight;
 mod hops;
+mod life;
 mod load;
 mod news;
 mod request;
--- a/crates/core/src/route/router.rs
+++ b/crates/core/src/route/router.rs
@@ -10,8 +10,6 @@
 use rand::Rng;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// Weight of the newest answer's length in the expected length.
-const OUTPUT_WEIGHT: f64 = 0.02;
 /// Share of its bound that an answer is expected to use before any has ended.
 const INITIAL_OUTPUT_SHARE: f64 = 0.6;
 
@@ -51,9 +49,9 @@
     pub(super) by_hash: HashMap<[u8; 4], UpstreamId>,
     pub(super) peers: HashMap<InstanceId, Peer>,
     pub(super) flights: HashMap<FlightId, Flight>,
-    next_flight: u64,
+    pub(super) next_flight: u64,
     // Share of its bound that an answer uses, of short and of long requests.
-    output_share: [f64; 2],
+    pub(super) output_share: [f64; 2],
 }
 
 impl Router {
@@ -247,123 +245,18 @@
             prefix_hashes: request.prefix_hashes.to_vec(),
         }
     }
-
-    /// The request goes out to its place: its work counts from now on.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the placement is stale: the upstream has begun to leave since.
-    pub fn start(&mut self, placement: &Placement, now: Millis) -> FlightId {
-        let id = FlightId(self.next_flight);
-        self.next_flight += 1;
-        let state = self
-            .upstreams
-            .get_mut(&placement.upstream)
-            .expect("started on an unknown upstream");
-        assert!(!state.is_leaving(), "started on a leaving upstream");
-        state.own += placement.load;
-        state.prefixes.insert(&placement.prefix_hashes);
-        let flight = Flight {
-            upstream: placement.upstream.clone(),
-            load: placement.load,
-            is_long: placement.is_long,
-            max_output_tokens: placement.max_output_tokens,
-            output_tokens: 0,
-            started_at: now,
-            measured_at: now,
-            has_first_token: false,
-            uncorrected_ms: placement.prediction.uncorrected_ms,
-            network_ms: placement.prediction.network_ms,
-        };
-        self.flights.insert(id, flight);
-        id
-    }
-
-    /// The first token has arrived: the prompt is read.
-    pub fn first_token(&mut self, id: FlightId, now: Millis) {
-        let Some((flight, state)) = self.flight(id) else {
-            return;
-        };
-        if flight.has_first_token {
-            return;
-        }
-        flight.has_first_token = true;
-        let measured_ms = now.since(flight.started_at) as f64 - flight.network_ms;
-        state
-            .speed
-            .observe_first_token(flight.uncorrected_ms, measured_ms);
-        let mut load = flight.load;
-        load.prompt_tokens = 0;
-        load.long_prompt_tokens = 0;
-        flight.set_load(load, state);
-        flight.measured_at = now;
-    }
-
-    /// So many output tokens have arrived in all.
-    pub fn progress(&mut self, id: FlightId, output_tokens: u64, now: Millis) {
-        let Some((flight, state)) = self.flight(id) else {
-            return;
-        };
-        let new_tokens = output_tokens.saturating_sub(flight.output_tokens);
-        if new_tokens == 0 {
-            return;
-        }
-        let elapsed_ms = now.since(flight.measured_at) as f64;
-        if flight.has_first_token && flight.output_tokens > 0 {
-            let batch = state.load(now).requests.min(state.slots()) as f64;
-            state
-                .speed
-                .observe_token(batch, elapsed_ms / new_tokens as f64);
-        }
-        flight.measured_at = now;
-        flight.output_tokens = output_tokens;
-        let mut load = flight.load;
-        load.output_tokens = load.output_tokens.saturating_sub(new_tokens);
-        flight.set_load(load, state);
-    }
-
-    /// The answer is complete.
-    pub fn finish(&mut self, id: FlightId) {
-        let Some(flight) = self.remove_flight(id) else {
-            return;
-        };
-        if flight.max_output_tokens == 0 {
-            return;
-        }
-        let share = flight.output_tokens as f64 / flight.max_output_tokens as f64;
-        let expected = &mut self.output_share[usize::from(flight.is_long)];
-        *expected += (share.min(1.0) - *expected) * OUTPUT_WEIGHT;
-    }
-
-    /// The attempt has failed or was cancelled.
-    pub fn cancel(&mut self, id: FlightId) {
-        self.remove_flight(id);
-    }
-
-    fn flight(&mut self, id: FlightId) -> Option<(&mut Flight, &mut UpstreamState)> {
-        let flight = self.flights.get_mut(&id)?;
-        let state = self.upstreams.get_mut(&flight.upstream)?;
-        Some((flight, state))
-    }
-
-    fn remove_flight(&mut self, id: FlightId) -> Option<Flight> {
-        let flight = self.flights.remove(&id)?;
-        let state = self
-            .upstreams
-            .get_mut(&flight.upstream)
-            .expect("an upstream with work in flight was forgotten");
-        state.own -= flight.load;
-        Some(flight)
-    }
 }
 
+/// The refusal when no candidate has room. Slots become free on all candidates at the same time, so
+/// their rates add up.
 fn no_room(home: &[Candidate<'_>], away: &[Candidate<'_>]) -> Refusal {
-    let waits = home.iter().chain(away).map(|candidate| candidate.wait_ms);
-    match waits.min_by(f64::total_cmp) {
-        Some(wait_ms) => Refusal::Full {
-            wait_ms: wait_ms.ceil() as u64,
-        },
-        None => Refusal::NoUpstream,
+    let candidates = if home.is_empty() { away } else { home };
+    if candidates.is_empty() {
+        return Refusal::NoUpstream;
+    }
+    let slots_per_ms: f64 = candidates.iter().map(|c| 1.0 / c.wait_ms.max(1.0)).sum();
+    Refusal::Full {
+        wait_ms: (1.0 / slots_per_ms).ceil() as u64,
     }
 }
 
