--- a/crates/wire/src/openai/mod.rs
+++ b/crates/wire/src/openai/mod.rs
@@ -1,1 +1,23 @@
-//! Shapes of the OpenAI-compatible API.
+//! The OpenAI-compatible interface, as far as the gateway has to understand it.
+//!
+//! Requests are relayed as the bytes that came in; [`RequestView`] borrows from them only what
+//! placement, limits and accounting need.
+
+mod answer;
+mod request;
+
+pub use answer::{
+    AssistantMessage, ChatAnswer, ChatChoice, ChatChunk, ChunkChoice, Completion, CompletionChoice,
+    Delta, ErrorAnswer, ErrorDetail, ModelEntry, ModelList, Usage,
+};
+pub use request::{Content, Message, Part, Prompt, RequestView, StreamOptions};
+
+/// Path of chat requests.
+pub const CHAT_PATH: &str = "/v1/chat/completions";
+/// Path of plain completion requests.
+pub const COMPLETIONS_PATH: &str = "/v1/completions";
+/// Path of the list of models.
+pub const MODELS_PATH: &str = "/v1/models";
+
+/// Data of the server-sent event that ends a complete stream.
+pub const DONE: &str = "[DONE]";
