--- a/crates/ctl/src/key/mod.rs
+++ b/crates/ctl/src/key/mod.rs
@@ -56,10 +56,8 @@
         Command::New { account, id } => {
             let key = new_key();
             let digest = identity::digest(&key);
-            let code = config::edit(&args.store, |document| {
-                add(document, &account, id, digest)
-            })
-            .await?;
+            let code =
+                config::edit(&args.store, |document| add(document, &account, id, digest)).await?;
             if code == ExitCode::SUCCESS {
                 println!("{key}");
             }
--- a/crates/ctl/src/load/process.rs
+++ b/crates/ctl/src/load/process.rs
@@ -24,7 +24,9 @@
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))
         .with_context(|| format!("no process {pid}"))?;
     // The name of the program stands in parentheses and may hold spaces.
-    let (_, fields) = stat.rsplit_once(')').context("/proc/PID/stat is malformed")?;
+    let (_, fields) = stat
+        .rsplit_once(')')
+        .context("/proc/PID/stat is malformed")?;
     let fields: Vec<&str> = fields.split_whitespace().collect();
     let ticks = |index: usize| -> anyhow::Result<f64> {
         let field = fields.get(index).context("/proc/PID/stat is too short")?;
--- a/crates/ctl/src/options/mod.rs
+++ b/crates/ctl/src/options/mod.rs
@@ -64,9 +64,7 @@
     })
 }
 
-fn on_event_loop(
-    task: impl Future<Output = anyhow::Result<ExitCode>>,
-) -> anyhow::Result<ExitCode> {
+fn on_event_loop(task: impl Future<Output = anyhow::Result<ExitCode>>) -> anyhow::Result<ExitCode> {
     runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?
--- /dev/null
+++ b/crates/gateway/src/decide/apply.rs
@@ -0,0 +1,92 @@
+//! Puts a document in force.
+
+use super::state::{retry_settings, Configured, State};
+use crate::in_force::InForce;
+use carobwheel_core::{
+    document::{Serves, Upstream},
+    retry::{Ejection, Group, Outliers, Retrier},
+    route::{Delays, Router, Settings},
+    time::Millis,
+};
+use std::sync::Arc;
+
+/// One-way delays until they are measured.
+const DELAYS: Delays = Delays {
+    same_data_centre_us: 100,
+    same_region_us: 1_000,
+    other_region_us: 80_000,
+};
+
+impl State {
+    /// Puts `next` in force if its revision is higher than the one in force.
+    pub(super) fn apply(&mut self, next: Arc<InForce>, now: Millis) {
+        let revision = self.revision();
+        if revision.is_some_and(|revision| revision >= next.revision) {
+            return;
+        }
+        log::info!(revision = next.revision; "document in force");
+        self.current.replace(Arc::clone(&next));
+        let groups = next.document.upstreams.iter().map(group_of);
+        match &mut self.configured {
+            Some(configured) => {
+                configured.router.apply_document(&next.document, now);
+                configured.retrier.set_settings(retry_settings(&next));
+                let back = configured.outliers.set_upstreams(groups);
+                configured.in_force = Arc::clone(&next);
+                configured.heed(back, now);
+            }
+            None => {
+                let settings = Settings {
+                    region: self.identity.region.clone(),
+                    data_centre: self.identity.data_centre.clone(),
+                    delays: DELAYS,
+                };
+                let mut outliers = Outliers::default();
+                outliers.set_upstreams(groups);
+                self.configured = Some(Configured {
+                    router: Router::new(settings, &next.document, now),
+                    retrier: Retrier::new(retry_settings(&next)),
+                    outliers,
+                    in_force: next,
+                });
+            }
+        }
+        self.place_waiting(now);
+    }
+
+    /// Revision of the document in force.
+    pub(super) fn revision(&self) -> Option<u64> {
+        let configured = self.configured.as_ref()?;
+        Some(configured.in_force.revision)
+    }
+}
+
+impl Configured {
+    /// Tells the router which upstreams are ejected and which are back.
+    pub(super) fn heed(&mut self, changes: impl IntoIterator<Item = Ejection>, now: Millis) {
+        for change in changes {
+            match change {
+                Ejection::Out { upstream, .. } => {
+                    log::warn!(upstream = upstream.as_str(); "upstream ejected");
+                    self.router.set_ejected(&upstream, true, now);
+                }
+                Ejection::Back(upstream) => {
+                    log::info!(upstream = upstream.as_str(); "upstream back");
+                    self.router.set_ejected(&upstream, false, now);
+                }
+            }
+        }
+    }
+}
+
+fn group_of(upstream: &Upstream) -> (carobwheel_core::id::UpstreamId, Group) {
+    let serves = match &upstream.serves {
+        Serves::Engine { model, version, .. } => format!("{model}/{version}"),
+        Serves::Service { service, .. } => service.to_string(),
+    };
+    let group = Group {
+        region: upstream.region.clone(),
+        serves,
+    };
+    (upstream.id.clone(), group)
+}
--- a/crates/gateway/src/decide/event.rs
+++ b/crates/gateway/src/decide/event.rs
@@ -2,8 +2,10 @@
 
 use crate::{in_force::InForce, refusal::Refusal};
 use carobwheel_core::{
-    id::{ClassId, InstanceId, ModelId, RegionId, RequestId, ServiceId, UpstreamId, VersionId},
+    id::{ClassId, ModelId, RegionId, RequestId, ServiceId, UpstreamId, VersionId},
     identity::Caller,
+    retry::{Decision, Failure},
+    route::Hops,
     time::Millis,
 };
 use std::sync::Arc;
@@ -51,8 +53,8 @@
     pub deadline: Millis,
     /// Upstreams that were tried before.
     pub tried: Vec<UpstreamId>,
-    /// Instances that the request has been forwarded by.
-    pub visited: Vec<InstanceId>,
+    /// The way that the request has taken, this instance included.
+    pub hops: Hops,
     /// Where the decision goes.
     pub reply: oneshot::Sender<Result<Placed, Refusal>>,
 }
@@ -77,10 +79,8 @@
 pub enum Ending {
     /// The answer was whole.
     Whole,
-    /// The upstream could not be reached; nothing ran.
-    NotConnected,
-    /// The upstream failed or its answer was not whole.
-    Failed,
+    /// The attempt failed.
+    Failed(Failure),
     /// The caller went away or the request was cancelled before its end.
     Cancelled,
 }
@@ -96,6 +96,21 @@
     pub output_tokens: u64,
 }
 
+/// Asks whether a failed attempt is tried again.
+#[derive(Debug)]
+pub struct RetryQuestion {
+    /// The request may be repeated without a further effect.
+    pub idempotent: bool,
+    /// How the attempt failed.
+    pub failure: Failure,
+    /// Number of attempts so far.
+    pub attempts: u32,
+    /// Time by which the answer has to begin.
+    pub deadline: Millis,
+    /// Where the decision goes.
+    pub reply: oneshot::Sender<Decision>,
+}
+
 /// An event for the deciding thread.
 #[derive(Debug)]
 pub enum Event {
@@ -106,8 +121,17 @@
         /// Number of the placement.
         ticket: u64,
     },
+    /// Output tokens have arrived.
+    Progress {
+        /// Number of the placement.
+        ticket: u64,
+        /// Output tokens so far.
+        output_tokens: u64,
+    },
     /// A placed request ended.
     Settle(Settlement),
+    /// An attempt failed before its answer began; may it be tried again?
+    MayRetry(Box<RetryQuestion>),
     /// A document arrived from the store or a peer.
     Document(Arc<InForce>),
     /// The instance is leaving.
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -3,10 +3,13 @@
 //! Other threads send events through one bounded ring. The thread handles them one after the
 //! other, so that no decision needs a lock and each one sees the whole state.
 
+mod apply;
+mod ask;
 mod event;
+mod settle;
 mod state;
 
-pub use event::{Ask, Ending, Event, Placed, Settlement, Target};
+pub use event::{Ask, Ending, Event, Placed, RetryQuestion, Settlement, Target};
 
 use crate::{
     in_force::Current,
@@ -35,7 +38,7 @@
     cancel: CancellationToken,
 ) -> anyhow::Result<(Sender<Event>, thread::JoinHandle<()>)> {
     let (announce, announced) = mpsc::channel();
-    let mut state = State::new(identity.clone(), current);
+    let mut state = State::new(identity.clone(), clock, current);
     let thread = thread::Builder::new()
         .name("decide".to_owned())
         .spawn(move || {
@@ -45,9 +48,9 @@
             }
             while !cancel.is_cancelled() {
                 while let Some(event) = receiver.try_recv() {
-                    state.handle(event, clock.now());
+                    state.handle(event);
                 }
-                state.tick(clock.now());
+                state.tick();
                 receiver.park(TICK);
             }
         })
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -1,137 +1,111 @@
 //! All decision state of one instance.
 
-use super::event::{Ask, Event, Placed, Settlement, Target};
+use super::event::{Ask, Event};
 use crate::{
     in_force::{Current, InForce},
-    refusal::{Cause, Refusal},
     settings::Identity,
 };
 use carobwheel_core::{
-    document::{Serves, Upstream},
-    id::UpstreamId,
-    time::Millis,
+    admit::{Admit, AdmitSettings},
+    id::{AccountId, UpstreamId},
+    retry::{Outliers, Retrier, RetrySettings},
+    route::{FlightId, Router},
+    time::{Clock, Millis},
 };
+use rand::{rngs::StdRng, SeedableRng as _};
 use std::{collections::HashMap, sync::Arc};
 
+const EXPIRY_PERIOD_MS: u64 = 250;
+
+/// A placement that has not been settled.
+pub(super) struct Open {
+    pub(super) flight: FlightId,
+    pub(super) upstream: UpstreamId,
+}
+
+/// What depends on a document being in force.
+pub(super) struct Configured {
+    pub(super) in_force: Arc<InForce>,
+    pub(super) router: Router,
+    pub(super) retrier: Retrier,
+    pub(super) outliers: Outliers,
+}
+
 /// The state behind every decision.
 pub(super) struct State {
-    identity: Identity,
-    current: Current,
-    in_force: Option<Arc<InForce>>,
-    in_flight: HashMap<UpstreamId, u64>,
-    placed: HashMap<u64, UpstreamId>,
-    last_ticket: u64,
+    pub(super) identity: Identity,
+    pub(super) current: Current,
+    pub(super) configured: Option<Configured>,
+    pub(super) admit: Admit<Box<Ask>>,
+    pub(super) open: HashMap<u64, Open>,
+    pub(super) last_ticket: u64,
+    pub(super) rng: StdRng,
+    clock: Clock,
+    expired_at: Millis,
 }
 
 impl State {
-    pub(super) fn new(identity: Identity, current: Current) -> Self {
+    pub(super) fn new(identity: Identity, clock: Clock, current: Current) -> Self {
         Self {
             identity,
             current,
-            in_force: None,
-            in_flight: HashMap::new(),
-            placed: HashMap::new(),
+            configured: None,
+            admit: Admit::new(AdmitSettings::default()),
+            open: HashMap::new(),
             last_ticket: 0,
+            rng: StdRng::from_os_rng(),
+            clock,
+            expired_at: Millis::default(),
         }
     }
 
-    pub(super) fn handle(&mut self, event: Event, now: Millis) {
+    pub(super) fn handle(&mut self, event: Event) {
+        let now = self.clock.now();
         match event {
-            Event::Ask(ask) => self.ask(*ask, now),
-            Event::FirstByte { .. } | Event::Leave => {}
-            Event::Settle(settlement) => self.settle(settlement),
-            Event::Document(next) => self.apply(next),
+            Event::Ask(ask) => self.ask(ask, now),
+            Event::FirstByte { ticket } => self.first_byte(ticket, now),
+            Event::Progress {
+                ticket,
+                output_tokens,
+            } => self.progress(ticket, output_tokens, now),
+            Event::Settle(settlement) => self.settle(&settlement, now),
+            Event::MayRetry(question) => self.may_retry(*question, now),
+            Event::Document(next) => self.apply(next, now),
+            Event::Leave => {}
         }
     }
 
-    pub(super) fn tick(&mut self, _now: Millis) {}
-
-    fn apply(&mut self, next: Arc<InForce>) {
-        let revision = self.in_force.as_ref().map(|in_force| in_force.revision);
-        if revision.is_some_and(|revision| revision >= next.revision) {
+    /// Work that is due by time alone.
+    pub(super) fn tick(&mut self) {
+        let now = self.clock.now();
+        if now.since(self.expired_at) < EXPIRY_PERIOD_MS {
             return;
         }
-        log::info!(revision = next.revision; "document in force");
-        self.current.replace(Arc::clone(&next));
-        self.in_force = Some(next);
-    }
-
-    fn ask(&mut self, ask: Ask, _now: Millis) {
-        let answer = self.place(&ask);
-        // A caller that went away has dropped the receiving end; its place is given back.
-        if let Err(Ok(placed)) = ask.reply.send(answer) {
-            self.release(placed.ticket);
-        }
-    }
-
-    fn place(&mut self, ask: &Ask) -> Result<Placed, Refusal> {
-        let Some(in_force) = self.in_force.clone() else {
-            return Err(Refusal::not_run(Cause::NotReady, "no configuration yet"));
-        };
-        if !in_force.keys.is_valid(&ask.caller) {
-            return Err(Refusal::not_run(
-                Cause::InvalidKey,
-                "the key has been withdrawn",
-            ));
-        }
-        let upstream = self
-            .choose(&in_force, ask)
-            .ok_or_else(|| Refusal::not_run(Cause::NoUpstream, "no upstream can serve this now"))?;
-        self.last_ticket += 1;
-        let ticket = self.last_ticket;
-        self.placed.insert(ticket, upstream.id.clone());
-        *self.in_flight.entry(upstream.id.clone()).or_default() += 1;
-        Ok(Placed {
-            ticket,
-            upstream: upstream.id.clone(),
-            url: upstream.url.clone(),
-            version: None,
-            priority: 0,
-        })
-    }
-
-    fn choose<'a>(&self, in_force: &'a InForce, ask: &Ask) -> Option<&'a Upstream> {
-        let in_flight = |upstream: &Upstream| self.in_flight.get(&upstream.id).copied();
-        in_force
-            .document
-            .upstreams
-            .iter()
-            .filter(|upstream| !upstream.leaving && serves(upstream, &ask.target))
-            .filter(|upstream| !ask.tried.contains(&upstream.id))
-            .filter(|upstream| {
-                let bound = ask.bound_region.as_ref();
-                bound.is_none_or(|region| *region == upstream.region)
-            })
-            .min_by_key(|upstream| {
-                let is_away = upstream.region != self.identity.region;
-                (is_away, in_flight(upstream).unwrap_or(0))
-            })
+        self.expired_at = now;
+        self.expire_waiting(now);
+        self.bring_back(now);
+        self.place_waiting(now);
     }
 
-    fn settle(&mut self, settlement: Settlement) {
-        self.release(settlement.ticket);
-    }
-
-    fn release(&mut self, ticket: u64) {
-        let Some(upstream) = self.placed.remove(&ticket) else {
+    fn bring_back(&mut self, now: Millis) {
+        let Some(configured) = &mut self.configured else {
             return;
         };
-        if let Some(count) = self.in_flight.get_mut(&upstream) {
-            assert!(*count > 0, "a placement is released once");
-            *count -= 1;
-        }
+        let back = configured.outliers.expire(now);
+        configured.heed(back, now);
+        configured.router.expire(now);
     }
 }
 
-fn serves(upstream: &Upstream, target: &Target) -> bool {
-    match (&upstream.serves, target) {
-        (Serves::Engine { model: served, .. }, Target::Model { model, .. }) => served == model,
-        (
-            Serves::Service {
-                service: served, ..
-            },
-            Target::Service { service, .. },
-        ) => served == service,
-        _ => false,
+/// Retry settings of a document.
+pub(super) fn retry_settings(in_force: &InForce) -> RetrySettings {
+    RetrySettings::with_budget_pct(in_force.document.policy.retry_budget_pct)
+}
+
+/// Account that a request runs for.
+pub(super) fn account_of(ask: &Ask) -> Option<&AccountId> {
+    match &ask.caller {
+        carobwheel_core::identity::Caller::Account(credential) => Some(&credential.account),
+        carobwheel_core::identity::Caller::Open => None,
     }
 }
--- a/crates/gateway/src/dispatch/job.rs
+++ b/crates/gateway/src/dispatch/job.rs
@@ -1,6 +1,7 @@
 //! A call to an upstream and its answer.
 
 use bytes::Bytes;
+use carobwheel_core::retry::Failure;
 use reqwest::{header::HeaderMap, Method};
 use std::{fmt, time::Duration};
 use tokio::sync::{mpsc, oneshot};
@@ -50,6 +51,17 @@
     Cancelled,
 }
 
+impl ExchangeError {
+    /// The failure as the retry rules see it. A cancelled exchange may have run.
+    pub fn failure(&self) -> Failure {
+        match self {
+            Self::NotConnected(_) => Failure::ConnectFailed,
+            Self::Broken(_) | Self::Cancelled => Failure::ConnectionLost,
+            Self::Timeout => Failure::TimedOut,
+        }
+    }
+}
+
 impl fmt::Display for ExchangeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/gateway/src/intake/classify.rs
+++ b/crates/gateway/src/intake/classify.rs
@@ -6,16 +6,19 @@
     refusal::{Cause, Refusal},
 };
 use carobwheel_core::{
-    document::{Account, Class, Document, Route},
-    id::RegionId,
+    document::{Account, Document, Model, Route},
+    id::{RegionId, MAX_ID_BYTES},
+    route::prefix_hashes,
 };
+use carobwheel_wire::openai::{RequestView, CHAT_PATH, COMPLETIONS_PATH};
 use rocket::http::Method;
-use serde::{de::IgnoredAny, Deserialize};
-use std::borrow::Cow;
+use std::ops::RangeInclusive;
 
 /// Bytes of prompt that are counted as one token.
 const BYTES_PER_TOKEN: u64 = 4;
-const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+/// Answers that one request may ask for.
+const ANSWERS: RangeInclusive<u64> = 1..=16;
+const MODEL_PATHS: [&str; 2] = [CHAT_PATH, COMPLETIONS_PATH];
 
 /// What the path of a request leads to.
 #[derive(Clone, Copy, Debug)]
@@ -38,20 +41,6 @@
     pub(super) deadline_ms: u64,
 }
 
-#[derive(Deserialize)]
-struct ModelCall<'a> {
-    #[serde(borrow)]
-    model: Cow<'a, str>,
-    #[serde(default)]
-    max_tokens: Option<u64>,
-    #[serde(default)]
-    max_completion_tokens: Option<u64>,
-    #[serde(default)]
-    messages: Option<IgnoredAny>,
-    #[serde(default)]
-    prompt: Option<IgnoredAny>,
-}
-
 /// The way that the head of a request leads.
 pub(super) fn way<'a>(document: &'a Document, head: &RequestHead) -> Result<Way<'a>, Refusal> {
     if MODEL_PATHS.contains(&head.path.as_str()) {
@@ -87,10 +76,12 @@
     account: Option<&Account>,
     body: &[u8],
 ) -> Result<Call, Refusal> {
-    let bound_region = account.and_then(|account| account.bound_region.clone());
     match way {
-        Way::Model => model_call(document, bound_region, body),
-        Way::Route(route) => route_call(route, bound_region),
+        Way::Model => model_call(document, account, body),
+        Way::Route(route) => {
+            let of_account = account.and_then(|account| account.bound_region.clone());
+            route_call(route, of_account)
+        }
     }
 }
 
@@ -112,31 +103,21 @@
 
 fn model_call(
     document: &Document,
-    bound_region: Option<RegionId>,
+    account: Option<&Account>,
     body: &[u8],
 ) -> Result<Call, Refusal> {
-    let call: ModelCall<'_> = serde_json::from_slice(body)
+    let view = RequestView::parse(body)
         .map_err(|err| invalid(format!("the body is not a model call: {err}")))?;
-    if call.messages.is_none() && call.prompt.is_none() {
+    if view.messages.is_empty() && view.prompt.is_none() {
         return Err(invalid("`messages` or `prompt` is needed"));
     }
-    let model = document.model(&call.model).ok_or_else(|| {
-        let message = format!(
-            "no model `{}`",
-            call.model.chars().take(64).collect::<String>()
-        );
-        Refusal::not_run(Cause::NotFound, message)
+    let model = document.model(&view.model).ok_or_else(|| {
+        let name: String = view.model.chars().take(MAX_ID_BYTES).collect();
+        Refusal::not_run(Cause::NotFound, format!("no model `{name}`"))
     })?;
-    let max_output_tokens = call
-        .max_completion_tokens
-        .or(call.max_tokens)
-        .unwrap_or(model.default_max_output_tokens);
-    if !(1..=model.max_output_tokens).contains(&max_output_tokens) {
-        let message = format!("max_tokens has to be 1 to {}", model.max_output_tokens);
-        return Err(invalid(message));
-    }
-    let prompt_tokens = (body.len() as u64).div_ceil(BYTES_PER_TOKEN);
-    let class: &Class = document.class_of_prompt(prompt_tokens).ok_or_else(|| {
+    let max_output_tokens = max_output_tokens(&view, model)?;
+    let prompt_tokens = view.prompt_bytes().div_ceil(BYTES_PER_TOKEN);
+    let class = document.class_of_prompt(prompt_tokens).ok_or_else(|| {
         Refusal::not_run(
             Cause::TooLarge,
             "the prompt is longer than any class allows",
@@ -149,13 +130,36 @@
         },
         prompt_tokens,
         max_output_tokens,
-        prefix: Vec::new(),
-        bound_region,
+        prefix: prefix(&view, account),
+        bound_region: account.and_then(|account| account.bound_region.clone()),
         idempotent: true,
         deadline_ms: class.deadline_ms,
     })
 }
 
+/// Output tokens of all the answers that the request asks for.
+fn max_output_tokens(view: &RequestView<'_>, model: &Model) -> Result<u64, Refusal> {
+    let of_one = view
+        .max_output_tokens()
+        .unwrap_or(model.default_max_output_tokens);
+    if !(1..=model.max_output_tokens).contains(&of_one) {
+        let message = format!("max_tokens has to be 1 to {}", model.max_output_tokens);
+        return Err(invalid(message));
+    }
+    let answers = view.n.unwrap_or(1);
+    if !ANSWERS.contains(&answers) {
+        return Err(invalid("n has to be 1 to 16"));
+    }
+    Ok(of_one * answers)
+}
+
+fn prefix(view: &RequestView<'_>, account: Option<&Account>) -> Vec<u64> {
+    let account = account.map_or("", |account| account.id.as_str());
+    let mut prompt = Vec::new();
+    view.for_each_text(|text| prompt.extend_from_slice(text.as_bytes()));
+    prefix_hashes(account, &prompt, BYTES_PER_TOKEN)
+}
+
 fn route_call(route: &Route, account_region: Option<RegionId>) -> Result<Call, Refusal> {
     let bound_region = match (&route.bound_region, account_region) {
         (Some(of_route), Some(of_account)) if *of_route != of_account => {
--- a/crates/gateway/src/intake/gather.rs
+++ b/crates/gateway/src/intake/gather.rs
@@ -9,6 +9,8 @@
     relay::{Framing, RelayBody, Settling},
 };
 use bytes::{Bytes, BytesMut};
+use carobwheel_core::retry::Failure;
+use carobwheel_wire::openai::Usage;
 use serde::Deserialize;
 use tokio::sync::mpsc;
 
@@ -20,11 +22,6 @@
     usage: Option<Usage>,
 }
 
-#[derive(Deserialize)]
-struct Usage {
-    completion_tokens: u64,
-}
-
 /// Gathers an answer. One that is too long is relayed as it arrives.
 pub(super) async fn gather(
     mut chunks: mpsc::Receiver<Result<Bytes, ExchangeError>>,
@@ -39,7 +36,7 @@
                 settling.byte_arrived();
                 body.extend_from_slice(&chunk);
             }
-            Err(err) => return Err(cut(settling, &err.to_string())),
+            Err(err) => return Err(cut(settling, err.failure(), &err.to_string())),
         }
         if body.len() > MAX_GATHERED_BYTES {
             let relayed = RelayBody::new(chunks, framing, settling, running);
@@ -47,15 +44,16 @@
         }
     }
     if matches!(framing, Framing::Length(length_bytes) if length_bytes != body.len() as u64) {
-        return Err(cut(settling, "the upstream ended its answer early"));
+        let detail = "the upstream ended its answer early";
+        return Err(cut(settling, Failure::ConnectionLost, detail));
     }
     settling.set_output_tokens(output_tokens(&body));
     settling.settle(Ending::Whole);
     Ok(AnswerBody::Whole(body.freeze()))
 }
 
-fn cut(mut settling: Settling, detail: &str) -> Refusal {
-    settling.settle(Ending::Failed);
+fn cut(mut settling: Settling, failure: Failure, detail: &str) -> Refusal {
+    settling.settle(Ending::Failed(failure));
     Refusal::may_have_run(Cause::UpstreamFailed, detail)
 }
 
--- a/crates/gateway/src/intake/pass.rs
+++ b/crates/gateway/src/intake/pass.rs
@@ -8,7 +8,7 @@
     upstream_headers, Shared,
 };
 use crate::{
-    decide::{Ask, Ending, Event, Placed},
+    decide::{Ask, Ending, Event, Placed, RetryQuestion},
     dispatch::{ExchangeError, Head, Job},
     in_flight::Running,
     in_force::InForce,
@@ -19,6 +19,8 @@
 use carobwheel_core::{
     id::{RequestId, UpstreamId},
     identity::{Caller, IdentityRefusal},
+    retry::{Decision, Failure},
+    route::Hops,
     time::Millis,
 };
 use reqwest::header::HeaderMap;
@@ -27,8 +29,6 @@
 use tokio::{sync::oneshot, time};
 use tokio_util::sync::CancellationToken;
 
-/// Tries of a request that did not run, the first included.
-const MAX_TRIES: usize = 3;
 /// Headers of an upstream's answer that are passed on to callers.
 const PASSED_BACK: [&str; 6] = [
     "cache-control",
@@ -71,6 +71,7 @@
     caller: Caller,
     call: classify::Call,
     deadline: Millis,
+    hops: Hops,
 }
 
 /// Takes a request from its head to the beginning of its answer.
@@ -96,6 +97,9 @@
         Caller::Open => None,
     };
     let call = classify::call(&in_force.document, way, account, &held.bytes)?;
+    let hops = Hops::default()
+        .arrive(&shared.instance)
+        .map_err(|fault| Refusal::not_run(Cause::InvalidRequest, fault.to_string()))?;
     let deadline = shared.clock.now().plus(call.deadline_ms);
     let work = Work {
         request_id,
@@ -105,11 +109,12 @@
         caller,
         call,
         deadline,
+        hops,
     };
     try_upstreams(shared, &work, running).await
 }
 
-/// Places and dispatches the request, again if it surely did not run.
+/// Places and dispatches the request, again where that is allowed.
 async fn try_upstreams(
     shared: &Arc<Shared>,
     work: &Work<'_>,
@@ -120,17 +125,65 @@
         let placed = place(shared, work, &tried).await?;
         let cancel = CancellationToken::new();
         let mut settling = Settling::new(placed.ticket, shared.decide.clone(), cancel.clone());
-        match dispatch(shared, work, &placed, &tried, cancel).await {
-            Ok(head) => return answer(head, settling, running).await,
-            Err(ExchangeError::NotConnected(_)) if tried.len() + 1 < MAX_TRIES => {
-                settling.settle(Ending::NotConnected);
-                tried.push(placed.upstream);
-            }
-            Err(err) => {
-                settling.settle(ending_of(&err));
-                return Err(refusal_of(&err));
-            }
-        }
+        let exchange = dispatch(shared, work, &placed, &tried, cancel).await;
+        let (failure, refusal) = match exchange {
+            Ok(head) => match retried_status(head.status, work.call.idempotent) {
+                None => return answer(head, settling, running).await,
+                Some(failure) => (failure, upstream_refusal(head.status)),
+            },
+            Err(err) => (err.failure(), refusal_of(&err)),
+        };
+        settling.settle(Ending::Failed(failure));
+        tried.push(placed.upstream);
+        let after_ms = may_retry(shared, work, failure, tried.len())
+            .await
+            .ok_or(refusal)?;
+        time::sleep(Duration::from_millis(after_ms)).await;
+    }
+}
+
+/// How an answer counts that another upstream may give better; none if it is passed on.
+fn retried_status(status: u16, is_idempotent: bool) -> Option<Failure> {
+    match status {
+        429 | 503 if is_idempotent => Some(Failure::RefusedNotRun),
+        500 | 502 | 504 if is_idempotent => Some(Failure::UpstreamError),
+        _ => None,
+    }
+}
+
+fn upstream_refusal(status: u16) -> Refusal {
+    let message = format!("the upstream answered with status {status}");
+    match status {
+        429 | 503 => Refusal::not_run(Cause::Overloaded, message).retry_after(1_000),
+        _ => Refusal {
+            run: Run::Ran,
+            ..Refusal::may_have_run(Cause::UpstreamFailed, message)
+        },
+    }
+}
+
+/// Time after which the request is tried again, in milliseconds; none if it is not.
+async fn may_retry(
+    shared: &Shared,
+    work: &Work<'_>,
+    failure: Failure,
+    attempts: usize,
+) -> Option<u64> {
+    let (reply, decision) = oneshot::channel();
+    let question = RetryQuestion {
+        idempotent: work.call.idempotent,
+        failure,
+        attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
+        deadline: work.deadline,
+        reply,
+    };
+    shared
+        .decide
+        .try_send(Event::MayRetry(Box::new(question)))
+        .ok()?;
+    match decision.await.ok()? {
+        Decision::Retry { after_ms } => Some(after_ms),
+        Decision::GiveUp(_) => None,
     }
 }
 
@@ -148,7 +201,7 @@
         idempotent: call.idempotent,
         deadline: work.deadline,
         tried: tried.to_vec(),
-        visited: Vec::new(),
+        hops: work.hops.clone(),
         reply,
     };
     shared
@@ -204,14 +257,6 @@
         .unwrap_or_else(|_| Err(ExchangeError::Cancelled))
 }
 
-fn ending_of(err: &ExchangeError) -> Ending {
-    match err {
-        ExchangeError::NotConnected(_) => Ending::NotConnected,
-        ExchangeError::Cancelled => Ending::Cancelled,
-        ExchangeError::Broken(_) | ExchangeError::Timeout => Ending::Failed,
-    }
-}
-
 fn refusal_of(err: &ExchangeError) -> Refusal {
     match err {
         ExchangeError::NotConnected(_) => {
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -3,6 +3,7 @@
 use super::{Settling, SseScan};
 use crate::{decide::Ending, dispatch::ExchangeError, in_flight::Running};
 use bytes::{Buf as _, Bytes};
+use carobwheel_core::retry::Failure;
 use std::{
     io,
     pin::Pin,
@@ -88,7 +89,10 @@
             self.settling.settle(Ending::Whole);
             return Ok(());
         }
-        self.settling.settle(Ending::Failed);
+        let failure = broken
+            .as_ref()
+            .map_or(Failure::ConnectionLost, ExchangeError::failure);
+        self.settling.settle(Ending::Failed(failure));
         let detail = broken.map_or_else(
             || "the upstream ended its answer early".to_owned(),
             |err| err.to_string(),
--- a/crates/gateway/src/relay/settle.rs
+++ b/crates/gateway/src/relay/settle.rs
@@ -7,6 +7,8 @@
 use std::{thread, time::Duration};
 use tokio_util::sync::CancellationToken;
 
+/// Output tokens between two reports to the deciding thread.
+const REPORTED_TOKENS: u64 = 32;
 const RETRY_PAUSE: Duration = Duration::from_millis(1);
 
 /// A placement that has still to be settled. Dropping it settles it as cancelled and cancels the
@@ -14,6 +16,7 @@
 pub struct Settling {
     ticket: u64,
     output_tokens: u64,
+    reported_tokens: u64,
     has_first_byte: bool,
     is_settled: bool,
     decide: Sender<Event>,
@@ -26,6 +29,7 @@
         Self {
             ticket,
             output_tokens: 0,
+            reported_tokens: 0,
             has_first_byte: false,
             is_settled: false,
             decide,
@@ -48,9 +52,18 @@
         self.has_first_byte
     }
 
-    /// Notes the output tokens relayed so far.
+    /// Notes the output tokens relayed so far, and reports them now and then.
     pub fn set_output_tokens(&mut self, output_tokens: u64) {
         self.output_tokens = output_tokens;
+        if output_tokens >= self.reported_tokens + REPORTED_TOKENS {
+            self.reported_tokens = output_tokens;
+            let ticket = self.ticket;
+            // Only an estimate of the work ahead is late when the ring is full.
+            let _ = self.decide.try_send(Event::Progress {
+                ticket,
+                output_tokens,
+            });
+        }
     }
 
     /// Output tokens relayed so far.
