Add the store's stand-in

It answers the published JSON interface of etcd v3 from memory: revisions, leases, watches and reads of old revisions. It stands on a small HTTP/1.1 server of its own: Rocket ends a chunked body cleanly when its source fails (server.rs drops the sender without an error), so it cannot stand in for a store whose answers get lost or an upstream that dies in the middle of an answer.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,8 +3,11 @@
 //! They back `carobctl demo`, `carobctl load` and the tests, and run as threads on loopback.
 
 pub mod engine;
+mod http;
 pub mod livelist;
 pub mod proxy;
 pub mod service;
 pub mod store;
 pub mod tls;
+
+pub use http::SeenRequest;
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -1,1 +1,243 @@
-//! A store that speaks the JSON mapping of the etcd v3 API.
+//! An in-memory store that answers the published JSON interface of etcd v3.
+//!
+//! It counts every call and can be made to fail in the ways that a real store does: refuse, answer
+//! late, lose the answer of a write that took effect, or let a watch fall silent.
+
+mod api;
+mod counts;
+mod state;
+mod watch;
+
+pub use counts::Counts;
+
+use crate::http::{SeenRequest, Server};
+use carobwheel_core::time::Clock;
+use rand::{rngs::StdRng, Rng, SeedableRng};
+use state::State;
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+/// One million parts make a whole.
+const WHOLE_PPM: u32 = 1_000_000;
+
+/// How to start a store.
+#[derive(Clone, Debug)]
+pub struct StoreOptions {
+    /// Address to listen on; port 0 takes a free one.
+    pub addr: SocketAddr,
+    /// Changes that the store remembers for watches and reads of old revisions.
+    pub max_history: usize,
+    /// Time between two messages of an idle watch that asked for them, in milliseconds.
+    pub progress_ms: u64,
+    /// Seed of the random faults.
+    pub seed: u64,
+    /// Threads that serve calls.
+    pub workers: usize,
+}
+
+impl Default for StoreOptions {
+    fn default() -> Self {
+        Self {
+            addr: (Ipv4Addr::LOCALHOST, 0).into(),
+            max_history: 100_000,
+            progress_ms: 600_000,
+            seed: 1,
+            workers: 1,
+        }
+    }
+}
+
+/// How the store answers while it is down.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Availability {
+    /// The store answers.
+    #[default]
+    Up,
+    /// Connections are refused and open ones are cut.
+    Refusing,
+    /// Calls are answered with 503.
+    Unavailable,
+    /// Calls are taken and never answered, and have no effect; watches are silent.
+    Hanging,
+}
+
+/// Faults in force.
+#[derive(Clone, Debug, Default)]
+struct Faults {
+    availability: Availability,
+    read_delay_ms: u64,
+    write_delay_ms: u64,
+    lost_answers: u32,
+    lost_answers_ppm: u32,
+    is_watch_silent: bool,
+}
+
+struct Shared {
+    clock: Clock,
+    state: Mutex<State>,
+    faults: Mutex<Faults>,
+    rng: Mutex<StdRng>,
+    counts: Mutex<Counts>,
+    revision: tokio::sync::watch::Sender<i64>,
+    progress_ms: u64,
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+
+    fn faults(&self) -> Faults {
+        lock(&self.faults).clone()
+    }
+
+    /// Ends leases that are over and tells the watches about changes.
+    fn settle(&self) {
+        let mut state = self.state();
+        state.expire(self.clock.now());
+        let revision = state.revision();
+        self.revision
+            .send_if_modified(|seen| std::mem::replace(seen, revision) != revision);
+    }
+
+    fn is_watch_silent(&self) -> bool {
+        let faults = lock(&self.faults);
+        faults.is_watch_silent || faults.availability == Availability::Hanging
+    }
+
+    /// Decides whether the answer of the write that just took effect is lost.
+    fn loses_answer(&self) -> bool {
+        let mut faults = lock(&self.faults);
+        if faults.lost_answers > 0 {
+            faults.lost_answers -= 1;
+            return true;
+        }
+        lock(&self.rng).random_range(0..WHOLE_PPM) < faults.lost_answers_ppm
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A running store; dropping it stops it.
+pub struct Store {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+/// Starts a store on a thread of its own.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn start(options: &StoreOptions) -> io::Result<Store> {
+    let shared = Arc::new(Shared {
+        clock: Clock::default(),
+        state: Mutex::new(State::new(options.max_history)),
+        faults: Mutex::default(),
+        rng: Mutex::new(StdRng::seed_from_u64(options.seed)),
+        counts: Mutex::default(),
+        revision: tokio::sync::watch::Sender::new(0),
+        progress_ms: options.progress_ms,
+    });
+    let of_handler = shared.clone();
+    let handler = move |request: SeenRequest, responder| {
+        let answer = api::answer(of_handler.clone(), request, responder);
+        Box::pin(answer) as futures::future::BoxFuture<'static, _>
+    };
+    let server = Server::start("store", options.addr, options.workers, Arc::new(handler))?;
+    Ok(Store { server, shared })
+}
+
+impl Store {
+    /// Address that the store listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr
+    }
+
+    /// Base URL of the store.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.server.addr)
+    }
+
+    /// Takes the store down in the given way, or up again. Leases run on meanwhile.
+    pub fn set_availability(&self, availability: Availability) {
+        lock(&self.shared.faults).availability = availability;
+        self.server
+            .set_refusing(availability == Availability::Refusing);
+        if matches!(
+            availability,
+            Availability::Refusing | Availability::Unavailable
+        ) {
+            self.server.cut();
+        }
+    }
+
+    /// Delays reads by `read_ms` and writes by `write_ms` milliseconds.
+    pub fn set_delay(&self, read_ms: u64, write_ms: u64) {
+        let mut faults = lock(&self.shared.faults);
+        faults.read_delay_ms = read_ms;
+        faults.write_delay_ms = write_ms;
+    }
+
+    /// Loses the answers of the next `count` writes after they took effect.
+    pub fn lose_answers(&self, count: u32) {
+        lock(&self.shared.faults).lost_answers = count;
+    }
+
+    /// Loses the answers of writes at random, `ppm` out of 1,000,000, after they took effect.
+    pub fn set_lost_answers_ppm(&self, ppm: u32) {
+        lock(&self.shared.faults).lost_answers_ppm = ppm;
+    }
+
+    /// Lets watches fall silent, those that exist and those to come, or speak again.
+    pub fn set_watch_silent(&self, is_silent: bool) {
+        lock(&self.shared.faults).is_watch_silent = is_silent;
+    }
+
+    /// Cuts all open connections.
+    pub fn cut(&self) {
+        self.server.cut();
+    }
+
+    /// Calls counted so far.
+    pub fn counts(&self) -> Counts {
+        lock(&self.shared.counts).clone()
+    }
+
+    /// The value of `key`, read without a call.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let request = carobwheel_wire::etcd::RangeRequest {
+            key: key.as_bytes().to_vec(),
+            ..Default::default()
+        };
+        let found = self.shared.state().range(&request).ok()?;
+        found.kvs.into_iter().next().map(|kv| kv.value)
+    }
+
+    /// Writes `key` without a call.
+    pub fn set_value(&self, key: &str, value: &[u8]) {
+        let request = carobwheel_wire::etcd::PutRequest {
+            key: key.as_bytes().to_vec(),
+            value: value.to_vec(),
+            lease: 0,
+        };
+        let written = self.shared.state().put(&request);
+        assert!(written.is_ok(), "the value of `{key}` is too large");
+        self.shared.settle();
+    }
+
+    /// Revision of the last change.
+    pub fn revision(&self) -> i64 {
+        self.shared.state().revision()
+    }
+
+    /// Stops the store and waits for its thread.
+    pub fn stop(mut self) {
+        self.server.stop();
+    }
+}
