--- /dev/null
+++ b/crates/gateway/src/store/read.rs
@@ -0,0 +1,90 @@
+//! Reads.
+
+use super::{CallKind, Record, StoreClient, StoreError};
+use carobwheel_wire::etcd::{prefix_end, RangeRequest, RangeResponse, RANGE_PATH};
+
+/// Most keys in one answer.
+const PAGE_KEYS: i64 = 1_000;
+
+/// Keys that a read or a watch is about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// One key.
+    Key(String),
+    /// All keys with this prefix.
+    Prefix(String),
+}
+
+impl Scope {
+    /// First key and end of the range.
+    pub(super) fn bounds(&self) -> (Vec<u8>, Vec<u8>) {
+        match self {
+            Self::Key(key) => (key.as_bytes().to_vec(), Vec::new()),
+            Self::Prefix(prefix) => (prefix.as_bytes().to_vec(), prefix_end(prefix.as_bytes())),
+        }
+    }
+}
+
+/// Keys as they stood together at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Revision of the store; a watch goes on from the next one.
+    pub revision: i64,
+    /// Keys found, in ascending order.
+    pub records: Vec<Record>,
+}
+
+impl StoreClient {
+    /// Reads `key`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when neither of two attempts gave an answer.
+    pub async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
+        let snapshot = self.read(&Scope::Key(key.to_owned())).await?;
+        Ok(snapshot.records.into_iter().next())
+    }
+
+    /// Reads all keys with the prefix `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when neither of two attempts gave an answer.
+    pub async fn range(&self, prefix: &str) -> Result<Snapshot, StoreError> {
+        self.read(&Scope::Prefix(prefix.to_owned())).await
+    }
+
+    /// Reads the keys of `scope`, all at the same revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails when neither of two attempts gave an answer.
+    pub async fn read(&self, scope: &Scope) -> Result<Snapshot, StoreError> {
+        let (key, range_end) = scope.bounds();
+        let mut request = RangeRequest {
+            key,
+            range_end,
+            limit: PAGE_KEYS,
+            revision: 0,
+        };
+        let mut snapshot = Snapshot::default();
+        loop {
+            let page: RangeResponse = self.call(CallKind::Read, RANGE_PATH, &request).await?;
+            if snapshot.revision == 0 {
+                snapshot.revision = page.header.revision;
+                request.revision = page.header.revision;
+            }
+            let last_key = page.kvs.last().map(|kv| kv.key.clone());
+            snapshot
+                .records
+                .extend(page.kvs.into_iter().map(Record::new));
+            match last_key {
+                Some(last_key) if page.more => {
+                    request.key = last_key;
+                    request.key.push(0);
+                }
+                _ => return Ok(snapshot),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store/record.rs
@@ -0,0 +1,77 @@
+//! Values and their writer marks.
+//!
+//! The gateway's own values are stored in an envelope, `{"mark":"<writer>.<n>","value":...}`. No
+//! two writes carry the same mark, so a writer recognises its own. Keys under [`PLAIN_PREFIX`]
+//! belong to operators and consoles, who read and write them too; their values stand bare.
+
+use carobwheel_wire::etcd::KeyValue;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+/// Prefix of the keys whose values stand without an envelope.
+pub const PLAIN_PREFIX: &str = "config/";
+
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Envelope<'a> {
+    mark: &'a str,
+    #[serde(borrow)]
+    value: &'a RawValue,
+}
+
+/// A key as the store holds it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value without its envelope.
+    pub value: Vec<u8>,
+    /// Mark of the write; absent when the value stands bare.
+    pub mark: Option<String>,
+    /// Revision of the write that created the key.
+    pub create_revision: i64,
+    /// Revision of the last write, to be named in the next compare-and-swap.
+    pub mod_revision: i64,
+    /// Number of writes since the key was created.
+    pub version: i64,
+    /// Lease that the key hangs on; 0 for none.
+    pub lease: i64,
+}
+
+impl Record {
+    pub(super) fn new(kv: KeyValue) -> Self {
+        let (value, mark) = open(&kv.key, kv.value);
+        Self {
+            key: String::from_utf8_lossy(&kv.key).into_owned(),
+            value,
+            mark,
+            create_revision: kv.create_revision,
+            mod_revision: kv.mod_revision,
+            version: kv.version,
+            lease: kv.lease,
+        }
+    }
+}
+
+/// The bytes to store for `value`, which has to be JSON unless the key takes it bare.
+pub(super) fn seal(key: &str, value: &[u8], mark: &str) -> Result<Vec<u8>, serde_json::Error> {
+    if key.starts_with(PLAIN_PREFIX) {
+        return Ok(value.to_vec());
+    }
+    let value: &RawValue = serde_json::from_slice(value)?;
+    serde_json::to_vec(&Envelope { mark, value })
+}
+
+fn open(key: &[u8], stored: Vec<u8>) -> (Vec<u8>, Option<String>) {
+    if key.starts_with(PLAIN_PREFIX.as_bytes()) {
+        return (stored, None);
+    }
+    let envelope: Result<Envelope<'_>, _> = serde_json::from_slice(&stored);
+    let opened = envelope
+        .ok()
+        .map(|envelope| (envelope.value.get().into(), envelope.mark.to_owned()));
+    match opened {
+        Some((value, mark)) => (value, Some(mark)),
+        None => (stored, None),
+    }
+}
