--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -15,6 +15,10 @@
 const MAX_LINE_BYTES: usize = 16 << 20;
 /// Part of the idle deadline that is spread at random, so that the fleet does not reopen at once.
 const IDLE_SPREAD: f64 = 0.25;
+/// Half of the longest pause after the first lost connection, in milliseconds.
+const FIRST_PAUSE_MS: u64 = 100;
+/// Doublings after which the pause no longer grows.
+const MAX_DOUBLINGS: u32 = 6;
 
 /// A change of one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,6 +60,8 @@
     next_revision: i64,
     link: Option<Link>,
     is_reset_due: bool,
+    /// Connections lost in a row without news from the store.
+    losses: u32,
 }
 
 impl StoreClient {
@@ -67,6 +73,7 @@
             next_revision: from_revision,
             link: None,
             is_reset_due: false,
+            losses: 0,
         }
     }
 }
@@ -92,6 +99,7 @@
                 }
                 Err(err) => {
                     if self.link.take().is_some() {
+                        self.losses += 1;
                         self.client.note(Some(&err));
                     }
                     return WatchUpdate::Lost(err);
@@ -116,6 +124,7 @@
             return Ok(Some(WatchUpdate::Reset(snapshot)));
         }
         let Some(link) = &mut self.link else {
+            sleep(Duration::from_millis(self.pause_ms())).await;
             self.link = Some(self.open().await?);
             return Ok(None);
         };
@@ -133,11 +142,26 @@
             // tells, and reports what was missed.
             Err(_) => {
                 self.link = None;
+                self.losses = 0;
                 Ok(None)
             }
         }
     }
 
+    /// Time to wait before the next connection, in milliseconds.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    fn pause_ms(&self) -> u64 {
+        if self.losses == 0 {
+            return 0;
+        }
+        let longest_ms = (FIRST_PAUSE_MS << self.losses.min(MAX_DOUBLINGS)) as f64;
+        (longest_ms * (0.5 + 0.5 * self.client.jitter())) as u64
+    }
+
     async fn open(&self) -> Result<Link, StoreError> {
         self.client.admit(CallKind::Read).await?;
         let (key, range_end) = self.scope.bounds();
@@ -175,6 +199,9 @@
                 ))
             };
         }
+        if !message.created {
+            self.losses = 0;
+        }
         if message.created {
             if self.next_revision == 0 {
                 self.next_revision = revision + 1;
