--- a/crates/ctl/src/options/mod.rs
+++ b/crates/ctl/src/options/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::{config, demo, experiment, key, load, status};
 use clap::{CommandFactory as _, Parser, Subcommand};
-use std::process::ExitCode;
+use std::{future::Future, process::ExitCode};
 use tokio::runtime;
 
 /// Exit code of a failure that is not a fault of the input.
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -4,7 +4,7 @@
     decide, dispatch,
     in_flight::InFlight,
     in_force::Current,
-    intake::{self, Server, Shared, BODY_UNIT_BYTES},
+    intake::{self, Claims, Server, Shared, BODY_UNIT_BYTES},
     platform,
     ring::Sender,
     settings::{Settings, Shutdown},
@@ -47,6 +47,8 @@
     // Ends the threads that run already if a later one cannot be started.
     let guard = cancel.clone().drop_guard();
     let current = Current::default();
+    let incarnation = clock.unix_now().0;
+    let store = platform::store_client(settings, incarnation)?;
     let (decide, decide_thread) = decide::start(
         &settings.instance,
         clock,
@@ -61,6 +63,7 @@
         current,
         decide: decide.clone(),
         dispatch,
+        claims: Claims::new(store.clone()),
         credentials: settings.upstream_credentials.clone(),
         entries: ArcSwap::default(),
         in_flight: Arc::new(InFlight::new(callers.max_requests)),
@@ -70,10 +73,10 @@
         body_timeout_ms: callers.body_timeout_ms,
         is_leaving: AtomicBool::new(false),
         requests: AtomicU64::new(0),
-        incarnation: clock.unix_now().0,
+        incarnation,
     });
     let server = intake::start(settings, Arc::clone(&shared))?;
-    let platform_thread = platform::start(settings, decide.clone(), cancel.child_token())?;
+    let platform_thread = platform::start(store, decide.clone(), cancel.child_token())?;
     log::info!(address:% = server.address; "listening for callers");
     Ok(Daemon {
         shared,
--- /dev/null
+++ b/crates/gateway/src/intake/action/claims.rs
@@ -0,0 +1,122 @@
+//! Records of actions in the store.
+
+use crate::store::{Record as Stored, StoreClient, WriteOutcome};
+use carobwheel_core::{
+    once::{LeaseChoice, LeaseId, LeasePool, OnceKey, Record, StoreAnswer},
+    time::Millis,
+};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// The records of this instance's actions.
+pub(crate) struct Claims {
+    store: StoreClient,
+    leases: Mutex<LeasePool>,
+}
+
+impl Claims {
+    pub(crate) fn new(store: StoreClient) -> Self {
+        Self {
+            store,
+            leases: Mutex::default(),
+        }
+    }
+
+    /// A lease on which a record lives for at least `life_ms`.
+    pub(super) async fn lease(&self, life_ms: u64, now: Millis) -> Option<LeaseId> {
+        let choice = self.leases().choose(life_ms, now);
+        match choice {
+            LeaseChoice::Use(lease) => Some(lease),
+            LeaseChoice::Grant { ttl_s } => {
+                let lease = LeaseId(self.store.lease_grant(ttl_s).await.ok()?);
+                self.leases().granted(lease, ttl_s, now);
+                Some(lease)
+            }
+        }
+    }
+
+    /// Creates the record on `lease` unless the key is present.
+    pub(super) async fn create(
+        &self,
+        key: &OnceKey,
+        record: &Record,
+        lease: LeaseId,
+    ) -> StoreAnswer {
+        let written = self
+            .store
+            .create(key.as_str(), &record.to_json(), lease.0)
+            .await;
+        if let WriteOutcome::NotWritten { .. } = &written {
+            // The store may have lost the lease; the next record gets a new one.
+            self.leases().forget(lease);
+        }
+        answer_of(written)
+    }
+
+    /// Reads the record.
+    pub(super) async fn read(&self, key: &OnceKey) -> StoreAnswer {
+        match self.store.get(key.as_str()).await {
+            Ok(Some(stored)) => found(&stored),
+            Ok(None) => StoreAnswer::Absent,
+            Err(_) => StoreAnswer::Lost,
+        }
+    }
+
+    /// Writes the outcome over the claim of `revision`, which hangs on `lease`.
+    pub(super) async fn write(
+        &self,
+        key: &OnceKey,
+        record: &Record,
+        revision: u64,
+        lease: LeaseId,
+    ) -> StoreAnswer {
+        let Ok(expected) = i64::try_from(revision) else {
+            return StoreAnswer::NotSent;
+        };
+        let written = self
+            .store
+            .put_if(key.as_str(), expected, &record.to_json(), lease.0)
+            .await;
+        answer_of(written)
+    }
+
+    /// Deletes the key if it still holds `record`.
+    pub(super) async fn release(&self, key: &OnceKey, record: &Record) {
+        if let Ok(Some(stored)) = self.store.get(key.as_str()).await {
+            if Record::from_json(&stored.value).is_ok_and(|held| held == *record) {
+                // A claim that stays until its lease ends only blocks a repeat.
+                let _ = self
+                    .store
+                    .delete_if(key.as_str(), stored.mod_revision)
+                    .await;
+            }
+        }
+    }
+
+    fn leases(&self) -> MutexGuard<'_, LeasePool> {
+        self.leases.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn answer_of(written: WriteOutcome) -> StoreAnswer {
+    match written {
+        WriteOutcome::Written { revision } => StoreAnswer::Written {
+            revision: revision.unsigned_abs(),
+        },
+        WriteOutcome::Conflict {
+            current: Some(stored),
+        } => found(&stored),
+        WriteOutcome::Conflict { current: None } => StoreAnswer::Absent,
+        WriteOutcome::NotWritten { .. } => StoreAnswer::NotSent,
+        WriteOutcome::Unknown { .. } => StoreAnswer::Lost,
+    }
+}
+
+fn found(stored: &Stored) -> StoreAnswer {
+    match Record::from_json(&stored.value) {
+        Ok(record) => StoreAnswer::Found {
+            record,
+            revision: stored.mod_revision.unsigned_abs(),
+        },
+        Err(_) => StoreAnswer::Unreadable,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/intake/action/upstream.rs
@@ -0,0 +1,117 @@
+//! The upstream's side of an action.
+
+use super::super::{answer::Answer, pass, work, work::Work, Shared};
+use crate::{
+    decide::{Ending, Placed},
+    dispatch::{ExchangeError, Head},
+    refusal::{Refusal, Run},
+    relay::{Framing, Settling},
+};
+use bytes::BytesMut;
+use carobwheel_core::{
+    id::UpstreamId,
+    once::{Body, Outcome, UpstreamEvent},
+    retry::Failure,
+};
+use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
+
+/// Longest answer of an action, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
+
+/// A place and the exchange on it.
+pub(super) struct Upstream {
+    place: Option<(Placed, Settling, CancellationToken)>,
+    tried: Vec<UpstreamId>,
+    /// What the deciding thread said when it had no place.
+    pub(super) refusal: Option<Refusal>,
+}
+
+impl Upstream {
+    pub(super) fn new(shared: &Shared, placed: Placed) -> Self {
+        Self {
+            place: Some(hold(shared, placed)),
+            tried: Vec::new(),
+            refusal: None,
+        }
+    }
+
+    /// Makes sure that there is a place.
+    pub(super) async fn find_place(&mut self, shared: &Shared, work: &Work) -> bool {
+        if self.place.is_some() {
+            return true;
+        }
+        match work::place(shared, work, &self.tried).await {
+            Ok(placed) => self.place = Some(hold(shared, placed)),
+            Err(refusal) => self.refusal = Some(refusal),
+        }
+        self.place.is_some()
+    }
+
+    /// Sends the request once, on a connection of its own, and gathers the whole answer.
+    pub(super) async fn exchange(
+        &mut self,
+        shared: &Arc<Shared>,
+        work: &Work,
+    ) -> (Vec<UpstreamEvent>, Option<Answer>) {
+        let (placed, mut settling, cancel) = self
+            .place
+            .take()
+            .expect("a place is found before an exchange");
+        let exchange = work::dispatch(shared, work, &placed, true, cancel).await;
+        let gathered = match exchange {
+            Ok(head) => gather(head, &mut settling).await,
+            Err(err) => Err(err),
+        };
+        match gathered {
+            Ok((outcome, answer)) => {
+                settling.settle(Ending::Whole);
+                let events = vec![UpstreamEvent::Head, UpstreamEvent::Done(outcome)];
+                (events, Some(answer))
+            }
+            Err(err) => {
+                settling.settle(Ending::Failed(err.failure()));
+                self.tried.push(placed.upstream);
+                let bytes_may_have_left = err.failure() != Failure::ConnectFailed;
+                let failed = UpstreamEvent::Failed {
+                    bytes_may_have_left,
+                };
+                (vec![failed], None)
+            }
+        }
+    }
+}
+
+fn hold(shared: &Shared, placed: Placed) -> (Placed, Settling, CancellationToken) {
+    let cancel = CancellationToken::new();
+    let settling = Settling::new(placed.ticket, shared.decide.clone(), cancel.clone());
+    (placed, settling, cancel)
+}
+
+async fn gather(
+    mut head: Head,
+    settling: &mut Settling,
+) -> Result<(Outcome, Answer), ExchangeError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = head.chunks.recv().await {
+        settling.byte_arrived();
+        body.extend_from_slice(&chunk?);
+        if body.len() > MAX_ANSWER_BYTES {
+            return Err(ExchangeError::Broken("the answer is too long".to_owned()));
+        }
+    }
+    let framing = pass::framing(&head.headers);
+    if matches!(framing, Framing::Length(length_bytes) if length_bytes != body.len() as u64) {
+        return Err(ExchangeError::Broken("the answer was cut short".to_owned()));
+    }
+    let headers = pass::passed_back(&head.headers);
+    let content_type = headers.iter().find(|(name, _)| *name == "content-type");
+    let outcome = Outcome {
+        status: head.status,
+        content_type: content_type.map(|(_, value)| value.clone()),
+        body: Body::new(body.to_vec()),
+    };
+    let mut answer = Answer::whole(head.status, Run::Ran, body.freeze());
+    answer.headers = headers;
+    Ok((outcome, answer))
+}
--- a/crates/gateway/src/intake/answer.rs
+++ b/crates/gateway/src/intake/answer.rs
@@ -1,7 +1,7 @@
 //! Answers to callers.
 
 use crate::{
-    refusal::{Refusal, Run},
+    refusal::{self, Refusal, Run},
     relay::RelayBody,
 };
 use bytes::Bytes;
@@ -33,6 +33,16 @@
 }
 
 impl Answer {
+    /// An answer with its body in hand.
+    pub(super) fn whole(status: u16, run: Run, body: Bytes) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            run,
+            body: AnswerBody::Whole(body),
+        }
+    }
+
     /// A JSON answer of the gateway's own.
     pub(super) fn json(status: u16, run: Run, body: &serde_json::Value) -> Self {
         Self {
@@ -71,7 +81,7 @@
             response.header_adjoin(Header::new(name, value));
         }
         response.raw_header("x-request-id", request_id.to_string());
-        response.raw_header("carobwheel-run", self.run.as_str());
+        response.raw_header("carobwheel-run", refusal::run_name(self.run));
         if close {
             response.raw_header("connection", "close");
         }
--- a/crates/gateway/src/intake/body.rs
+++ b/crates/gateway/src/intake/body.rs
@@ -10,7 +10,7 @@
 /// A whole body and the room that it takes while its request runs.
 pub(super) struct HeldBody {
     pub(super) bytes: Bytes,
-    _room: OwnedSemaphorePermit,
+    pub(super) room: OwnedSemaphorePermit,
 }
 
 /// Reads the body of a request.
@@ -43,7 +43,7 @@
     drop(room.split(spare));
     Ok(HeldBody {
         bytes: body.into(),
-        _room: room,
+        room,
     })
 }
 
--- a/crates/gateway/src/intake/classify.rs
+++ b/crates/gateway/src/intake/classify.rs
@@ -6,7 +6,7 @@
     refusal::{Cause, Refusal},
 };
 use carobwheel_core::{
-    document::{Account, Document, Model, Route},
+    document::{Account, Document, Model, Route, Serves},
     id::{RegionId, MAX_ID_BYTES},
     route::prefix_hashes,
 };
@@ -16,6 +16,7 @@
 
 /// Bytes of prompt that are counted as one token.
 const BYTES_PER_TOKEN: u64 = 4;
+const MS_PER_S: u64 = 1_000;
 /// Answers that one request may ask for.
 const ANSWERS: RangeInclusive<u64> = 1..=16;
 const MODEL_PATHS: [&str; 2] = [CHAT_PATH, COMPLETIONS_PATH];
@@ -39,6 +40,10 @@
     pub(super) bound_region: Option<RegionId>,
     pub(super) idempotent: bool,
     pub(super) deadline_ms: u64,
+    /// Time for which the outcome of an action is kept, in milliseconds.
+    pub(super) outcome_kept_ms: u64,
+    /// Every copy of the service drops a second action with the same idempotency key.
+    pub(super) deduplicates: bool,
 }
 
 /// The way that the head of a request leads.
@@ -80,7 +85,7 @@
         Way::Model => model_call(document, account, body),
         Way::Route(route) => {
             let of_account = account.and_then(|account| account.bound_region.clone());
-            route_call(route, of_account)
+            route_call(document, route, of_account)
         }
     }
 }
@@ -134,6 +139,8 @@
         bound_region: account.and_then(|account| account.bound_region.clone()),
         idempotent: true,
         deadline_ms: class.deadline_ms,
+        outcome_kept_ms: 0,
+        deduplicates: false,
     })
 }
 
@@ -160,7 +167,11 @@
     prefix_hashes(account, &prompt, BYTES_PER_TOKEN)
 }
 
-fn route_call(route: &Route, account_region: Option<RegionId>) -> Result<Call, Refusal> {
+fn route_call(
+    document: &Document,
+    route: &Route,
+    account_region: Option<RegionId>,
+) -> Result<Call, Refusal> {
     let bound_region = match (&route.bound_region, account_region) {
         (Some(of_route), Some(of_account)) if *of_route != of_account => {
             let message =
@@ -181,5 +192,21 @@
         bound_region,
         idempotent: route.idempotent,
         deadline_ms: route.deadline_ms,
+        outcome_kept_ms: route.outcome_kept_s * MS_PER_S,
+        deduplicates: deduplicates(document, route),
     })
 }
+
+fn deduplicates(document: &Document, route: &Route) -> bool {
+    document
+        .upstreams
+        .iter()
+        .all(|upstream| match &upstream.serves {
+            Serves::Service {
+                service,
+                deduplicates,
+                ..
+            } => *service != route.service || *deduplicates,
+            Serves::Engine { .. } => true,
+        })
+}
--- a/crates/gateway/src/intake/mod.rs
+++ b/crates/gateway/src/intake/mod.rs
@@ -4,6 +4,7 @@
 //! identify, classify, admit and place, dispatch, relay, settle; the first that refuses ends it
 //! with a typed refusal.
 
+mod action;
 mod answer;
 mod body;
 mod classify;
@@ -13,8 +14,10 @@
 mod head;
 mod pass;
 mod upstream_headers;
+mod work;
 
-pub use entry::{Entry, EntryList};
+pub(crate) use action::Claims;
+pub use entry::{Entry, EntryList, LIFETIME_S};
 
 use crate::{
     decide, dispatch, in_flight::InFlight, in_force::Current, ring::Sender, settings::Settings,
@@ -61,6 +64,8 @@
     pub decide: Sender<decide::Event>,
     /// Ring to the dispatching thread.
     pub dispatch: Sender<dispatch::Job>,
+    /// Records of actions that may not be repeated.
+    pub(crate) claims: Claims,
     /// Credential of each upstream.
     pub credentials: BTreeMap<UpstreamId, String>,
     /// Instances that callers may use, in order.
--- a/crates/gateway/src/intake/pass.rs
+++ b/crates/gateway/src/intake/pass.rs
@@ -1,32 +1,33 @@
 //! The way of one request through the filters.
 
 use super::{
+    action,
     answer::{Answer, AnswerBody},
     body, classify,
     gather::gather,
     head::RequestHead,
-    upstream_headers, Shared,
+    upstream_headers,
+    work::{self, Work},
+    Shared,
 };
 use crate::{
-    decide::{Ask, Ending, Event, Placed, RetryQuestion},
-    dispatch::{ExchangeError, Head, Job},
+    decide::Ending,
+    dispatch::{ExchangeError, Head},
     in_flight::Running,
     in_force::InForce,
     refusal::{Cause, Refusal, Run},
     relay::{Framing, RelayBody, Settling},
 };
-use bytes::Bytes;
 use carobwheel_core::{
-    id::{RequestId, UpstreamId},
+    id::RequestId,
     identity::{Caller, IdentityRefusal},
-    retry::{Decision, Failure},
+    retry::Failure,
     route::Hops,
-    time::Millis,
 };
-use reqwest::header::HeaderMap;
+use reqwest::{header::HeaderMap, Method};
 use rocket::{Data, Request};
 use std::{sync::Arc, time::Duration};
-use tokio::{sync::oneshot, time};
+use tokio::time;
 use tokio_util::sync::CancellationToken;
 
 /// Headers of an upstream's answer that are passed on to callers.
@@ -62,18 +63,6 @@
         })
 }
 
-/// A request that has been read and classified.
-struct Work<'a> {
-    request_id: &'a RequestId,
-    request: &'a Request<'a>,
-    head: RequestHead,
-    body: Bytes,
-    caller: Caller,
-    call: classify::Call,
-    deadline: Millis,
-    hops: Hops,
-}
-
 /// Takes a request from its head to the beginning of its answer.
 pub(super) async fn relay(
     shared: &Arc<Shared>,
@@ -83,6 +72,21 @@
     data: Data<'_>,
     running: Running,
 ) -> Result<Answer, Refusal> {
+    let work = read(shared, request_id, request, head, data).await?;
+    if work.call.idempotent {
+        return try_upstreams(shared, &work, running).await;
+    }
+    action::run(shared, work, running).await
+}
+
+/// The filters identify and classify.
+async fn read(
+    shared: &Arc<Shared>,
+    request_id: &RequestId,
+    request: &Request<'_>,
+    head: RequestHead,
+    data: Data<'_>,
+) -> Result<Work, Refusal> {
     let in_force = in_force(shared)?;
     // A caller without a valid key learns nothing about which paths there are.
     let way = classify::way(&in_force.document, &head);
@@ -100,34 +104,37 @@
     let hops = Hops::default()
         .arrive(&shared.instance)
         .map_err(|fault| Refusal::not_run(Cause::InvalidRequest, fault.to_string()))?;
-    let deadline = shared.clock.now().plus(call.deadline_ms);
-    let work = Work {
-        request_id,
-        request,
-        head,
-        body: held.bytes.clone(),
+    let method = head.method.as_str().parse();
+    Ok(Work {
+        request_id: request_id.clone(),
+        method: method.unwrap_or(Method::POST),
+        path_and_query: upstream_headers::path_and_query(&head),
+        headers: upstream_headers::passed(request, request_id),
+        body: held.bytes,
+        idempotency_key: head.idempotency_key,
         caller,
+        deadline: shared.clock.now().plus(call.deadline_ms),
         call,
-        deadline,
         hops,
-    };
-    try_upstreams(shared, &work, running).await
+        _room: held.room,
+    })
 }
 
 /// Places and dispatches the request, again where that is allowed.
 async fn try_upstreams(
     shared: &Arc<Shared>,
-    work: &Work<'_>,
+    work: &Work,
     running: Running,
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
     loop {
-        let placed = place(shared, work, &tried).await?;
+        let placed = work::place(shared, work, &tried).await?;
         let cancel = CancellationToken::new();
         let mut settling = Settling::new(placed.ticket, shared.decide.clone(), cancel.clone());
-        let exchange = dispatch(shared, work, &placed, &tried, cancel).await;
+        let is_retry = !tried.is_empty();
+        let exchange = work::dispatch(shared, work, &placed, is_retry, cancel).await;
         let (failure, refusal) = match exchange {
-            Ok(head) => match retried_status(head.status, work.call.idempotent) {
+            Ok(head) => match retried_status(head.status) {
                 None => return answer(head, settling, running).await,
                 Some(failure) => (failure, upstream_refusal(head.status)),
             },
@@ -135,7 +142,7 @@
         };
         settling.settle(Ending::Failed(failure));
         tried.push(placed.upstream);
-        let after_ms = may_retry(shared, work, failure, tried.len())
+        let after_ms = work::may_retry(shared, work, failure, tried.len())
             .await
             .ok_or(refusal)?;
         time::sleep(Duration::from_millis(after_ms)).await;
@@ -143,10 +150,10 @@
 }
 
 /// How an answer counts that another upstream may give better; none if it is passed on.
-fn retried_status(status: u16, is_idempotent: bool) -> Option<Failure> {
+fn retried_status(status: u16) -> Option<Failure> {
     match status {
-        429 | 503 if is_idempotent => Some(Failure::RefusedNotRun),
-        500 | 502 | 504 if is_idempotent => Some(Failure::UpstreamError),
+        429 | 503 => Some(Failure::RefusedNotRun),
+        500 | 502 | 504 => Some(Failure::UpstreamError),
         _ => None,
     }
 }
@@ -162,101 +169,6 @@
     }
 }
 
-/// Time after which the request is tried again, in milliseconds; none if it is not.
-async fn may_retry(
-    shared: &Shared,
-    work: &Work<'_>,
-    failure: Failure,
-    attempts: usize,
-) -> Option<u64> {
-    let (reply, decision) = oneshot::channel();
-    let question = RetryQuestion {
-        idempotent: work.call.idempotent,
-        failure,
-        attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
-        deadline: work.deadline,
-        reply,
-    };
-    shared
-        .decide
-        .try_send(Event::MayRetry(Box::new(question)))
-        .ok()?;
-    match decision.await.ok()? {
-        Decision::Retry { after_ms } => Some(after_ms),
-        Decision::GiveUp(_) => None,
-    }
-}
-
-async fn place(shared: &Shared, work: &Work<'_>, tried: &[UpstreamId]) -> Result<Placed, Refusal> {
-    let (reply, decision) = oneshot::channel();
-    let call = &work.call;
-    let ask = Ask {
-        request: work.request_id.clone(),
-        caller: work.caller.clone(),
-        target: call.target.clone(),
-        prompt_tokens: call.prompt_tokens,
-        max_output_tokens: call.max_output_tokens,
-        prefix: call.prefix.clone(),
-        bound_region: call.bound_region.clone(),
-        idempotent: call.idempotent,
-        deadline: work.deadline,
-        tried: tried.to_vec(),
-        hops: work.hops.clone(),
-        reply,
-    };
-    shared
-        .decide
-        .try_send(Event::Ask(Box::new(ask)))
-        .map_err(|_| overloaded("this instance is overloaded"))?;
-    let remaining_ms = work.deadline.since(shared.clock.now());
-    time::timeout(Duration::from_millis(remaining_ms), decision)
-        .await
-        .map_err(|_| overloaded("no upstream had room in time"))?
-        .map_err(|_| overloaded("this instance is stopping"))?
-}
-
-fn overloaded(message: &str) -> Refusal {
-    Refusal::not_run(Cause::Overloaded, message).retry_after(1_000)
-}
-
-async fn dispatch(
-    shared: &Shared,
-    work: &Work<'_>,
-    placed: &Placed,
-    tried: &[UpstreamId],
-    cancel: CancellationToken,
-) -> Result<Head, ExchangeError> {
-    let credential = shared.credentials.get(&placed.upstream);
-    let (reply, answered) = oneshot::channel();
-    let method = work.head.method.as_str();
-    let job = Job {
-        method: method.parse().unwrap_or(reqwest::Method::POST),
-        url: format!(
-            "{}{}",
-            placed.url,
-            upstream_headers::path_and_query(&work.head)
-        ),
-        headers: upstream_headers::headers(
-            work.request,
-            work.request_id,
-            placed.priority,
-            credential.map(String::as_str),
-        ),
-        body: work.body.clone(),
-        fresh_connection: !work.call.idempotent || !tried.is_empty(),
-        head_timeout: Duration::from_millis(work.deadline.since(shared.clock.now())),
-        cancel,
-        reply,
-    };
-    shared
-        .dispatch
-        .try_send(job)
-        .map_err(|_| ExchangeError::NotConnected("the dispatching ring is full".to_owned()))?;
-    answered
-        .await
-        .unwrap_or_else(|_| Err(ExchangeError::Cancelled))
-}
-
 fn refusal_of(err: &ExchangeError) -> Refusal {
     match err {
         ExchangeError::NotConnected(_) => {
@@ -285,7 +197,8 @@
     })
 }
 
-fn framing(headers: &HeaderMap) -> Framing {
+/// How the end of an answer with these headers is recognised.
+pub(super) fn framing(headers: &HeaderMap) -> Framing {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     if text("content-type").is_some_and(|value| value.starts_with("text/event-stream")) {
         return Framing::Events;
@@ -296,7 +209,8 @@
     }
 }
 
-fn passed_back(headers: &HeaderMap) -> Vec<(&'static str, String)> {
+/// Headers of an upstream's answer for the caller.
+pub(super) fn passed_back(headers: &HeaderMap) -> Vec<(&'static str, String)> {
     PASSED_BACK
         .into_iter()
         .filter_map(|name| {
--- a/crates/gateway/src/intake/upstream_headers.rs
+++ b/crates/gateway/src/intake/upstream_headers.rs
@@ -36,13 +36,8 @@
 /// Priority for the engine; 0 is the most urgent.
 const PRIORITY: HeaderName = HeaderName::from_static("x-priority");
 
-/// Headers for the upstream.
-pub(super) fn headers(
-    request: &Request<'_>,
-    request_id: &RequestId,
-    priority: u8,
-    credential: Option<&str>,
-) -> HeaderMap {
+/// Headers of the request that any upstream may see.
+pub(super) fn passed(request: &Request<'_>, request_id: &RequestId) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for name in PASSED {
         for value in request.headers().get(name) {
@@ -51,13 +46,23 @@
             }
         }
     }
+    if let Ok(value) = HeaderValue::from_str(request_id.as_str()) {
+        headers.insert(REQUEST_ID, value);
+    }
+    headers
+}
+
+/// The headers for one upstream: those passed on, its own credential and the priority.
+pub(super) fn for_upstream(
+    passed: &HeaderMap,
+    priority: u8,
+    credential: Option<&String>,
+) -> HeaderMap {
+    let mut headers = passed.clone();
     let bearer = credential.and_then(|it| HeaderValue::from_str(&format!("Bearer {it}")).ok());
     if let Some(bearer) = bearer {
         headers.insert(AUTHORIZATION, bearer);
     }
-    if let Ok(value) = HeaderValue::from_str(request_id.as_str()) {
-        headers.insert(REQUEST_ID, value);
-    }
     headers.insert(PRIORITY, HeaderValue::from(u16::from(priority)));
     headers
 }
--- a/crates/gateway/src/refusal/mod.rs
+++ b/crates/gateway/src/refusal/mod.rs
@@ -1,26 +1,15 @@
 //! Typed refusals and what each says about the request having run.
 
-use std::fmt;
+pub use carobwheel_core::once::Run;
 
-/// Whether a request ran at an upstream, as reported in `carobwheel-run`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Run {
-    /// No byte of the request reached an upstream, or the upstream itself refused it.
-    NotRun,
-    /// The request may have reached an upstream.
-    MayHaveRun,
-    /// The upstream answered.
-    Ran,
-}
+use std::fmt;
 
-impl Run {
-    /// The value of the `carobwheel-run` header.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::NotRun => "not-run",
-            Self::MayHaveRun => "may-have-run",
-            Self::Ran => "ran",
-        }
+/// The value of the `carobwheel-run` header.
+pub fn run_name(run: Run) -> &'static str {
+    match run {
+        Run::NotRun => "not-run",
+        Run::MayHaveRun => "may-have-run",
+        Run::Ran => "ran",
     }
 }
 
@@ -166,7 +155,7 @@
             f,
             "{} ({}): {}",
             self.cause.code(),
-            self.run.as_str(),
+            run_name(self.run),
             self.message
         )
     }
