--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -14,7 +14,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     thread,
 };
 use tokio::{
@@ -44,10 +44,8 @@
         self.lock_connections().clone()
     }
 
-    fn lock_connections(&self) -> std::sync::MutexGuard<'_, CancellationToken> {
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock_connections(&self) -> MutexGuard<'_, CancellationToken> {
+        crate::lock(&self.connections)
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,3 +11,9 @@
 pub mod tls;
 
 pub use http::SeenRequest;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/standin/src/store/api.rs
+++ b/crates/standin/src/store/api.rs
@@ -1,7 +1,8 @@
 //! Answering calls.
 
-use super::{lock, state::Refusal, watch, Availability, Shared};
+use super::{state::Refusal, watch, Availability, Shared};
 use crate::http::{Ending, Request, Responder};
+use crate::lock;
 use carobwheel_wire::etcd::{
     DeleteRangeRequest, ErrorBody, LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest,
     LeaseKeepAliveResponse, LeaseRevokeRequest, LeaseRevokeResponse, PutRequest, RangeRequest,
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -11,13 +11,14 @@
 pub use counts::Counts;
 
 use crate::http::{SeenRequest, Server};
+use crate::lock;
 use carobwheel_core::time::Clock;
 use rand::{rngs::StdRng, Rng, SeedableRng};
 use state::State;
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 /// One million parts make a whole.
@@ -119,10 +120,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// A running store; dropping it stops it.
 pub struct Store {
     server: Server,
--- a/crates/standin/src/store/watch.rs
+++ b/crates/standin/src/store/watch.rs
@@ -1,7 +1,8 @@
 //! Answering watches.
 
-use super::{lock, Shared};
+use super::Shared;
 use crate::http::{BodyWriter, Ending, Responder};
+use crate::lock;
 use carobwheel_wire::etcd::{StreamItem, WatchCreateRequest, WatchResponse};
 use std::{io, sync::Arc, time::Duration};
 use tokio::time::{timeout, Instant};
--- a/crates/wire/src/platform/mod.rs
+++ b/crates/wire/src/platform/mod.rs
@@ -69,3 +69,25 @@
     /// Entries in order of the instances' names.
     pub entries: Vec<DirectoryEntry>,
 }
+
+/// Path of a model engine's load report.
+pub const LOAD_PATH: &str = "/load";
+
+/// A model engine's load, as it stood some time before the answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that the engine decodes.
+    pub running: u32,
+    /// Requests that wait for a place.
+    pub waiting: u32,
+    /// Prompt tokens that waiting requests still have to be read.
+    pub waiting_prefill_tokens: u64,
+    /// Output tokens that running requests may still generate.
+    pub remaining_output_tokens: u64,
+    /// Blocks of the prefix cache in use.
+    pub used_cache_blocks: u64,
+    /// Blocks of the prefix cache.
+    pub cache_blocks: u64,
+    /// Age of the report, in milliseconds.
+    pub age_ms: u64,
+}
