Add evidence, comparison and verdict of rollouts

Instances follow the steps by clock, compare both versions per route by merged grow-only counters, fall back to a probe share when the new version looks worse, and stop it when it surely is.

--- /dev/null
+++ b/crates/core/src/evidence/counts.rs
@@ -0,0 +1,153 @@
+//! Counters of requests.
+
+use serde::{Deserialize, Serialize};
+
+/// The version that a request goes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Side {
+    /// The version that traffic leaves.
+    Old,
+    /// The version that traffic moves to.
+    New,
+}
+
+/// What a version can do worse than another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// Requests fail.
+    Failure,
+    /// First tokens come late.
+    SlowFirstToken,
+    /// Tokens follow each other slowly.
+    SlowTokens,
+}
+
+/// All kinds.
+pub const KINDS: [Kind; 3] = [Kind::Failure, Kind::SlowFirstToken, Kind::SlowTokens];
+
+/// What became of one request.
+///
+/// Only failures that a version can be blamed for belong here: an answer with a status of 500 or
+/// more, a broken or incomplete stream, no answer in time. A refused connection says something
+/// about the upstream, not about the version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sample {
+    /// The request failed.
+    pub failed: bool,
+    /// Time from dispatch to the first token, in milliseconds, if there was one.
+    pub first_token_ms: Option<u64>,
+    /// Mean time between two tokens, in milliseconds, if there were several.
+    pub between_tokens_ms: Option<u64>,
+}
+
+/// Grow-only counters of one version, on one route, from one source.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Counts {
+    /// Requests that ended.
+    pub requests: u64,
+    /// Requests that failed.
+    pub failures: u64,
+    /// Requests whose first token was compared with the reference.
+    pub timed_first: u64,
+    /// Requests whose first token was slower than the reference.
+    pub slow_first: u64,
+    /// Requests whose time between tokens was compared with the reference.
+    pub timed_between: u64,
+    /// Requests whose tokens followed slower than the reference.
+    pub slow_between: u64,
+}
+
+impl Counts {
+    /// The larger of each counter.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        self.zip(other, u64::max)
+    }
+
+    /// The sum of each counter.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        self.zip(other, u64::saturating_add)
+    }
+
+    /// The growth of each counter since `earlier`.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        self.zip(earlier, u64::saturating_sub)
+    }
+
+    /// Trials of `kind`.
+    pub fn trials(&self, kind: Kind) -> u64 {
+        match kind {
+            Kind::Failure => self.requests,
+            Kind::SlowFirstToken => self.timed_first,
+            Kind::SlowTokens => self.timed_between,
+        }
+    }
+
+    /// Trials of `kind` that went badly.
+    pub fn faults(&self, kind: Kind) -> u64 {
+        match kind {
+            Kind::Failure => self.failures,
+            Kind::SlowFirstToken => self.slow_first,
+            Kind::SlowTokens => self.slow_between,
+        }
+    }
+
+    fn zip(&self, other: &Self, f: impl Fn(u64, u64) -> u64) -> Self {
+        Self {
+            requests: f(self.requests, other.requests),
+            failures: f(self.failures, other.failures),
+            timed_first: f(self.timed_first, other.timed_first),
+            slow_first: f(self.slow_first, other.slow_first),
+            timed_between: f(self.timed_between, other.timed_between),
+            slow_between: f(self.slow_between, other.slow_between),
+        }
+    }
+}
+
+/// Counters of both versions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Sides {
+    /// The old version.
+    pub old: Counts,
+    /// The new version.
+    pub new: Counts,
+}
+
+impl Sides {
+    /// The larger of each counter.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            old: self.old.max(&other.old),
+            new: self.new.max(&other.new),
+        }
+    }
+
+    /// The sum of each counter.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            old: self.old.plus(&other.old),
+            new: self.new.plus(&other.new),
+        }
+    }
+
+    /// The growth of each counter since `earlier`.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            old: self.old.since(&earlier.old),
+            new: self.new.since(&earlier.new),
+        }
+    }
+
+    /// The counters of `side`, for counting.
+    pub fn side_mut(&mut self, side: Side) -> &mut Counts {
+        match side {
+            Side::Old => &mut self.old,
+            Side::New => &mut self.new,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/rollout/score.rs
@@ -0,0 +1,29 @@
+//! Likelihood ratios of "the new version is worse" against "both versions are alike".
+
+use super::comparison::Trials;
+
+/// The ratio whose odds are `factor` times those of `ratio`.
+pub(super) fn with_odds_times(ratio: f64, factor: f64) -> f64 {
+    let odds = factor * ratio / (1.0 - ratio);
+    odds / (1.0 + odds)
+}
+
+/// Logarithm of the likelihood of `trials` under `ratio` over that under `reference`.
+pub(super) fn log_likelihood_ratio(trials: Trials, ratio: f64, reference: f64) -> f64 {
+    let faults = trials.faults as f64;
+    let rest = trials.trials.saturating_sub(trials.faults) as f64;
+    faults * (ratio / reference).ln() + rest * ((1.0 - ratio) / (1.0 - reference)).ln()
+}
+
+/// Logarithm of an e-value of one block of trials of both versions.
+///
+/// Under "alike", the expected e-value is at most one whatever the common ratio is, so the product
+/// over blocks may be looked at after every block, and the common ratio may differ between blocks
+/// (Turner, Ly and Grünwald, safe tests for two streams of Bernoulli trials). `old_ratio` and
+/// `new_ratio` are the alternative; they have to be chosen before the block.
+pub(super) fn block_score(new: Trials, old: Trials, new_ratio: f64, old_ratio: f64) -> f64 {
+    let new_trials = new.trials as f64;
+    let old_trials = old.trials as f64;
+    let pooled = (new_trials * new_ratio + old_trials * old_ratio) / (new_trials + old_trials);
+    log_likelihood_ratio(new, new_ratio, pooled) + log_likelihood_ratio(old, old_ratio, pooled)
+}
