--- /dev/null
+++ b/crates/core/src/limit/audit.rs
@@ -0,0 +1,322 @@
+//! Change of a slot's owner: what may still be used of the former owners' tokens.
+//!
+//! A new owner starts every part empty and holds back the part's whole share of the burst. It
+//! asks every member that is not confirmed gone what that member may still use of earlier
+//! epochs. Once all have answered it holds back the sum of the answers, which only shrink.
+
+use super::charge::{Charge, Origin, Source};
+use super::limiter::{Limiter, Passed};
+use super::loan::Lent;
+use super::message::{Audit, AuditAnswer};
+use super::HOLD_LIFE_MS;
+use crate::id::AccountId;
+use crate::slot::{shard_of, Peer, Role, SlotId};
+use crate::time::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time after which a member that has not answered is asked again, in milliseconds.
+const AUDIT_RETRY_MS: u64 = 500;
+/// Time after which a member with reservations is asked again, in milliseconds.
+const AUDIT_REFRESH_MS: u64 = 3_000;
+
+/// A slot that this instance owns.
+#[derive(Clone, Debug)]
+pub(super) struct Slot {
+    pub(super) epoch: u64,
+    /// The slot is being given away: its parts may not be used.
+    pub(super) is_suspended: bool,
+    added: Millis,
+    /// Members that have not answered.
+    waiting: BTreeSet<Peer>,
+    /// Reservations of earlier epochs as answered.
+    outstanding: BTreeMap<Peer, Vec<(AccountId, u64)>>,
+    /// Levels that the former owner passes on, until all members have answered.
+    passed_on: Vec<(AccountId, u64)>,
+    asked: Option<Millis>,
+}
+
+impl Slot {
+    /// What an account's part holds back for tokens of earlier owners, in micro-tokens.
+    pub(super) fn held_micro(&self, account: &AccountId, cap_micro: u64, now: Millis) -> u64 {
+        if self.is_held_over(now) {
+            return 0;
+        }
+        if !self.waiting.is_empty() {
+            return cap_micro;
+        }
+        self.outstanding
+            .values()
+            .flatten()
+            .filter(|(id, _)| id == account)
+            .map(|(_, amount_micro)| amount_micro)
+            .sum()
+    }
+
+    fn is_held_over(&self, now: Millis) -> bool {
+        now.since(self.added) > HOLD_LIFE_MS
+    }
+
+    /// Every member has said what it may still use.
+    pub(super) fn is_answered(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    fn is_clear(&self) -> bool {
+        self.waiting.is_empty() && self.outstanding.is_empty()
+    }
+
+    fn is_due(&self, now: Millis) -> bool {
+        let retry_ms = if self.waiting.is_empty() {
+            AUDIT_REFRESH_MS
+        } else {
+            AUDIT_RETRY_MS
+        };
+        self.asked.is_none_or(|asked| now.since(asked) >= retry_ms)
+    }
+
+    fn asked_members(&self) -> impl Iterator<Item = &Peer> {
+        let is_waiting = !self.waiting.is_empty();
+        let answered = self.outstanding.keys().filter(move |_| !is_waiting);
+        self.waiting.iter().chain(answered)
+    }
+}
+
+impl Limiter {
+    pub(super) fn add_slot(&mut self, key: (u16, Role), epoch: u64, now: Millis) {
+        let mut waiting: BTreeSet<Peer> = self.members.iter().cloned().collect();
+        waiting.insert(self.me.clone());
+        if epoch == 1 {
+            waiting.clear();
+        }
+        let slot = Slot {
+            epoch,
+            is_suspended: false,
+            added: now,
+            waiting,
+            outstanding: BTreeMap::new(),
+            passed_on: Vec::new(),
+            asked: None,
+        };
+        self.slots.insert(key, slot);
+    }
+
+    pub(super) fn drop_slot(&mut self, key: (u16, Role), now: Millis) {
+        let Some(slot) = self.slots.remove(&key) else {
+            return;
+        };
+        let (shard, role) = key;
+        let mut levels = Vec::new();
+        for (id, account) in &mut self.accounts {
+            if account.shard != shard {
+                continue;
+            }
+            let Some(mut part) = account.parts[role as usize].take() else {
+                continue;
+            };
+            part.accrue(now);
+            if part.level_micro > 0 && !self.is_void {
+                levels.push((id.clone(), part.level_micro));
+            }
+        }
+        let epoch = slot.epoch;
+        self.passed.insert(key, Passed { epoch, levels });
+        let is_of_slot = |lent: &Lent| lent.role == role && shard_of(&lent.account) == shard;
+        self.lent.retain(|_, lent| !is_of_slot(lent));
+    }
+
+    /// Answers the new owner of a slot.
+    pub(super) fn on_audit(&mut self, audit: &Audit, now: Millis) -> AuditAnswer {
+        let slot = SlotId {
+            region: audit.region.clone(),
+            shard: audit.shard,
+            role: audit.role,
+        };
+        let key = (audit.shard, audit.role);
+        let is_home = slot.region == self.region;
+        if is_home
+            && self
+                .slots
+                .get(&key)
+                .is_some_and(|own| own.epoch < audit.epoch)
+        {
+            self.drop_slot(key, now);
+        }
+        let least = self.least_epochs.entry(slot.clone()).or_default();
+        *least = audit.epoch.max(*least);
+        for loan in self.loans.values_mut() {
+            let is_earlier = loan
+                .granted
+                .is_some_and(|granted| granted.epoch < audit.epoch);
+            if is_earlier && loan.slot == slot {
+                loan.give_back();
+            }
+        }
+        let levels = match self.passed.get(&key) {
+            Some(passed) if is_home && passed.epoch + 1 == audit.epoch => passed.levels.clone(),
+            _ => Vec::new(),
+        };
+        AuditAnswer {
+            shard: audit.shard,
+            role: audit.role,
+            epoch: audit.epoch,
+            outstanding: self.outstanding(&slot, audit.epoch),
+            levels,
+        }
+    }
+
+    /// Takes the answer of a member to an audit of an own slot.
+    pub(super) fn on_answer(&mut self, from: &Peer, answer: &AuditAnswer, now: Millis) {
+        let key = (answer.shard, answer.role);
+        let Some(slot) = self.slots.get_mut(&key) else {
+            return;
+        };
+        if slot.epoch != answer.epoch {
+            return;
+        }
+        let is_first = slot.waiting.remove(from);
+        let is_known = slot.outstanding.contains_key(from);
+        if !is_first && !is_known {
+            return;
+        }
+        // Answers only shrink, so the smaller of two is right whatever their order.
+        let smaller = match slot.outstanding.remove(from) {
+            Some(known) => smaller(known, &answer.outstanding),
+            None => answer.outstanding.clone(),
+        };
+        if !smaller.is_empty() {
+            slot.outstanding.insert(from.clone(), smaller);
+        }
+        if is_first && !answer.levels.is_empty() {
+            slot.passed_on = answer.levels.clone();
+        }
+        self.refresh_held(key, now);
+    }
+
+    /// What this instance may still use of `slot`'s epochs before `epoch`, by account.
+    fn outstanding(&self, slot: &SlotId, epoch: u64) -> Vec<(AccountId, u64)> {
+        let mut sums: BTreeMap<&AccountId, u64> = BTreeMap::new();
+        for charge in self.charges.values() {
+            for source in &charge.sources {
+                if self.is_of_earlier(charge, source, slot, epoch) {
+                    *sums.entry(&charge.account).or_default() += source.reserved_micro;
+                }
+            }
+        }
+        sums.into_iter()
+            .map(|(id, sum)| (id.clone(), sum))
+            .collect()
+    }
+
+    fn is_of_earlier(&self, charge: &Charge, source: &Source, slot: &SlotId, epoch: u64) -> bool {
+        match source.origin {
+            Origin::Part { role, epoch: at } => {
+                slot.region == self.region
+                    && slot.role == role
+                    && slot.shard == shard_of(&charge.account)
+                    && at < epoch
+            }
+            Origin::Loan(number) => self.loans.get(&number).is_some_and(|loan| {
+                loan.slot == *slot && loan.granted.is_some_and(|granted| granted.epoch < epoch)
+            }),
+        }
+    }
+
+    /// Brings the parts of a slot in line with the answers to its audit.
+    fn refresh_held(&mut self, key: (u16, Role), now: Millis) {
+        let Some(slot) = self.slots.get_mut(&key) else {
+            return;
+        };
+        let passed_on = if slot.waiting.is_empty() {
+            std::mem::take(&mut slot.passed_on)
+        } else {
+            Vec::new()
+        };
+        for (id, account) in &mut self.accounts {
+            if account.shard != key.0 {
+                continue;
+            }
+            let Some(part) = &mut account.parts[key.1 as usize] else {
+                continue;
+            };
+            part.set_held(slot.held_micro(id, part.cap_micro, now), now);
+            let passed = passed_on.iter().find(|(of, _)| of == id);
+            if let Some((_, level_micro)) = passed {
+                part.add_level(*level_micro);
+            }
+        }
+    }
+
+    pub(super) fn forget_gone_members(&mut self, now: Millis) {
+        let members: BTreeSet<Peer> = self.members.iter().chain([&self.me]).cloned().collect();
+        let mut changed = Vec::new();
+        for (key, slot) in &mut self.slots {
+            let before = (slot.waiting.len(), slot.outstanding.len());
+            slot.waiting.retain(|peer| members.contains(peer));
+            slot.outstanding.retain(|peer, _| members.contains(peer));
+            if before != (slot.waiting.len(), slot.outstanding.len()) {
+                changed.push(*key);
+            }
+        }
+        for key in changed {
+            self.refresh_held(key, now);
+        }
+    }
+
+    /// Asks members that have not answered or still have reservations.
+    pub(super) fn send_audits(&mut self, now: Millis) {
+        let keys: Vec<(u16, Role)> = self.slots.keys().copied().collect();
+        for key in keys {
+            self.send_audit(key, now);
+        }
+    }
+
+    fn send_audit(&mut self, key: (u16, Role), now: Millis) {
+        let Some(slot) = self.slots.get_mut(&key) else {
+            return;
+        };
+        if slot.is_clear() {
+            return;
+        }
+        if slot.is_held_over(now) {
+            slot.waiting.clear();
+            slot.outstanding.clear();
+            self.refresh_held(key, now);
+            return;
+        }
+        if !slot.is_due(now) {
+            return;
+        }
+        slot.asked = Some(now);
+        let audit = Audit {
+            region: self.region.clone(),
+            shard: key.0,
+            role: key.1,
+            epoch: slot.epoch,
+        };
+        let asked: Vec<Peer> = slot.asked_members().cloned().collect();
+        for peer in asked {
+            if peer == self.me {
+                let answer = self.on_audit(&audit, now);
+                self.on_answer(&peer, &answer, now);
+                continue;
+            }
+            let message = self.outbox.entry(peer).or_default();
+            message.audits.push(audit.clone());
+        }
+    }
+}
+
+fn smaller(known: Vec<(AccountId, u64)>, answer: &[(AccountId, u64)]) -> Vec<(AccountId, u64)> {
+    let amount = |id: &AccountId| {
+        let found = answer.iter().find(|(of, _)| of == id);
+        found.map_or(0, |(_, amount)| *amount)
+    };
+    known
+        .into_iter()
+        .map(|(id, known)| {
+            let amount = known.min(amount(&id));
+            (id, amount)
+        })
+        .filter(|(_, amount)| *amount > 0)
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/limit/lend.rs
@@ -0,0 +1,160 @@
+//! Lending: the owner's side.
+
+use super::limiter::Limiter;
+use super::loan::Lent;
+use super::message::{LoanAck, LoanAsk, LoanGrant, LoanMessage, LoanReport, Outgoing};
+use super::LENT_LIFE_MS;
+use crate::slot::Peer;
+use crate::time::Millis;
+
+/// Demand of its own that a lender keeps back from borrowers without a waiting request, in
+/// milliseconds.
+const KEPT_BACK_MS: u64 = 500;
+/// Time between two sweeps of loans that were never reported, in milliseconds.
+const SWEEP_MS: u64 = 1_000;
+
+impl Limiter {
+    /// Handles a message and returns the answers.
+    pub fn on_message(&mut self, from: &Peer, message: &LoanMessage, now: Millis) -> Vec<Outgoing> {
+        let mut answer = LoanMessage::default();
+        for ask in &message.asks {
+            answer.grants.push(self.on_ask(from, ask, now));
+        }
+        for grant in &message.grants {
+            if grant.incarnation == self.me.incarnation {
+                answer.reports.extend(self.on_grant(from, grant, now));
+            }
+        }
+        for report in &message.reports {
+            answer.acks.push(self.on_report(from, report, now));
+        }
+        for ack in &message.acks {
+            if ack.incarnation == self.me.incarnation {
+                self.on_ack(ack);
+            }
+        }
+        for audit in &message.audits {
+            answer.answers.push(self.on_audit(audit, now));
+        }
+        for audit_answer in &message.answers {
+            self.on_answer(from, audit_answer, now);
+        }
+        if answer == LoanMessage::default() {
+            return Vec::new();
+        }
+        vec![(from.clone(), answer)]
+    }
+
+    /// Does what is due with time, and returns messages to send.
+    pub fn tick(&mut self, now: Millis) -> Vec<Outgoing> {
+        self.end_charges(now);
+        self.tend_loans(now);
+        self.borrow_ahead(now);
+        if now.since(self.last_sweep) >= SWEEP_MS {
+            self.last_sweep = now;
+            self.expire_lent(now);
+            self.forget_idle(now);
+        }
+        self.send_audits(now);
+        std::mem::take(&mut self.outbox).into_iter().collect()
+    }
+
+    fn on_ask(&mut self, from: &Peer, ask: &LoanAsk, now: Millis) -> LoanGrant {
+        let mut grant = LoanGrant {
+            loan: ask.loan,
+            incarnation: from.incarnation,
+            epoch: 0,
+            revision: self.tables.last().map_or(0, |table| table.revision),
+            amount_micro: 0,
+            level_micro: 0,
+        };
+        let is_usable = !self.is_void;
+        let Some(account) = self.accounts.get_mut(&ask.account) else {
+            return grant;
+        };
+        let active = account.active.as_ref();
+        let demand_micro = active.map_or(0, |active| active.demand.over_ms(KEPT_BACK_MS, now));
+        let Some(part) = &mut account.parts[ask.role as usize] else {
+            return grant;
+        };
+        part.accrue(now);
+        grant.epoch = part.epoch;
+        let key = (from.clone(), ask.loan);
+        if let Some(lent) = self.lent.get(&key) {
+            grant.amount_micro = lent.amount_micro;
+            grant.epoch = lent.epoch;
+            grant.level_micro = part.level_micro;
+            return grant;
+        }
+        if !is_usable || part.is_suspended {
+            return grant;
+        }
+        let kept_micro = if ask.is_urgent { 0 } else { demand_micro };
+        let spare_micro = part.level_micro.saturating_sub(kept_micro);
+        grant.amount_micro = ask.wanted_micro.min(spare_micro);
+        part.lend(grant.amount_micro);
+        grant.level_micro = spare_micro - grant.amount_micro;
+        if grant.amount_micro > 0 {
+            let lent = Lent {
+                account: ask.account.clone(),
+                role: ask.role,
+                epoch: part.epoch,
+                amount_micro: grant.amount_micro,
+                used_micro: 0,
+                returned_micro: 0,
+                expires: now.plus(LENT_LIFE_MS),
+            };
+            self.lent.insert(key, lent);
+        }
+        grant
+    }
+
+    fn on_report(&mut self, from: &Peer, report: &LoanReport, now: Millis) -> LoanAck {
+        let mut ack = LoanAck {
+            loan: report.loan,
+            incarnation: from.incarnation,
+            is_closed: true,
+            used_micro: report.used_micro,
+            returned_micro: report.returned_micro,
+        };
+        let key = (from.clone(), report.loan);
+        let Some(lent) = self.lent.get_mut(&key) else {
+            return ack;
+        };
+        let news = lent.merge(report);
+        ack.used_micro = lent.used_micro;
+        ack.returned_micro = lent.returned_micro;
+        ack.is_closed = lent.outstanding_micro() == 0;
+        if let Some((used_micro, returned_micro)) = news {
+            let account = self.accounts.get_mut(&lent.account);
+            let part = account.and_then(|account| account.parts[lent.role as usize].as_mut());
+            if let Some(part) = part.filter(|part| part.epoch == lent.epoch) {
+                part.repay(used_micro, returned_micro, now);
+            }
+        }
+        if ack.is_closed {
+            self.lent.remove(&key);
+        }
+        ack
+    }
+
+    /// Counts loans as spent whose borrower has not reported in the longest time.
+    fn expire_lent(&mut self, now: Millis) {
+        let expired: Vec<(Peer, u64)> = self
+            .lent
+            .iter()
+            .filter(|(_, lent)| lent.expires <= now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in expired {
+            let Some(lent) = self.lent.remove(&key) else {
+                continue;
+            };
+            let account = self.accounts.get_mut(&lent.account);
+            let part = account.and_then(|account| account.parts[lent.role as usize].as_mut());
+            if let Some(part) = part.filter(|part| part.epoch == lent.epoch) {
+                part.repay(lent.outstanding_micro(), 0, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/limiter.rs
@@ -0,0 +1,522 @@
+//! The parts, loans and charges of one instance.
+
+use super::account::{Account, Active, Remote};
+use super::audit::Slot;
+use super::charge::{Charge, ChargeId, ChargeRequest, Origin, Outcome, Source};
+use super::loan::{Lent, Loan};
+use super::message::LoanMessage;
+use super::part::Part;
+use super::table::{Share, Table};
+use super::{CHARGE_LIFE_MS, MICRO_PER_TOKEN};
+use crate::document::Document;
+use crate::id::{AccountId, RegionId};
+use crate::slot::{shard_of, OwnedSlot, Peer, Role, SlotId};
+use crate::time::Millis;
+use std::collections::{BTreeMap, HashMap};
+
+/// Sums over all accounts, for metrics and measurements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    /// Slots owned.
+    pub slots: usize,
+    /// Accounts with at least one part here.
+    pub accounts: usize,
+    /// Charges that are not settled.
+    pub charges: usize,
+    /// Loans taken that are not over.
+    pub loans_taken: usize,
+    /// Loans given that are not over.
+    pub loans_given: usize,
+}
+
+/// Levels of a slot handed over, kept for the owner in the next epoch.
+#[derive(Clone, Debug)]
+pub(super) struct Passed {
+    pub(super) epoch: u64,
+    pub(super) levels: Vec<(AccountId, u64)>,
+}
+
+/// The parts, loans and charges of one instance.
+///
+/// The thread that decides owns it. It calls [`tick`](Self::tick) about every 50 ms, hands every
+/// message of a peer to [`on_message`](Self::on_message) and sends what both return.
+#[derive(Debug)]
+pub struct Limiter {
+    pub(super) me: Peer,
+    pub(super) region: RegionId,
+    /// Tables in force somewhere, in ascending order of revision.
+    pub(super) tables: Vec<Table>,
+    pub(super) fleet_revision: u64,
+    pub(super) accounts: HashMap<AccountId, Account>,
+    pub(super) slots: BTreeMap<(u16, Role), Slot>,
+    pub(super) owners: HashMap<SlotId, Peer>,
+    pub(super) members: Vec<Peer>,
+    /// Lowest epoch of which a loan is accepted, by slot.
+    pub(super) least_epochs: HashMap<SlotId, u64>,
+    /// Levels kept for the next owner of slots handed over.
+    pub(super) passed: HashMap<(u16, Role), Passed>,
+    pub(super) lent: HashMap<(Peer, u64), Lent>,
+    pub(super) loans: BTreeMap<u64, Loan>,
+    pub(super) charges: BTreeMap<u64, Charge>,
+    pub(super) ended: Vec<ChargeId>,
+    pub(super) outbox: BTreeMap<Peer, LoanMessage>,
+    pub(super) is_void: bool,
+    pub(super) last_sweep: Millis,
+    next_loan: u64,
+    next_charge: u64,
+}
+
+impl Limiter {
+    /// A limiter of this run of this instance, without a document and without slots.
+    pub fn new(me: Peer, region: RegionId) -> Self {
+        Self {
+            me,
+            region,
+            tables: Vec::new(),
+            fleet_revision: 0,
+            accounts: HashMap::new(),
+            slots: BTreeMap::new(),
+            owners: HashMap::new(),
+            members: Vec::new(),
+            least_epochs: HashMap::new(),
+            passed: HashMap::new(),
+            lent: HashMap::new(),
+            loans: BTreeMap::new(),
+            charges: BTreeMap::new(),
+            ended: Vec::new(),
+            outbox: BTreeMap::new(),
+            is_void: false,
+            last_sweep: Millis::default(),
+            next_loan: 0,
+            next_charge: 0,
+        }
+    }
+
+    /// Applies a document of a higher revision; ignores any other.
+    ///
+    /// A share that grows counts only once the whole fleet has settled, see
+    /// [`set_fleet_revision`](Self::set_fleet_revision).
+    pub fn apply_document(&mut self, revision: u64, document: &Document, now: Millis) {
+        if self
+            .tables
+            .last()
+            .is_some_and(|table| table.revision >= revision)
+        {
+            return;
+        }
+        self.tables.push(Table::new(revision, document));
+        self.refresh_accounts(now);
+    }
+
+    /// Sets the lowest [`settled_revision`](Self::settled_revision) of all members that are not
+    /// confirmed gone. Only a higher one has an effect.
+    pub fn set_fleet_revision(&mut self, revision: u64, now: Millis) {
+        if revision <= self.fleet_revision {
+            return;
+        }
+        self.fleet_revision = revision;
+        let newest = self.tables.last().map_or(0, |table| table.revision);
+        self.tables
+            .retain(|table| table.revision >= revision || table.revision == newest);
+        self.refresh_accounts(now);
+    }
+
+    /// The highest revision whose shares nothing here exceeds; to be reported to all members.
+    pub fn settled_revision(&self) -> u64 {
+        let Some(newest) = self.tables.last() else {
+            return 0;
+        };
+        let mut parts = self.accounts.values().flat_map(|account| &account.parts);
+        let is_within = parts.all(|part| part.as_ref().is_none_or(Part::is_settled));
+        if !is_within || !self.slots.values().all(Slot::is_answered) {
+            return self.fleet_revision.min(newest.revision);
+        }
+        let loans = self.loans.values().filter(|loan| !loan.is_final());
+        let lent = loans.filter_map(|loan| loan.granted.map(|granted| granted.revision));
+        let orphans = self
+            .charges
+            .values()
+            .filter(|charge| self.is_orphan(charge));
+        let charged = orphans.map(|charge| charge.revision);
+        lent.chain(charged).fold(newest.revision, u64::min)
+    }
+
+    /// A part of the charge's reservation belongs to an ownership that has ended.
+    fn is_orphan(&self, charge: &Charge) -> bool {
+        let shard = shard_of(&charge.account);
+        charge.sources.iter().any(|source| match source.origin {
+            Origin::Loan(_) => false,
+            Origin::Part { role, epoch } => {
+                let slot = self.slots.get(&(shard, role));
+                slot.is_none_or(|slot| slot.epoch != epoch)
+            }
+        })
+    }
+
+    /// Sets all members that are not confirmed gone, this instance included.
+    pub fn set_members(&mut self, members: &[Peer], now: Millis) {
+        self.members = members.to_vec();
+        self.forget_gone_members(now);
+    }
+
+    /// Sets the owners of the slots of all regions, as far as they are known.
+    pub fn set_owners(&mut self, owners: impl IntoIterator<Item = (SlotId, Peer)>) {
+        let owners: HashMap<SlotId, Peer> = owners.into_iter().collect();
+        if owners == self.owners {
+            return;
+        }
+        self.owners = owners;
+        for account in self.accounts.values_mut() {
+            if let Some(active) = &mut account.active {
+                active.remotes.clear();
+            }
+        }
+    }
+
+    /// Sets the slots that this instance owns. Parts of slots with an unchanged epoch stay as
+    /// they are and may be used again if they were suspended, new ones start empty, and levels of
+    /// slots given away are kept for their next owner.
+    pub fn set_slots(&mut self, owned: &[OwnedSlot], now: Millis) {
+        let wanted: BTreeMap<(u16, Role), u64> = owned
+            .iter()
+            .map(|slot| ((slot.shard, slot.role), slot.epoch))
+            .collect();
+        let dropped: Vec<(u16, Role)> = self
+            .slots
+            .iter()
+            .filter(|(key, slot)| wanted.get(key) != Some(&slot.epoch))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in dropped {
+            self.drop_slot(key, now);
+        }
+        for (key, epoch) in wanted {
+            if !self.slots.contains_key(&key) {
+                self.add_slot(key, epoch, now);
+            }
+        }
+        for slot in self.slots.values_mut() {
+            slot.is_suspended = false;
+        }
+        self.refresh_accounts(now);
+    }
+
+    /// Makes slots unusable that are about to be given away, before the write of the record is
+    /// sent. They stay so until [`set_slots`](Self::set_slots) tells the outcome.
+    pub fn suspend(&mut self, slots: &[(u16, Role)], now: Millis) {
+        for key in slots {
+            if let Some(slot) = self.slots.get_mut(key) {
+                slot.is_suspended = true;
+            }
+        }
+        self.refresh_accounts(now);
+    }
+
+    /// Makes the own slots unusable after a long pause of this instance, and gives back what is
+    /// borrowed. The returned charges are no longer covered: their requests have to be ended and
+    /// settled by what they have used.
+    pub fn void(&mut self) -> Vec<ChargeId> {
+        self.is_void = true;
+        for loan in self.loans.values_mut() {
+            loan.give_back();
+        }
+        self.loans.retain(|_, loan| loan.granted.is_some());
+        for account in self.accounts.values_mut() {
+            account.active = None;
+        }
+        self.charges.keys().copied().map(ChargeId).collect()
+    }
+
+    /// Makes the own slots usable again, which the store has confirmed to be `owned`.
+    pub fn confirm(&mut self, owned: &[OwnedSlot], now: Millis) {
+        self.set_slots(owned, now);
+        self.is_void = false;
+    }
+
+    /// Charges a request, or says what to do first.
+    pub fn try_charge(&mut self, request: &ChargeRequest<'_>, now: Millis) -> Outcome {
+        let Some(limits) = self
+            .tables
+            .last()
+            .and_then(|table| table.accounts.get(request.account))
+        else {
+            return Outcome::UnknownAccount;
+        };
+        let total_tokens = request
+            .prompt_tokens
+            .saturating_add(request.max_output_tokens);
+        if total_tokens > limits.burst_tokens {
+            return Outcome::TooLarge;
+        }
+        let total_micro = total_tokens.saturating_mul(MICRO_PER_TOKEN);
+        let available = self.available_micro(request.account, now);
+        if available >= total_micro {
+            let charge = self.admit(request, now);
+            self.note_demand(request.account, total_micro, now);
+            return Outcome::Admitted { charge };
+        }
+        let outcome = self.gather(request, total_micro - available, now);
+        if matches!(outcome, Outcome::Refused { .. }) {
+            self.note_demand(request.account, total_micro, now);
+        }
+        outcome
+    }
+
+    /// Settles a charge whose request generated `used_output_tokens`. A charge that has ended is
+    /// ignored.
+    pub fn settle(&mut self, charge: ChargeId, used_output_tokens: u64, now: Millis) {
+        let Some(charge) = self.charges.remove(&charge.0) else {
+            return;
+        };
+        let mut used_left = used_output_tokens.saturating_mul(MICRO_PER_TOKEN);
+        for source in &charge.sources {
+            let used = used_left.min(source.reserved_micro);
+            used_left -= used;
+            self.settle_source(&charge.account, *source, used, now);
+        }
+    }
+
+    /// Charges that reached the longest time without being settled since the last call, and are
+    /// counted as fully used. Their requests have to be ended.
+    pub fn take_ended(&mut self) -> Vec<ChargeId> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Sums over all accounts.
+    pub fn totals(&self) -> Totals {
+        Totals {
+            slots: self.slots.len(),
+            accounts: self
+                .accounts
+                .values()
+                .filter(|account| account.parts.iter().any(Option::is_some))
+                .count(),
+            charges: self.charges.len(),
+            loans_taken: self.loans.len(),
+            loans_given: self.lent.len(),
+        }
+    }
+
+    /// What an account could be charged here right now, in micro-tokens.
+    pub fn available_micro(&mut self, account: &AccountId, now: Millis) -> u64 {
+        let Some(state) = self.accounts.get_mut(account) else {
+            return 0;
+        };
+        let own = if self.is_void {
+            0
+        } else {
+            state.level_micro(now)
+        };
+        let borrowed: u64 = state
+            .active
+            .iter()
+            .flat_map(|active| &active.loans)
+            .filter_map(|number| self.loans.get(number))
+            .filter(|loan| !loan.is_expired(now))
+            .map(|loan| loan.unspent_micro)
+            .sum();
+        own + borrowed
+    }
+
+    pub(super) fn note_demand(&mut self, account: &AccountId, amount_micro: u64, now: Millis) {
+        if let Some(active) = self.activate(account, now) {
+            active.demand.add(amount_micro, now);
+        }
+    }
+
+    /// The account's state in use, with the slots that it may borrow from.
+    pub(super) fn activate(&mut self, id: &AccountId, now: Millis) -> Option<&mut Active> {
+        let account = self.accounts.get_mut(id)?;
+        let active = account.active.get_or_insert_default();
+        if active.remotes.is_empty() {
+            let table = self.tables.last()?;
+            for region in table.regions() {
+                for role in Role::ALL {
+                    let slot = SlotId {
+                        region: region.clone(),
+                        shard: account.shard,
+                        role,
+                    };
+                    let share = table.share(id, region, role);
+                    let Some(owner) = self.owners.get(&slot) else {
+                        continue;
+                    };
+                    if share.cap_micro == 0 || *owner == self.me {
+                        continue;
+                    }
+                    active.remotes.push(Remote {
+                        slot,
+                        owner: owner.clone(),
+                        share,
+                        level_micro: share.cap_micro,
+                        updated: now,
+                        is_asked: false,
+                    });
+                }
+            }
+            let home = &self.region;
+            active
+                .remotes
+                .sort_by_key(|remote| remote.slot.region != *home);
+        }
+        Some(active)
+    }
+
+    pub(super) fn next_loan(&mut self) -> u64 {
+        self.next_loan += 1;
+        self.next_loan
+    }
+
+    /// The share in force of an own part: the smallest of all revisions that may be in force.
+    pub(super) fn share(&self, account: &AccountId, role: Role) -> Share {
+        let Some(first) = self.tables.first() else {
+            return Share::default();
+        };
+        // Smaller shares of revisions before the first one known may still be in force.
+        if first.revision > self.fleet_revision {
+            return Share::default();
+        }
+        self.tables
+            .iter()
+            .map(|table| table.share(account, &self.region, role))
+            .reduce(Share::min)
+            .unwrap_or_default()
+    }
+
+    /// Brings accounts and parts in line with the tables and the owned slots.
+    fn refresh_accounts(&mut self, now: Millis) {
+        let Some(newest) = self.tables.last() else {
+            return;
+        };
+        for id in newest.accounts.keys() {
+            if !self.accounts.contains_key(id) {
+                let account = Account::new(shard_of(id));
+                self.accounts.insert(id.clone(), account);
+            }
+        }
+        let mut accounts = std::mem::take(&mut self.accounts);
+        for (id, account) in &mut accounts {
+            if let Some(active) = &mut account.active {
+                active.remotes.clear();
+            }
+            for (at, role) in Role::ALL.into_iter().enumerate() {
+                let slot = self.slots.get(&(account.shard, role));
+                account.parts[at] = match (account.parts[at].take(), slot) {
+                    (_, None) => None,
+                    (Some(part), Some(slot)) if part.epoch == slot.epoch => Some(part),
+                    (_, Some(slot)) => Some(Part::new(slot.epoch, now)),
+                };
+                let Some(part) = &mut account.parts[at] else {
+                    continue;
+                };
+                let share = self.share(id, role);
+                part.set_limits(share.cap_micro, share.rate_micro_per_s, now);
+                if let Some(slot) = slot {
+                    part.is_suspended = slot.is_suspended;
+                    part.set_held(slot.held_micro(id, share.cap_micro, now), now);
+                }
+            }
+        }
+        accounts.retain(|id, account| {
+            newest.accounts.contains_key(id) || account.parts.iter().any(Option::is_some)
+        });
+        self.accounts = accounts;
+    }
+
+    fn admit(&mut self, request: &ChargeRequest<'_>, now: Millis) -> ChargeId {
+        let mut used_left = request.prompt_tokens * MICRO_PER_TOKEN;
+        let mut reserved_left = request.max_output_tokens * MICRO_PER_TOKEN;
+        let mut sources = Vec::new();
+        let mut split = |available: u64| {
+            let used = used_left.min(available);
+            let reserved = reserved_left.min(available - used);
+            used_left -= used;
+            reserved_left -= reserved;
+            (used, reserved)
+        };
+        let account = self
+            .accounts
+            .get_mut(request.account)
+            .expect("an account with tokens exists");
+        let numbers = account.active.iter().flat_map(|active| &active.loans);
+        for number in numbers {
+            let Some(loan) = self.loans.get_mut(number) else {
+                continue;
+            };
+            if loan.is_expired(now) || loan.unspent_micro == 0 {
+                continue;
+            }
+            let (used, reserved) = split(loan.unspent_micro);
+            loan.unspent_micro -= used + reserved;
+            loan.used_micro += used;
+            loan.reserved_micro += reserved;
+            if reserved > 0 {
+                let origin = Origin::Loan(*number);
+                sources.push(Source {
+                    origin,
+                    reserved_micro: reserved,
+                });
+            }
+        }
+        for (part, role) in account.parts.iter_mut().zip(Role::ALL) {
+            let Some(part) = part else { continue };
+            if self.is_void || part.is_suspended {
+                continue;
+            }
+            let (used, reserved) = split(part.level_micro);
+            part.charge(used, reserved);
+            if reserved > 0 {
+                let epoch = part.epoch;
+                let origin = Origin::Part { role, epoch };
+                sources.push(Source {
+                    origin,
+                    reserved_micro: reserved,
+                });
+            }
+        }
+        assert!(
+            used_left == 0 && reserved_left == 0,
+            "a charge without cover"
+        );
+        self.next_charge += 1;
+        let charge = Charge {
+            account: request.account.clone(),
+            sources,
+            revision: self.tables.last().map_or(0, |table| table.revision),
+            ends: now.plus(CHARGE_LIFE_MS),
+        };
+        self.charges.insert(self.next_charge, charge);
+        ChargeId(self.next_charge)
+    }
+
+    pub(super) fn settle_source(
+        &mut self,
+        account: &AccountId,
+        source: Source,
+        used_micro: u64,
+        now: Millis,
+    ) {
+        let reserved = source.reserved_micro;
+        match source.origin {
+            Origin::Loan(number) => {
+                let Some(loan) = self.loans.get_mut(&number) else {
+                    return;
+                };
+                loan.reserved_micro -= reserved;
+                loan.used_micro += used_micro;
+                loan.returned_micro += reserved - used_micro;
+            }
+            Origin::Part { role, epoch } => {
+                let Some(account) = self.accounts.get_mut(account) else {
+                    return;
+                };
+                let Some(part) = &mut account.parts[role as usize] else {
+                    return;
+                };
+                if part.epoch == epoch {
+                    part.settle(reserved, used_micro, now);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/part.rs
@@ -0,0 +1,140 @@
+//! One part of an account's bucket.
+
+use super::REFILL_PER_MILLE;
+use crate::time::Millis;
+
+const ACCRUAL_SCALE: u128 = 1_000_000;
+
+/// A part: what one slot may spend of one account.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Part {
+    /// Epoch of the slot's ownership.
+    pub(super) epoch: u64,
+    /// The slot is being given away: the part may not be used.
+    pub(super) is_suspended: bool,
+    /// Tokens that may be charged or lent.
+    pub(super) level_micro: u64,
+    /// Output that admitted requests may still generate.
+    pub(super) reserved_micro: u64,
+    /// Tokens in the hands of borrowers, as far as they have not reported them.
+    pub(super) lent_micro: u64,
+    /// Tokens of earlier owners that may still be used somewhere.
+    pub(super) held_micro: u64,
+    /// The part's share of the burst.
+    pub(super) cap_micro: u64,
+    /// The part's share of the rate, in micro-tokens a second.
+    pub(super) rate_micro_per_s: u64,
+    /// Accrual below one micro-token, in millionths of it.
+    remainder: u32,
+    updated: Millis,
+}
+
+impl Part {
+    /// An empty part.
+    pub(super) fn new(epoch: u64, now: Millis) -> Self {
+        Self {
+            epoch,
+            updated: now,
+            ..Self::default()
+        }
+    }
+
+    /// Adds what has accrued since the last update.
+    pub(super) fn accrue(&mut self, now: Millis) {
+        let elapsed_ms = now.since(self.updated);
+        if elapsed_ms == 0 {
+            return;
+        }
+        self.updated = now;
+        let per_s = u128::from(self.rate_micro_per_s) * u128::from(REFILL_PER_MILLE);
+        let scaled = per_s * u128::from(elapsed_ms) + u128::from(self.remainder);
+        let gained = u64::try_from(scaled / ACCRUAL_SCALE).unwrap_or(u64::MAX);
+        self.remainder = u32::try_from(scaled % ACCRUAL_SCALE).unwrap_or(0);
+        self.level_micro = self.level_micro.saturating_add(gained);
+        self.trim();
+    }
+
+    /// Tokens that are not in the level but may still be used.
+    pub(super) fn committed_micro(&self) -> u64 {
+        self.reserved_micro
+            .saturating_add(self.lent_micro)
+            .saturating_add(self.held_micro)
+    }
+
+    /// The part keeps within its share of the burst.
+    pub(super) fn is_settled(&self) -> bool {
+        self.committed_micro() <= self.cap_micro
+    }
+
+    /// Cuts the level to what the share of the burst leaves room for.
+    fn trim(&mut self) {
+        let room = self.cap_micro.saturating_sub(self.committed_micro());
+        if self.level_micro > room {
+            self.level_micro = room;
+            self.remainder = 0;
+        }
+        assert!(
+            self.level_micro == 0 || self.level_micro + self.committed_micro() <= self.cap_micro,
+            "a part exceeds its share of the burst"
+        );
+    }
+
+    /// Sets the part's share of burst and rate.
+    pub(super) fn set_limits(&mut self, cap_micro: u64, rate_micro_per_s: u64, now: Millis) {
+        self.accrue(now);
+        self.cap_micro = cap_micro;
+        self.rate_micro_per_s = rate_micro_per_s;
+        self.trim();
+    }
+
+    /// Sets what earlier owners' tokens may still amount to.
+    pub(super) fn set_held(&mut self, held_micro: u64, now: Millis) {
+        self.accrue(now);
+        self.held_micro = held_micro;
+        self.trim();
+    }
+
+    /// Adds tokens that the former owner passes on.
+    pub(super) fn add_level(&mut self, amount_micro: u64) {
+        self.level_micro = self.level_micro.saturating_add(amount_micro);
+        self.trim();
+    }
+
+    /// Moves tokens from the level to used and reserved.
+    pub(super) fn charge(&mut self, used_micro: u64, reserved_micro: u64) {
+        let total = used_micro + reserved_micro;
+        assert!(total <= self.level_micro, "a charge exceeds the level");
+        self.level_micro -= total;
+        self.reserved_micro += reserved_micro;
+    }
+
+    /// Ends a reservation of which `used_micro` was used.
+    pub(super) fn settle(&mut self, reserved_micro: u64, used_micro: u64, now: Millis) {
+        assert!(used_micro <= reserved_micro, "more used than reserved");
+        assert!(
+            reserved_micro <= self.reserved_micro,
+            "a reservation settled twice"
+        );
+        self.accrue(now);
+        self.reserved_micro -= reserved_micro;
+        self.level_micro += reserved_micro - used_micro;
+        self.trim();
+    }
+
+    /// Moves tokens from the level to a borrower.
+    pub(super) fn lend(&mut self, amount_micro: u64) {
+        assert!(amount_micro <= self.level_micro, "a loan exceeds the level");
+        self.level_micro -= amount_micro;
+        self.lent_micro += amount_micro;
+    }
+
+    /// Takes a borrower's report into account.
+    pub(super) fn repay(&mut self, used_micro: u64, returned_micro: u64, now: Millis) {
+        let total = used_micro + returned_micro;
+        assert!(total <= self.lent_micro, "more repaid than lent");
+        self.accrue(now);
+        self.lent_micro -= total;
+        self.level_micro += returned_micro;
+        self.trim();
+    }
+}
--- /dev/null
+++ b/crates/core/src/slot/keeper.rs
@@ -0,0 +1,144 @@
+//! Reading and writing the record of owners of the own region.
+
+use super::{plan, OwnedSlot, PauseGuard, Peer, Plan, Record, Role, View};
+use crate::time::Millis;
+
+/// A compare-and-swap of the record, to be sent as often as needed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// Revision of the record that the write replaces; 0 if there is none.
+    pub base_revision: u64,
+    /// The record to write.
+    pub next: Record,
+    /// Slots to suspend before the write is sent.
+    pub suspended: Vec<(u16, Role)>,
+}
+
+/// What a read of the record means for the limiter.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Update {
+    /// Nothing has changed.
+    Unchanged,
+    /// These slots are owned; hand them to `Limiter::set_slots`.
+    Owned(Vec<OwnedSlot>),
+    /// These slots are owned and valid again after a pause; hand them to `Limiter::confirm`.
+    Confirmed(Vec<OwnedSlot>),
+}
+
+/// Keeps the record of owners of the own region in step with the members.
+///
+/// A write whose answer is lost may take effect at any later time, so it stays undecided until a
+/// read shows a revision other than the one it was based on.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    me: Peer,
+    guard: PauseGuard,
+    record: Record,
+    revision: Option<u64>,
+    undecided: Option<Write>,
+    /// The number of confirmations that has to be read before the slots are valid.
+    awaited: Option<u64>,
+}
+
+impl Keeper {
+    /// A keeper that has read nothing.
+    pub fn new(me: Peer, now: Millis) -> Self {
+        Self {
+            me,
+            guard: PauseGuard::new(now),
+            record: Record::default(),
+            revision: None,
+            undecided: None,
+            awaited: None,
+        }
+    }
+
+    /// Notes a tick of the deciding thread; true when the limiter has to be made void.
+    pub fn has_paused(&mut self, now: Millis) -> bool {
+        let has_paused = self.guard.has_paused(now);
+        if has_paused {
+            self.awaited = None;
+        }
+        has_paused
+    }
+
+    /// Takes the record read at `revision` (0 if there is none) by a read that began at
+    /// `read_began`.
+    pub fn on_read(&mut self, revision: u64, record: Record, read_began: Millis) -> Update {
+        if self.revision.is_some_and(|known| revision < known) {
+            return Update::Unchanged;
+        }
+        let is_new = self.revision != Some(revision);
+        self.revision = Some(revision);
+        self.record = record;
+        if self
+            .undecided
+            .as_ref()
+            .is_some_and(|write| write.base_revision != revision)
+        {
+            self.undecided = None;
+        }
+        let owned = self.record.owned_by(&self.me);
+        if self.guard.is_void() {
+            let is_confirmed = owned.is_empty() || self.is_awaited_reached();
+            if !is_confirmed || !self.guard.has_confirmed(read_began) {
+                return Update::Unchanged;
+            }
+            self.awaited = None;
+            return Update::Confirmed(owned);
+        }
+        if !is_new || self.undecided.is_some() {
+            return Update::Unchanged;
+        }
+        Update::Owned(owned)
+    }
+
+    /// The write to send now, if any. Its slots have to be suspended first, and the record read
+    /// again after it, whatever its answer.
+    pub fn next_write(&mut self, view: &View<'_>) -> Option<Write> {
+        if self.undecided.is_some() {
+            return self.undecided.clone();
+        }
+        let base_revision = self.revision?;
+        let write = if self.guard.is_void() {
+            self.confirmation(base_revision)?
+        } else {
+            let Plan { next, given, .. } = plan(&self.record, view)?;
+            Write {
+                base_revision,
+                next,
+                suspended: given,
+            }
+        };
+        self.undecided = Some(write.clone());
+        Some(write)
+    }
+
+    /// The record as last read.
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    fn is_awaited_reached(&self) -> bool {
+        let count = self.record.confirmations.get(&self.me.instance);
+        self.awaited.is_some_and(|awaited| count == Some(&awaited))
+    }
+
+    fn confirmation(&mut self, base_revision: u64) -> Option<Write> {
+        if self.record.owned_by(&self.me).is_empty() {
+            return None;
+        }
+        let mut next = self.record.clone();
+        let count = next
+            .confirmations
+            .entry(self.me.instance.clone())
+            .or_default();
+        *count += 1;
+        self.awaited = Some(*count);
+        Some(Write {
+            base_revision,
+            next,
+            suspended: Vec::new(),
+        })
+    }
+}
--- a/crates/core/src/slot/mod.rs
+++ b/crates/core/src/slot/mod.rs
@@ -1,1 +1,199 @@
 //! Ownership of shards of client accounts inside a region.
+//!
+//! Client accounts hash into a fixed number of shards. A slot is one shard in one region in one
+//! role, and its owner holds the parts of the shard's accounts. The record of owners of a region
+//! is one key of the store, changed by compare-and-swap only when ownership changes.
+
+mod keeper;
+mod pause;
+mod plan;
+mod presence;
+
+pub use keeper::{Keeper, Update, Write};
+pub use pause::PauseGuard;
+pub use plan::{plan, Absence, Plan, View};
+pub use presence::Presence;
+
+use crate::id::{AccountId, InstanceId, RegionId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Shards of client accounts in a region.
+pub const SHARDS: u16 = 64;
+/// Longest pause of an owner that the fleet tolerates without another taking its slots.
+pub const TOLERATED_PAUSE_MS: u64 = 30_000;
+/// Schema of the record that this version reads and writes.
+pub const RECORD_SCHEMA: u32 = 1;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// One run of one instance: a restarted instance has a higher incarnation.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Peer {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Number of the run of this instance.
+    pub incarnation: u64,
+}
+
+/// Which of a shard's two slots in a region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Holds three quarters of the region's share.
+    Primary,
+    /// Holds one quarter, so that the loss of the primary leaves the region something to spend.
+    Backup,
+}
+
+impl Role {
+    /// Both roles.
+    pub const ALL: [Self; 2] = [Self::Primary, Self::Backup];
+
+    /// Share of the region's weight, in parts per million.
+    pub const fn share_ppm(self) -> u64 {
+        match self {
+            Self::Primary => 750_000,
+            Self::Backup => 250_000,
+        }
+    }
+}
+
+/// One shard in one region in one role.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SlotId {
+    /// Region of the slot.
+    pub region: RegionId,
+    /// Shard, below [`SHARDS`].
+    pub shard: u16,
+    /// Role of the slot.
+    pub role: Role,
+}
+
+/// The owner of a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ownership {
+    /// The run of the instance that owns the slot.
+    pub owner: Peer,
+    /// Grows by one with every change of owner.
+    pub epoch: u64,
+}
+
+/// The owners of a region's slots, as stored under `slots/<region>`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// Schema of the record; has to be [`RECORD_SCHEMA`].
+    pub schema: u32,
+    /// Owners of the primary slots by shard.
+    pub primary: BTreeMap<u16, Ownership>,
+    /// Owners of the backup slots by shard.
+    pub backup: BTreeMap<u16, Ownership>,
+    /// How often an instance has confirmed its slots after a pause. A confirmation is a sign of
+    /// life, and a claim that was planned before it fails.
+    #[serde(default)]
+    pub confirmations: BTreeMap<InstanceId, u64>,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Self {
+            schema: RECORD_SCHEMA,
+            primary: BTreeMap::new(),
+            backup: BTreeMap::new(),
+            confirmations: BTreeMap::new(),
+        }
+    }
+}
+
+impl Record {
+    /// Owners of the slots in `role`, by shard.
+    pub fn owners(&self, role: Role) -> &BTreeMap<u16, Ownership> {
+        match role {
+            Role::Primary => &self.primary,
+            Role::Backup => &self.backup,
+        }
+    }
+
+    /// Owners of the slots in `role`, by shard.
+    pub fn owners_mut(&mut self, role: Role) -> &mut BTreeMap<u16, Ownership> {
+        match role {
+            Role::Primary => &mut self.primary,
+            Role::Backup => &mut self.backup,
+        }
+    }
+
+    /// Every owner, once.
+    pub fn peers(&self) -> BTreeSet<Peer> {
+        let owners = self.primary.values().chain(self.backup.values());
+        owners.map(|ownership| ownership.owner.clone()).collect()
+    }
+
+    /// The slots that `peer` owns.
+    pub fn owned_by(&self, peer: &Peer) -> Vec<OwnedSlot> {
+        let mut owned = Vec::new();
+        for role in Role::ALL {
+            for (&shard, ownership) in self.owners(role) {
+                if ownership.owner == *peer {
+                    let epoch = ownership.epoch;
+                    owned.push(OwnedSlot { shard, role, epoch });
+                }
+            }
+        }
+        owned
+    }
+
+    /// Every slot of `region` with its owner.
+    pub fn slots(&self, region: &RegionId) -> Vec<(SlotId, Peer)> {
+        let mut slots = Vec::new();
+        for role in Role::ALL {
+            for (&shard, ownership) in self.owners(role) {
+                let region = region.clone();
+                let slot = SlotId {
+                    region,
+                    shard,
+                    role,
+                };
+                slots.push((slot, ownership.owner.clone()));
+            }
+        }
+        slots
+    }
+}
+
+/// A slot that this instance owns in its region.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OwnedSlot {
+    /// Shard, below [`SHARDS`].
+    pub shard: u16,
+    /// Role of the slot.
+    pub role: Role,
+    /// Epoch of the ownership.
+    pub epoch: u64,
+}
+
+/// The shard that an account belongs to; the same in every version and on every machine.
+pub fn shard_of(account: &AccountId) -> u16 {
+    let hash = mix(fnv(FNV_OFFSET, account.as_str().as_bytes()));
+    let shard = hash % u64::from(SHARDS);
+    u16::try_from(shard).unwrap_or(0)
+}
+
+/// Rendezvous score of an instance for a shard: the highest is preferred.
+pub(crate) fn score(instance: &InstanceId, shard: u16) -> u64 {
+    let hash = fnv(FNV_OFFSET, instance.as_str().as_bytes());
+    mix(fnv(hash, &shard.to_le_bytes()))
+}
+
+fn fnv(seed: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(seed, |hash, &byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
+fn mix(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- /dev/null
+++ b/crates/core/src/slot/plan.rs
@@ -0,0 +1,116 @@
+//! Planning the next record of owners.
+
+use super::{score, Ownership, Peer, Record, Role, SHARDS, TOLERATED_PAUSE_MS};
+use crate::id::InstanceId;
+use std::collections::BTreeSet;
+
+/// What is known of an owner that the live list may no longer name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Absence {
+    /// The live list, read after the last sign of life, no longer names this run.
+    pub is_unlisted: bool,
+    /// Time since the last sign of life from any source, in milliseconds.
+    pub silent_ms: u64,
+}
+
+impl Absence {
+    /// The owner is gone: its slots may be taken by another instance.
+    pub const fn is_gone(self) -> bool {
+        self.is_unlisted && self.silent_ms > TOLERATED_PAUSE_MS
+    }
+}
+
+/// What an instance knows when it plans.
+pub struct View<'a> {
+    /// This run of this instance.
+    pub me: &'a Peer,
+    /// This instance is about to stop: it hands over everything and claims nothing.
+    pub is_leaving: bool,
+    /// Members of the region that are alive and not leaving, this instance included.
+    pub alive: &'a [Peer],
+    /// What is known of an owner that is not alive.
+    pub absence: &'a dyn Fn(&Peer) -> Absence,
+}
+
+/// The next record and what changes with it for this instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The record to write by compare-and-swap on the record that was read.
+    pub next: Record,
+    /// Slots that this instance gives away. They may not be used from the moment the write is
+    /// sent, since its answer may be lost after it took effect.
+    pub given: Vec<(u16, Role)>,
+    /// Slots that this instance takes once the write is known to have taken effect.
+    pub taken: Vec<(u16, Role)>,
+}
+
+/// Plans the next record from the `record` that was read; none when nothing is to change.
+///
+/// An instance claims slots without an owner and slots whose owner is gone, when it is the
+/// preferred one among the members alive. It hands over a slot of its own to the preferred
+/// member. It never takes a slot from an owner that may be alive.
+pub fn plan(record: &Record, view: &View<'_>) -> Option<Plan> {
+    let mut plan = Plan {
+        next: record.clone(),
+        given: Vec::new(),
+        taken: Vec::new(),
+    };
+    let candidates = candidates(view);
+    for shard in 0..SHARDS {
+        let preferred = preferred(&candidates, shard);
+        for (role, preferred) in Role::ALL.into_iter().zip(preferred) {
+            let Some(preferred) = preferred else { continue };
+            plan_slot(&mut plan, view, shard, role, preferred);
+        }
+    }
+    let is_unchanged = plan.given.is_empty() && plan.taken.is_empty();
+    (!is_unchanged).then_some(plan)
+}
+
+fn candidates<'a>(view: &View<'a>) -> Vec<&'a Peer> {
+    let mut seen: BTreeSet<&InstanceId> = BTreeSet::new();
+    let mut candidates: Vec<&Peer> = view.alive.iter().collect();
+    candidates.retain(|peer| peer.instance != view.me.instance || **peer == *view.me);
+    candidates.retain(|peer| !view.is_leaving || **peer != *view.me);
+    candidates.sort_by_key(|peer| std::cmp::Reverse(peer.incarnation));
+    candidates.retain(|peer| seen.insert(&peer.instance));
+    candidates
+}
+
+/// The preferred owners of the primary and the backup slot of `shard`.
+fn preferred<'a>(candidates: &[&'a Peer], shard: u16) -> [Option<&'a Peer>; 2] {
+    let mut ranked: Vec<&Peer> = candidates.to_vec();
+    ranked.sort_by_key(|peer| std::cmp::Reverse((score(&peer.instance, shard), *peer)));
+    let primary = ranked.first().copied();
+    let backup = ranked.get(1).copied().or(primary);
+    [primary, backup]
+}
+
+fn plan_slot(plan: &mut Plan, view: &View<'_>, shard: u16, role: Role, preferred: &Peer) {
+    let owners = plan.next.owners_mut(role);
+    let (epoch, may_take) = match owners.get(&shard) {
+        None => (1, *preferred == *view.me),
+        Some(ownership) if ownership.owner == *preferred => return,
+        Some(ownership) if ownership.owner == *view.me => (ownership.epoch + 1, false),
+        Some(ownership) => {
+            let may_take = *preferred == *view.me && is_gone(view, &ownership.owner);
+            (ownership.epoch + 1, may_take)
+        }
+    };
+    let is_mine = owners
+        .get(&shard)
+        .is_some_and(|ownership| ownership.owner == *view.me);
+    if is_mine {
+        plan.given.push((shard, role));
+    } else if may_take {
+        plan.taken.push((shard, role));
+    } else {
+        return;
+    }
+    let owner = preferred.clone();
+    owners.insert(shard, Ownership { owner, epoch });
+}
+
+fn is_gone(view: &View<'_>, owner: &Peer) -> bool {
+    !view.alive.contains(owner) && (view.absence)(owner).is_gone()
+}
--- /dev/null
+++ b/crates/core/src/slot/presence.rs
@@ -0,0 +1,66 @@
+//! Signs of life of owners.
+
+use super::{Absence, Peer, Record};
+use crate::id::InstanceId;
+use crate::time::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// When owners were last heard of, and whether the live list names them.
+///
+/// A heartbeat, the live list and a confirmation in the record are signs of life. An owner that
+/// is seen for the first time counts as heard of at that moment.
+#[derive(Clone, Debug, Default)]
+pub struct Presence {
+    last_sign: BTreeMap<Peer, Millis>,
+    listed: BTreeSet<Peer>,
+    list_read_began: Option<Millis>,
+    confirmations: BTreeMap<InstanceId, u64>,
+}
+
+impl Presence {
+    /// Notes a heartbeat, or any message that `peer` can only have sent lately.
+    pub fn note_heartbeat(&mut self, peer: &Peer, now: Millis) {
+        self.last_sign.insert(peer.clone(), now);
+    }
+
+    /// Notes the live list whose read began at `read_began`.
+    pub fn note_live_list(&mut self, listed: &[Peer], read_began: Millis, now: Millis) {
+        for peer in listed {
+            self.last_sign.insert(peer.clone(), now);
+        }
+        self.listed = listed.iter().cloned().collect();
+        self.list_read_began = Some(read_began);
+    }
+
+    /// Notes the owners of a record and their confirmations.
+    pub fn note_record(&mut self, record: &Record, now: Millis) {
+        for owner in record.peers() {
+            let confirmations = record.confirmations.get(&owner.instance);
+            let confirmations = confirmations.copied().unwrap_or(0);
+            let known = self.confirmations.get(&owner.instance).copied();
+            if known != Some(confirmations) {
+                self.last_sign.insert(owner.clone(), now);
+            }
+            self.last_sign.entry(owner).or_insert(now);
+        }
+        self.confirmations.clone_from(&record.confirmations);
+        for owner in record.peers() {
+            self.confirmations.entry(owner.instance).or_insert(0);
+        }
+    }
+
+    /// What is known of a peer that is not alive.
+    pub fn absence(&self, peer: &Peer, now: Millis) -> Absence {
+        let Some(last_sign) = self.last_sign.get(peer) else {
+            return Absence {
+                is_unlisted: false,
+                silent_ms: 0,
+            };
+        };
+        let is_read_since = self.list_read_began.is_some_and(|began| began > *last_sign);
+        Absence {
+            is_unlisted: is_read_since && !self.listed.contains(peer),
+            silent_ms: now.since(*last_sign),
+        }
+    }
+}
