Add a pure model of a batching engine

Cause: routing can only be measured against engines whose token time grows with the batch and whose cache is limited.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! They back `carobctl demo`, `carobctl load` and the tests, and run as threads on loopback.
 
+pub mod batch;
 pub mod engine;
 pub mod livelist;
 pub mod proxy;
