--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,8 +4,11 @@
 
 pub mod batch;
 pub mod engine;
+mod http;
 pub mod livelist;
 pub mod proxy;
 pub mod service;
 pub mod store;
 pub mod tls;
+
+pub use http::SeenRequest;
