Serve a request from end to end, and show it with one command

Cause: nothing joined the decisions, the store and the upstreams. Conclusion: the path is there to be thickened and measured.

--- /dev/null
+++ b/crates/ctl/src/demo/stage.rs
@@ -0,0 +1,169 @@
+//! Everything around the instances: the platform and the upstreams of a document.
+
+use super::Deployment;
+use anyhow::{anyhow, Context as _};
+use carobwheel_core::{
+    document::{Document, Region, Serves},
+    id::{DataCentreId, InstanceId, UpstreamId},
+};
+use carobwheel_gateway::{
+    platform::DOCUMENT_KEY,
+    settings::{Callers, Identity, Platform, Settings, Shutdown, Store},
+};
+use carobwheel_standin::{engine, livelist, service, store};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+};
+
+/// Instances in each region.
+const INSTANCES_IN_REGION: usize = 2;
+const LOOPBACK: Ipv4Addr = Ipv4Addr::LOCALHOST;
+/// Time for which running requests are waited for at the end, in milliseconds.
+const DRAIN_MS: u64 = 5_000;
+
+/// The stand-ins of one deployment and its document with their addresses.
+pub(super) struct Stage {
+    pub(super) document: Document,
+    pub(super) store: store::Store,
+    pub(super) live_list: livelist::LiveList,
+    credentials: BTreeMap<UpstreamId, String>,
+    _engines: Vec<engine::Engine>,
+    _services: Vec<service::Service>,
+}
+
+impl Stage {
+    /// Starts the stand-ins and publishes the document.
+    pub(super) fn start(deployment: Deployment) -> anyhow::Result<Self> {
+        let mut document = Document::parse(deployment.document().as_bytes())
+            .map_err(|faults| anyhow!("the example has faults: {faults:?}"))?;
+        let store = store::start(&store::StoreOptions::default())?;
+        let live_list = livelist::start(livelist::LiveListOptions::default())?;
+        let mut engines = Vec::new();
+        let mut services = Vec::new();
+        let mut credentials = BTreeMap::new();
+        for upstream in &mut document.upstreams {
+            let credential = format!("upstream-{}", upstream.id);
+            upstream.url = match &upstream.serves {
+                Serves::Engine { .. } => {
+                    let engine = engine::start(engine_options(&upstream.serves, &credential))?;
+                    let url = engine.url();
+                    engines.push(engine);
+                    url
+                }
+                Serves::Service { deduplicates, .. } => {
+                    let service = service::start(service::ServiceOptions {
+                        credential: Some(credential.clone()),
+                        deduplicates: *deduplicates,
+                        ..service::ServiceOptions::default()
+                    })?;
+                    let url = service.url();
+                    services.push(service);
+                    url
+                }
+            };
+            credentials.insert(upstream.id.clone(), credential);
+        }
+        store.set_value(DOCUMENT_KEY, &serde_json::to_vec_pretty(&document)?);
+        Ok(Self {
+            document,
+            store,
+            live_list,
+            credentials,
+            _engines: engines,
+            _services: services,
+        })
+    }
+
+    /// Settings of every instance: two in each region, in different data centres.
+    pub(super) fn settings(&self) -> anyhow::Result<Vec<Settings>> {
+        let mut all = Vec::new();
+        for region in &self.document.regions {
+            for index in 0..INSTANCES_IN_REGION {
+                all.push(self.settings_of(region, index)?);
+            }
+        }
+        Ok(all)
+    }
+
+    fn settings_of(&self, region: &Region, index: usize) -> anyhow::Result<Settings> {
+        let id: InstanceId = format!("{}-{}", region.id, index + 1).parse()?;
+        let centres = &region.data_centres;
+        let data_centre: DataCentreId = centres[index % centres.len()].clone();
+        let address = SocketAddr::from((LOOPBACK, free_port()?));
+        Ok(Settings {
+            instance: Identity {
+                id,
+                region: region.id.clone(),
+                data_centre,
+            },
+            callers: Callers {
+                address,
+                advertised_url: format!("http://{address}"),
+                threads: 2,
+                max_requests: 4_096,
+                max_body_bytes_held: 256 * 1_024 * 1_024,
+                body_timeout_ms: 60_000,
+            },
+            operators_address: Some(SocketAddr::from((LOOPBACK, free_port()?))),
+            peers: None,
+            store: Store {
+                url: self.store.url(),
+                timeout_ms: 1_000,
+            },
+            platform: Some(Platform {
+                url: self.live_list.url(),
+            }),
+            upstream_credentials: self.credentials.clone(),
+            metrics: None,
+            shutdown: Shutdown {
+                announce_ms: 0,
+                drain_ms: DRAIN_MS,
+            },
+            log_level: "info".to_owned(),
+        })
+    }
+
+    /// Writes the settings of every instance into `folder`.
+    pub(super) fn write_settings(&self, folder: &Path) -> anyhow::Result<Vec<PathBuf>> {
+        std::fs::create_dir_all(folder)
+            .with_context(|| format!("cannot create {}", folder.display()))?;
+        let mut files = Vec::new();
+        for settings in self.settings()? {
+            let file = folder.join(format!("{}.json", settings.instance.id));
+            std::fs::write(&file, format!("{:#}\n", serde_json::to_value(&settings)?))
+                .with_context(|| format!("cannot write {}", file.display()))?;
+            files.push(file);
+        }
+        Ok(files)
+    }
+}
+
+fn engine_options(serves: &Serves, credential: &str) -> engine::EngineOptions {
+    let mut options = engine::EngineOptions {
+        credential: Some(credential.to_owned()),
+        ..engine::EngineOptions::default()
+    };
+    if let Serves::Engine {
+        model,
+        version,
+        batch_slots,
+        prefill_tokens_per_s,
+        ..
+    } = serves
+    {
+        options.model = model.to_string();
+        options.version = version.to_string();
+        options.batch_slots = *batch_slots;
+        options.prefill_tokens_per_s = *prefill_tokens_per_s;
+    }
+    options
+}
+
+// The port is free when it is asked for; another process may take it before it is used, which
+// shows as a clear error at the start.
+fn free_port() -> anyhow::Result<u16> {
+    let listener = std::net::TcpListener::bind((LOOPBACK, 0))?;
+    Ok(listener.local_addr()?.port())
+}
--- a/crates/ctl/src/load/process.rs
+++ b/crates/ctl/src/load/process.rs
@@ -8,11 +8,11 @@
 
 /// What a process has used.
 #[derive(Clone, Copy, Debug)]
-pub struct Usage {
+pub(super) struct Usage {
     /// Processor time since its start, in seconds.
-    pub processor_s: f64,
+    pub(super) processor_s: f64,
     /// Resident memory, in bytes.
-    pub memory_bytes: u64,
+    pub(super) memory_bytes: u64,
 }
 
 /// What the process `pid` has used.
@@ -20,7 +20,7 @@
 /// # Errors
 ///
 /// Fails if there is no such process or `/proc` cannot be read.
-pub fn usage(pid: u32) -> anyhow::Result<Usage> {
+pub(super) fn usage(pid: u32) -> anyhow::Result<Usage> {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))
         .with_context(|| format!("no process {pid}"))?;
     // The name of the program stands in parentheses and may hold spaces.
