Add the membership table

Instances of a region probe each other and piggyback changes; delegates keep the contact between regions. Records merge as a join semilattice, so order and repetition of packets do not matter. Only instances of a member's own region judge it. Not measured yet.

--- /dev/null
+++ b/crates/core/src/member/detect.rs
@@ -0,0 +1,323 @@
+//! Failure detection inside a region: probes, relayed probes and suspicion.
+
+use super::rumor::Change;
+use super::table::{hash_pair, join, Member};
+use super::{Body, Health, Members, PERIOD_MS, PROBE_RETRY_MS, SUSPICION_MS};
+use crate::id::{InstanceId, RegionId};
+use crate::time::Millis;
+use rand::{seq::SliceRandom, Rng};
+use std::collections::BTreeMap;
+
+/// Members that are asked to probe on an instance's behalf.
+const RELAYS: usize = 2;
+/// Probes outstanding at a time; further relay requests are ignored.
+const MAX_PROBES: usize = 64;
+/// Members of the own region that an instance probes in turn, at most. It bounds the number of
+/// links in a large region.
+const MAX_TARGETS: usize = 24;
+/// Of these, the ones that follow the instance in the ring of hashed names. They give every member
+/// a least number of others that probe it.
+const RING_TARGETS: usize = 8;
+/// Time between two probes that one absent member gets from the whole region, in milliseconds.
+const ABSENT_PERIOD_MS: f64 = 5_000.0;
+/// Highest probability with which an instance probes an absent member in one period.
+const MAX_ABSENT_PROBABILITY: f64 = 0.2;
+/// Hearers of a suspicion that tell the suspected member at once, on average over the region.
+const TELLERS: f64 = 3.0;
+
+/// A probe that waits for its acknowledgement.
+#[derive(Clone, Debug)]
+struct Probe {
+    target: InstanceId,
+    started_at: Millis,
+    is_retried: bool,
+    /// The instance that asked for the probe, with its own number for it.
+    on_behalf: Option<(InstanceId, u32)>,
+}
+
+/// Probes that wait, and the order in which members are probed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Probes {
+    waiting: BTreeMap<u32, Probe>,
+    last_number: u32,
+    queue: Vec<InstanceId>,
+}
+
+impl Probes {
+    pub(super) fn clear(&mut self) {
+        self.waiting.clear();
+    }
+
+    pub(super) fn next_number(&mut self) -> u32 {
+        self.last_number = self.last_number.wrapping_add(1);
+        self.last_number
+    }
+}
+
+impl Members {
+    /// Probes the next member of the own region.
+    pub(super) fn probe_next(&mut self, now: Millis) {
+        if self.probes.queue.is_empty() {
+            self.probes.queue = self.targets();
+            self.probes.queue.shuffle(&mut self.rng);
+        }
+        while let Some(target) = self.probes.queue.pop() {
+            let is_present = self.table.get(&target).is_some_and(Member::is_present);
+            if is_present {
+                self.start_probe(&target, None, now);
+                return;
+            }
+        }
+    }
+
+    /// Members of the own region that this instance probes.
+    fn targets(&self) -> Vec<InstanceId> {
+        let own = self.own.as_str();
+        let mut others: Vec<&str> = self
+            .table
+            .present_in(&self.own_region)
+            .map(|m| m.identity.instance.as_str())
+            .filter(|name| *name != own)
+            .collect();
+        if others.len() > MAX_TARGETS {
+            let own_place = hash_pair("ring", own);
+            others.sort_by_key(|name| hash_pair("ring", name).wrapping_sub(own_place));
+            others[RING_TARGETS..].sort_by_key(|name| hash_pair(own, name));
+            others.truncate(MAX_TARGETS);
+        }
+        let is_target = |name: &&InstanceId| others.contains(&name.as_str());
+        self.table
+            .members
+            .keys()
+            .filter(is_target)
+            .cloned()
+            .collect()
+    }
+
+    /// Starts a probe of `target`.
+    pub(super) fn start_probe(
+        &mut self,
+        target: &InstanceId,
+        on_behalf: Option<(InstanceId, u32)>,
+        now: Millis,
+    ) {
+        if self.probes.waiting.len() >= MAX_PROBES {
+            return;
+        }
+        let number = self.probes.next_number();
+        let probe = Probe {
+            target: target.clone(),
+            started_at: now,
+            is_retried: false,
+            on_behalf,
+        };
+        self.probes.waiting.insert(number, probe);
+        self.send(target, Body::Ping { probe: number }, now);
+    }
+
+    /// Sends a ping whose acknowledgement nobody waits for.
+    pub(super) fn send_untracked_ping(&mut self, target: &InstanceId, now: Millis) {
+        let probe = self.probes.next_number();
+        self.send(target, Body::Ping { probe }, now);
+    }
+
+    /// Repeats probes without an answer, and gives them up in the end.
+    pub(super) fn check_probes(&mut self, now: Millis) {
+        let age_ms = |probe: &Probe| now.since(probe.started_at);
+        let is_due = |probe: &Probe| age_ms(probe) >= PROBE_RETRY_MS && !probe.is_retried;
+        let due: Vec<u32> = self.numbers(is_due);
+        for number in due {
+            self.retry_probe(number, now);
+        }
+        let failed: Vec<u32> = self.numbers(|probe| age_ms(probe) >= PERIOD_MS);
+        for number in failed {
+            let probe = self.probes.waiting.remove(&number);
+            if let Some(probe) = probe {
+                self.on_probe_failed(&probe, now);
+            }
+        }
+    }
+
+    fn numbers(&self, is_wanted: impl Fn(&Probe) -> bool) -> Vec<u32> {
+        self.probes
+            .waiting
+            .iter()
+            .filter(|(_, probe)| is_wanted(probe))
+            .map(|(number, _)| *number)
+            .collect()
+    }
+
+    fn retry_probe(&mut self, number: u32, now: Millis) {
+        let Some(probe) = self.probes.waiting.get_mut(&number) else {
+            return;
+        };
+        probe.is_retried = true;
+        let target = probe.target.clone();
+        let is_own = probe.on_behalf.is_none();
+        self.send(&target, Body::Ping { probe: number }, now);
+        if !is_own || !self.is_in_own_region(&target) {
+            return;
+        }
+        for relay in self.relays(&target) {
+            let target = target.clone();
+            let body = Body::Relay {
+                probe: number,
+                target,
+            };
+            self.send(&relay, body, now);
+        }
+    }
+
+    /// Members that may probe `target` on this instance's behalf, those of the own region first.
+    fn relays(&mut self, target: &InstanceId) -> Vec<InstanceId> {
+        let mut relays = self.random_present(RELAYS, |m, own_region| {
+            m.identity.region == *own_region && m.identity.instance != *target
+        });
+        if relays.len() < RELAYS {
+            let missing = RELAYS - relays.len();
+            relays.extend(
+                self.random_present(missing, |m, own_region| m.identity.region != *own_region),
+            );
+        }
+        relays
+    }
+
+    /// Random members that are known to run, other than this instance.
+    pub(super) fn random_present(
+        &mut self,
+        count: usize,
+        is_wanted: impl Fn(&Member, &RegionId) -> bool,
+    ) -> Vec<InstanceId> {
+        let mut found: Vec<InstanceId> = self
+            .table
+            .present()
+            .filter(|m| m.identity.instance != self.own)
+            .filter(|m| is_wanted(m, &self.own_region))
+            .map(|m| m.identity.instance.clone())
+            .collect();
+        let (chosen, _) = found.partial_shuffle(&mut self.rng, count);
+        chosen.to_vec()
+    }
+
+    fn is_in_own_region(&self, instance: &InstanceId) -> bool {
+        self.table
+            .get(instance)
+            .is_some_and(|m| m.identity.region == self.own_region)
+    }
+
+    fn on_probe_failed(&mut self, probe: &Probe, now: Millis) {
+        if probe.on_behalf.is_some() {
+            return;
+        }
+        if !self.is_in_own_region(&probe.target) {
+            self.regions.note_failure(&probe.target, now);
+            return;
+        }
+        let is_alive = self
+            .table
+            .get(&probe.target)
+            .is_some_and(|m| m.is_present() && m.status.health == Health::Alive);
+        if is_alive {
+            self.judge(&probe.target, Health::Suspect, now);
+            self.send_untracked_ping(&probe.target, now);
+        }
+    }
+
+    /// Sets the health of a member at its present sequence, and spreads it.
+    pub(super) fn judge(&mut self, instance: &InstanceId, health: Health, now: Millis) {
+        let Some(member) = self.table.members.get_mut(instance) else {
+            return;
+        };
+        let mut status = member.status;
+        status.health = health;
+        let merged = join(member, &status, now);
+        self.rumors.add(instance, Change::Status);
+        self.note_merge(instance, merged, now);
+    }
+
+    /// Counts suspected members that did not refute in time as gone.
+    pub(super) fn expire_suspicions(&mut self, now: Millis) {
+        let expired: Vec<InstanceId> = self
+            .table
+            .present()
+            .filter(|m| m.status.health == Health::Suspect)
+            .filter(|m| now.since(m.changed_at) >= SUSPICION_MS)
+            .map(|m| m.identity.instance.clone())
+            .collect();
+        for instance in expired {
+            self.judge(&instance, Health::Gone, now);
+        }
+    }
+
+    /// Takes in an acknowledgement.
+    pub(super) fn on_ack(&mut self, from: &InstanceId, number: u32, now: Millis) {
+        let is_match = self
+            .probes
+            .waiting
+            .get(&number)
+            .is_some_and(|probe| probe.target == *from);
+        if !is_match {
+            return;
+        }
+        let Some(probe) = self.probes.waiting.remove(&number) else {
+            return;
+        };
+        if let Some((asker, probe_of_asker)) = probe.on_behalf {
+            let body = Body::RelayedAck {
+                probe: probe_of_asker,
+                target: probe.target,
+            };
+            self.send(&asker, body, now);
+        }
+    }
+
+    /// Takes in the news that `target` answered somebody else.
+    pub(super) fn on_relayed_ack(&mut self, number: u32, target: &InstanceId) {
+        let is_match = self
+            .probes
+            .waiting
+            .get(&number)
+            .is_some_and(|probe| probe.target == *target);
+        if is_match {
+            self.probes.waiting.remove(&number);
+        }
+    }
+
+    /// Tells a newly suspected member, so that it can refute; a few hearers of a region do so.
+    pub(super) fn tell_suspected(&mut self, instance: &InstanceId, now: Millis) {
+        if !self.is_in_own_region(instance) {
+            return;
+        }
+        let hearers = self.table.present_in(&self.own_region).count() as f64;
+        if self.rng.random_bool((TELLERS / hearers).min(1.0)) {
+            self.send_untracked_ping(instance, now);
+        }
+    }
+
+    /// Probes, now and then, a member of the own region that is gone or known from the live list
+    /// only. All instances together try each such member about once in [`ABSENT_PERIOD_MS`].
+    pub(super) fn probe_absent(&mut self, now: Millis) {
+        let absent: Vec<InstanceId> = self
+            .table
+            .members
+            .values()
+            .filter(|m| !m.is_present() && m.identity.region == self.own_region)
+            .map(|m| m.identity.instance.clone())
+            .collect();
+        if absent.is_empty() {
+            return;
+        }
+        let present = self.table.present_in(&self.own_region).count() as f64;
+        let wanted = absent.len() as f64 * PERIOD_MS as f64 / ABSENT_PERIOD_MS / present;
+        let is_alone = present < 2.0 || self.is_starting(now);
+        let probability = if is_alone {
+            1.0
+        } else {
+            wanted.min(MAX_ABSENT_PROBABILITY)
+        };
+        if self.rng.random_bool(probability) {
+            let target = &absent[self.rng.random_range(0..absent.len())];
+            self.send_untracked_ping(target, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/member/sync.rs
@@ -0,0 +1,149 @@
+//! Repair of differences between two tables by digests.
+//!
+//! Every packet carries a hash of the sender's table. When two tables differ although no change
+//! is on its way, one side sends hashes by bucket, the other answers with its records in the
+//! buckets that differ, and the first returns what the other lacks.
+
+use super::size::record_bytes;
+use super::table::BUCKETS;
+use super::{Body, Members, Record};
+use crate::id::InstanceId;
+use crate::time::Millis;
+use rand::Rng;
+use std::collections::BTreeMap;
+
+/// Shortest time between two digests of one instance, in milliseconds.
+const SYNC_PERIOD_MS: u64 = 2_000;
+/// The same while the instance starts, in milliseconds.
+const STARTING_SYNC_PERIOD_MS: u64 = 300;
+/// Time for which the own table has to be unchanged before a digest is sent, in milliseconds.
+const QUIET_MS: u64 = 2_000;
+/// Time after which a digest is sent although the table keeps changing, in milliseconds.
+const MAX_SYNC_PERIOD_MS: u64 = 15_000;
+/// Largest list of records in one packet, in bytes.
+const MAX_RECORDS_BYTES: usize = 48 * 1_024;
+/// Records learnt from one exchange up to which they are passed on at once.
+const MAX_RUMORS_OF_SYNC: usize = 16;
+
+/// Times that pace the digests.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Sync {
+    last_at: Option<Millis>,
+    changed_at: Option<Millis>,
+}
+
+impl Sync {
+    pub(super) fn note_change(&mut self, now: Millis) {
+        self.changed_at = Some(now);
+    }
+
+    fn is_due(&self, is_starting: bool, now: Millis) -> bool {
+        let since_last_ms = self.last_at.map_or(u64::MAX, |at| now.since(at));
+        let quiet_ms = self.changed_at.map_or(u64::MAX, |at| now.since(at));
+        if is_starting {
+            return since_last_ms >= STARTING_SYNC_PERIOD_MS;
+        }
+        let is_quiet = quiet_ms >= QUIET_MS && since_last_ms >= SYNC_PERIOD_MS;
+        is_quiet || since_last_ms >= MAX_SYNC_PERIOD_MS
+    }
+}
+
+impl Members {
+    /// Sends the hashes by bucket to an instance whose table differs, if a digest is due.
+    pub(super) fn begin_sync(&mut self, with: &InstanceId, now: Millis) {
+        if !self.sync.is_due(self.is_starting(now), now) {
+            return;
+        }
+        self.sync.last_at = Some(now);
+        self.send(
+            with,
+            Body::Digest {
+                buckets: Vec::new(),
+            },
+            now,
+        );
+        let Some(sent) = self.out.last_mut() else {
+            return;
+        };
+        let buckets = self.table.bucket_hashes(sent.packet.salt);
+        sent.packet.body = Body::Digest { buckets };
+    }
+
+    /// Answers hashes by bucket with the records of the buckets that differ.
+    pub(super) fn on_digest(&mut self, from: &InstanceId, salt: u16, theirs: &[u16], now: Millis) {
+        if theirs.len() != BUCKETS {
+            return;
+        }
+        let ours = self.table.bucket_hashes(salt);
+        let differs = |bucket: &usize| ours[*bucket] != theirs[*bucket];
+        let differing = (0..BUCKETS)
+            .filter(differs)
+            .fold(0, |set, bucket| set | 1 << bucket);
+        if differing == 0 {
+            return;
+        }
+        let records = self.bounded(self.table.records_in(differing));
+        let body = Body::Records {
+            differing,
+            records,
+            wants_reply: true,
+        };
+        self.send(from, body, now);
+    }
+
+    /// Takes in records, and returns those that the other side lacks.
+    pub(super) fn on_records(
+        &mut self,
+        from: &InstanceId,
+        differing: u64,
+        theirs: &[Record],
+        wants_reply: bool,
+        now: Millis,
+    ) {
+        let is_rumor = theirs.len() <= MAX_RUMORS_OF_SYNC;
+        for record in theirs {
+            self.take_record(record, is_rumor, now);
+        }
+        if !wants_reply {
+            return;
+        }
+        let by_name: BTreeMap<&InstanceId, &Record> = theirs
+            .iter()
+            .map(|record| (&record.identity.instance, record))
+            .collect();
+        let is_news = |ours: &Record| by_name.get(&ours.identity.instance) != Some(&ours);
+        let mut records = self.table.records_in(differing);
+        records.retain(is_news);
+        if records.is_empty() {
+            return;
+        }
+        let records = self.bounded(records);
+        let body = Body::Records {
+            differing,
+            records,
+            wants_reply: false,
+        };
+        self.send(from, body, now);
+    }
+
+    /// A part of `records` that fits in one packet, beginning at a random place so that no record
+    /// is left out every time.
+    fn bounded(&self, mut records: Vec<Record>) -> Vec<Record> {
+        let total: usize = records.iter().map(record_bytes).sum();
+        if total <= MAX_RECORDS_BYTES {
+            return records;
+        }
+        let start = self.rng.clone().random_range(0..records.len());
+        records.rotate_left(start);
+        let mut left = MAX_RECORDS_BYTES;
+        records
+            .into_iter()
+            .take_while(|record| {
+                let bytes = record_bytes(record);
+                let fits = bytes <= left;
+                left = left.saturating_sub(bytes);
+                fits
+            })
+            .collect()
+    }
+}
