--- a/crates/ctl/src/demo/fleet.rs
+++ b/crates/ctl/src/demo/fleet.rs
@@ -28,7 +28,8 @@
     pub(super) fn start(stage: &Stage) -> anyhow::Result<Self> {
         let mut members = Vec::new();
         for settings in stage.settings()? {
-            let daemon = daemon::start(&settings)
+            let tls = stage.tls(&settings.instance.id)?;
+            let daemon = daemon::start(&settings, Some(tls))
                 .with_context(|| format!("cannot start {}", settings.instance.id))?;
             members.push(Member {
                 id: settings.instance.id,
--- a/crates/ctl/src/demo/stage.rs
+++ b/crates/ctl/src/demo/stage.rs
@@ -7,10 +7,12 @@
     id::{DataCentreId, InstanceId, UpstreamId},
 };
 use carobwheel_gateway::{
+    peers::TlsMaterial,
     platform::DOCUMENT_KEY,
-    settings::{Callers, Identity, Platform, Settings, Shutdown, Store},
+    settings::{Callers, Identity, Peers, Platform, Settings, Shutdown, Store},
 };
-use carobwheel_standin::{engine, livelist, service, store};
+use carobwheel_standin::{engine, livelist, service, store, tls::Authority};
+use carobwheel_wire::platform::{InstanceState, LiveInstance};
 use std::{
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
@@ -28,6 +30,7 @@
     pub(super) document: Document,
     pub(super) store: store::Store,
     pub(super) live_list: livelist::LiveList,
+    authority: Authority,
     credentials: BTreeMap<UpstreamId, String>,
     _engines: Vec<engine::Engine>,
     _services: Vec<service::Service>,
@@ -70,23 +73,52 @@
             document,
             store,
             live_list,
+            authority: Authority::new("carobwheel demo")?,
             credentials,
             _engines: engines,
             _services: services,
         })
     }
 
-    /// Settings of every instance: two in each region, in different data centres.
+    /// Settings of every instance: two in each region, in different data centres. The live list
+    /// names them from now on.
     pub(super) fn settings(&self) -> anyhow::Result<Vec<Settings>> {
         let mut all = Vec::new();
         for region in &self.document.regions {
             for index in 0..INSTANCES_IN_REGION {
-                all.push(self.settings_of(region, index)?);
+                let settings = self.settings_of(region, index)?;
+                self.list(&settings);
+                all.push(settings);
             }
         }
         Ok(all)
     }
 
+    fn list(&self, settings: &Settings) {
+        let Some(peers) = &settings.peers else {
+            return;
+        };
+        self.live_list.add(LiveInstance {
+            id: settings.instance.id.clone(),
+            region: settings.instance.region.clone(),
+            data_centre: settings.instance.data_centre.clone(),
+            peer_address: peers.address,
+            caller_address: settings.callers.address,
+            state: InstanceState::Live,
+            incarnation: None,
+        });
+    }
+
+    /// Certificate and key of an instance.
+    pub(super) fn tls(&self, id: &InstanceId) -> anyhow::Result<TlsMaterial> {
+        let pem = self.authority.issue(id.as_str())?;
+        Ok(TlsMaterial {
+            cert_pem: pem.cert_pem,
+            key_pem: pem.key_pem,
+            ca_pem: pem.ca_pem,
+        })
+    }
+
     fn settings_of(&self, region: &Region, index: usize) -> anyhow::Result<Settings> {
         let id: InstanceId = format!("{}-{}", region.id, index + 1).parse()?;
         let centres = &region.data_centres;
@@ -94,20 +126,24 @@
         let address = SocketAddr::from((LOOPBACK, free_port()?));
         Ok(Settings {
             instance: Identity {
-                id,
+                id: id.clone(),
                 region: region.id.clone(),
                 data_centre,
             },
             callers: Callers {
                 address,
-                advertised_url: format!("http://{address}"),
                 threads: 2,
                 max_requests: 4_096,
                 max_body_bytes_held: 256 * 1_024 * 1_024,
                 body_timeout_ms: 60_000,
             },
             operators_address: Some(SocketAddr::from((LOOPBACK, free_port()?))),
-            peers: None,
+            peers: Some(Peers {
+                address: SocketAddr::from((LOOPBACK, free_udp_port()?)),
+                ca_pem_file: format!("{id}.ca.pem"),
+                certificate_pem_file: format!("{id}.cert.pem"),
+                key_pem_file: format!("{id}.key.pem"),
+            }),
             store: Store {
                 url: self.store.url(),
                 timeout_ms: 1_000,
@@ -130,14 +166,31 @@
         std::fs::create_dir_all(folder)
             .with_context(|| format!("cannot create {}", folder.display()))?;
         let mut files = Vec::new();
-        for settings in self.settings()? {
+        for mut settings in self.settings()? {
+            self.write_tls(&mut settings, folder)?;
             let file = folder.join(format!("{}.json", settings.instance.id));
-            std::fs::write(&file, format!("{:#}\n", serde_json::to_value(&settings)?))
-                .with_context(|| format!("cannot write {}", file.display()))?;
+            write(&file, &format!("{:#}\n", serde_json::to_value(&settings)?))?;
             files.push(file);
         }
         Ok(files)
     }
+
+    fn write_tls(&self, settings: &mut Settings, folder: &Path) -> anyhow::Result<()> {
+        let tls = self.tls(&settings.instance.id)?;
+        let Some(peers) = &mut settings.peers else {
+            return Ok(());
+        };
+        peers.ca_pem_file = write(&folder.join(&peers.ca_pem_file), &tls.ca_pem)?;
+        peers.certificate_pem_file =
+            write(&folder.join(&peers.certificate_pem_file), &tls.cert_pem)?;
+        peers.key_pem_file = write(&folder.join(&peers.key_pem_file), &tls.key_pem)?;
+        Ok(())
+    }
+}
+
+fn write(file: &Path, text: &str) -> anyhow::Result<String> {
+    std::fs::write(file, text).with_context(|| format!("cannot write {}", file.display()))?;
+    Ok(file.display().to_string())
 }
 
 fn engine_options(serves: &Serves, credential: &str) -> engine::EngineOptions {
@@ -167,3 +220,8 @@
     let listener = std::net::TcpListener::bind((LOOPBACK, 0))?;
     Ok(listener.local_addr()?.port())
 }
+
+fn free_udp_port() -> anyhow::Result<u16> {
+    let socket = std::net::UdpSocket::bind((LOOPBACK, 0))?;
+    Ok(socket.local_addr()?.port())
+}
--- /dev/null
+++ b/crates/gateway/src/daemon/links.rs
@@ -0,0 +1,61 @@
+//! Starts the links to other instances.
+
+use crate::{
+    decide::Event,
+    in_force::InForce,
+    peers::{self, Inbound, PeerSettings, Sinks, TlsMaterial},
+    ring::Sender,
+    settings::Settings,
+};
+use anyhow::Context as _;
+use std::{sync::Arc, thread::JoinHandle};
+use tokio_util::sync::CancellationToken;
+
+/// Starts the thread of the links, if the settings name an address for them.
+///
+/// # Errors
+///
+/// Fails if the material is missing or cannot be used, or the address cannot be bound.
+pub(super) fn start(
+    settings: &Settings,
+    tls: Option<TlsMaterial>,
+    decide: &Sender<Event>,
+    cancel: CancellationToken,
+) -> anyhow::Result<Option<(peers::Handle, JoinHandle<()>)>> {
+    let Some(peers) = &settings.peers else {
+        return Ok(None);
+    };
+    let tls = tls.context("links to other instances need a certificate, a key and authorities")?;
+    let peer_settings = PeerSettings::new(settings.instance.id.clone(), peers.address, tls);
+    let decide = decide.clone();
+    let sinks = Sinks {
+        inbound: Box::new(move |inbound| match event_of(inbound) {
+            Some(event) => decide.try_send(event).is_ok(),
+            None => true,
+        }),
+        forward: Box::new(drop),
+    };
+    let started = peers::start(peer_settings, sinks, cancel)
+        .with_context(|| format!("cannot start the links on {}", peers.address))?;
+    Ok(Some(started))
+}
+
+// Documents are parsed on this thread, since they may be large.
+fn event_of(inbound: Inbound) -> Option<Event> {
+    let Inbound::Document {
+        from,
+        revision,
+        bytes,
+    } = inbound
+    else {
+        return Some(Event::Peer(Box::new(inbound)));
+    };
+    match InForce::parse(revision, bytes) {
+        Ok(in_force) => Some(Event::Document(Arc::new(in_force))),
+        Err(faults) => {
+            let count = faults.len();
+            log::error!(from = from.as_str(), count; "a peer sent an invalid document");
+            None
+        }
+    }
+}
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -1,15 +1,18 @@
 //! Joins the threads of one instance, and stops them in order.
 
+mod links;
+
 use crate::{
-    decide, dispatch,
+    decide::{self, Outlets},
+    dispatch,
     in_flight::InFlight,
     in_force::Current,
-    intake::{self, Claims, Server, Shared, BODY_UNIT_BYTES},
+    intake::{self, Claims, Entries, Server, Shared, BODY_UNIT_BYTES},
+    peers::{self, TlsMaterial},
     platform,
-    ring::Sender,
+    ring::{self, Sender},
     settings::{Settings, Shutdown},
 };
-use arc_swap::ArcSwap;
 use carobwheel_core::time::Clock;
 use std::{
     net::SocketAddr,
@@ -29,6 +32,7 @@
 pub struct Daemon {
     shared: Arc<Shared>,
     server: Server,
+    peers: Option<peers::Handle>,
     decide: Sender<decide::Event>,
     clock: Clock,
     shutdown: Shutdown,
@@ -36,56 +40,83 @@
     threads: Vec<thread::JoinHandle<()>>,
 }
 
-/// Starts every thread of an instance.
+/// Starts every thread of an instance. `tls` is the material for links to other instances, and
+/// needed if the settings name an address for them.
 ///
 /// # Errors
 ///
-/// Fails if an address cannot be bound or a thread cannot be started.
-pub fn start(settings: &Settings) -> anyhow::Result<Daemon> {
+/// Fails if an address cannot be bound, the material cannot be used or a thread cannot be started.
+pub fn start(settings: &Settings, tls: Option<TlsMaterial>) -> anyhow::Result<Daemon> {
     let clock = Clock::default();
+    let incarnation = clock.unix_now().0;
     let cancel = CancellationToken::new();
     // Ends the threads that run already if a later one cannot be started.
     let guard = cancel.clone().drop_guard();
     let current = Current::default();
-    let incarnation = clock.unix_now().0;
+    let entries = Entries::default();
     let store = platform::store_client(settings, incarnation)?;
-    let (decide, decide_thread) = decide::start(
-        &settings.instance,
+    let (decide, events) = ring::ring(decide::RING_EVENTS);
+    let (commands, platform_commands) = ring::async_ring(platform::RING_COMMANDS);
+    let mut threads = Vec::new();
+    let links = links::start(settings, tls, &decide, cancel.child_token())?;
+    let peers = links.map(|(handle, thread)| {
+        threads.push(thread);
+        handle
+    });
+    threads.push(platform::start(
+        settings,
         clock,
-        current.clone(),
+        store.clone(),
+        decide.clone(),
+        platform_commands,
         cancel.child_token(),
-    )?;
+    )?);
+    let outlets = Outlets {
+        current: current.clone(),
+        entries: entries.clone(),
+        peers: peers.clone(),
+        platform: commands,
+    };
+    let token = cancel.child_token();
+    threads.push(decide::start(
+        settings,
+        incarnation,
+        clock,
+        events,
+        outlets,
+        token,
+    )?);
     let (dispatch, dispatch_thread) = dispatch::start(cancel.child_token())?;
+    threads.push(dispatch_thread);
     let callers = &settings.callers;
+    let body_units = callers.max_body_bytes_held / BODY_UNIT_BYTES;
     let shared = Arc::new(Shared {
         instance: settings.instance.id.clone(),
         clock,
         current,
         decide: decide.clone(),
         dispatch,
-        claims: Claims::new(store.clone()),
+        claims: Claims::new(store),
         credentials: settings.upstream_credentials.clone(),
-        entries: ArcSwap::default(),
+        entries,
         in_flight: Arc::new(InFlight::new(callers.max_requests)),
-        body_room: Arc::new(Semaphore::new(
-            callers.max_body_bytes_held / BODY_UNIT_BYTES,
-        )),
+        body_room: Arc::new(Semaphore::new(body_units)),
         body_timeout_ms: callers.body_timeout_ms,
         is_leaving: AtomicBool::new(false),
         requests: AtomicU64::new(0),
         incarnation,
     });
     let server = intake::start(settings, Arc::clone(&shared))?;
-    let platform_thread = platform::start(store, decide.clone(), cancel.child_token())?;
     log::info!(address:% = server.address; "listening for callers");
     Ok(Daemon {
         shared,
         server,
+        peers,
         decide,
         clock,
         shutdown: settings.shutdown.clone(),
         cancel: guard.disarm(),
-        threads: vec![decide_thread, dispatch_thread, platform_thread],
+        threads,
     })
 }
 
@@ -100,6 +131,11 @@
         Arc::clone(&self.shared.in_flight)
     }
 
+    /// Links to other instances; none for an instance that stands alone.
+    pub fn peers(&self) -> Option<peers::Handle> {
+        self.peers.clone()
+    }
+
     /// Announces that the instance leaves: it is not ready any more and takes no new callers,
     /// while running requests go on.
     pub fn leave(&self) {
--- a/crates/gateway/src/decide/apply.rs
+++ b/crates/gateway/src/decide/apply.rs
@@ -25,7 +25,14 @@
             return;
         }
         log::info!(revision = next.revision; "document in force");
-        self.current.replace(Arc::clone(&next));
+        self.outlets.current.replace(Arc::clone(&next));
+        if let Some(peers) = &self.outlets.peers {
+            peers.serve_document(next.revision, next.bytes.clone());
+        }
+        let packets = self.members.set_revision(next.revision, now);
+        self.outlets.send_packets(packets);
+        let limiter = &mut self.charging.limiter;
+        limiter.apply_document(next.revision, &next.document, now);
         let groups = next.document.upstreams.iter().map(group_of);
         match &mut self.configured {
             Some(configured) => {
--- a/crates/gateway/src/decide/ask.rs
+++ b/crates/gateway/src/decide/ask.rs
@@ -38,13 +38,25 @@
         if ask.tried.is_empty() {
             configured.retrier.on_request();
         }
+        if ask.charge.is_some() {
+            self.seek_place(ask, now);
+        } else {
+            self.charge(ask, now);
+        }
+    }
+
+    /// Places a request that has been charged, or queues it.
+    pub(super) fn seek_place(&mut self, ask: Box<Ask>, now: Millis) {
+        let Some(configured) = &mut self.configured else {
+            return;
+        };
         let placed = place(configured, &ask, now, &mut self.rng);
         match placed {
             // A request that finds others waiting takes its turn behind them.
             Ok(placement) if self.admit.is_empty() => self.start(*ask, &placement, now),
             Ok(_) => self.wait(ask, 0, now),
             Err(route::Refusal::Full { wait_ms }) => self.wait(ask, wait_ms, now),
-            Err(refusal) => refuse(ask, refusal_of(&refusal)),
+            Err(refusal) => self.turn_away(ask, refusal_of(&refusal), now),
         }
     }
 
@@ -58,11 +70,19 @@
             Err((entry, rejected)) => {
                 let refusal = Refusal::not_run(Cause::Overloaded, rejected.to_string())
                     .retry_after(rejected.retry_after_ms());
-                refuse(entry.item, refusal);
+                self.turn_away(entry.item, refusal, now);
             }
         }
     }
 
+    /// Refuses a request that has been charged and gives its reservation back.
+    fn turn_away(&mut self, ask: Box<Ask>, refusal: Refusal, now: Millis) {
+        if let Some(charge) = ask.charge {
+            self.uncharge(charge, 0, now);
+        }
+        refuse(ask, refusal);
+    }
+
     /// Places waiting requests as far as there is room.
     pub(super) fn place_waiting(&mut self, now: Millis) {
         while !self.admit.is_empty() {
@@ -77,7 +97,7 @@
             );
             match next {
                 Some(Next::Placed(entry, placement)) => self.start(*entry.item, &placement, now),
-                Some(Next::Withdrawn(entry)) => refuse(entry.item, withdrawn()),
+                Some(Next::Withdrawn(entry)) => self.turn_away(entry.item, withdrawn(), now),
                 None => return,
             }
         }
@@ -87,7 +107,8 @@
     pub(super) fn expire_waiting(&mut self, now: Millis) {
         for entry in self.admit.expire(now) {
             let message = "no upstream had room before the deadline";
-            refuse(entry.item, Refusal::not_run(Cause::Overloaded, message));
+            let refusal = Refusal::not_run(Cause::Overloaded, message);
+            self.turn_away(entry.item, refusal, now);
         }
     }
 
@@ -107,10 +128,15 @@
             url: spec.url.clone(),
             version: version(&configured.in_force, &ask).cloned(),
             priority: priority(&configured.in_force, &ask),
+            charge: ask.charge,
         };
         let ticket = placed.ticket;
         // A caller that went away has dropped the receiving end and uses nothing.
+        let charge = ask.charge;
         if ask.reply.send(Ok(placed)).is_err() {
+            if let Some(charge) = charge {
+                self.uncharge(charge, 0, now);
+            }
             return;
         }
         self.last_ticket = ticket;
@@ -127,8 +153,8 @@
     Refusal::not_run(Cause::InvalidKey, "the key has been withdrawn")
 }
 
-// The caller may have gone away, which makes the refusal moot.
-fn refuse(ask: Box<Ask>, refusal: Refusal) {
+/// Refuses a request. The caller may have gone away, which makes the refusal moot.
+pub(super) fn refuse(ask: Box<Ask>, refusal: Refusal) {
     let _ = ask.reply.send(Err(refusal));
 }
 
--- /dev/null
+++ b/crates/gateway/src/decide/charge.rs
@@ -0,0 +1,181 @@
+//! Charges requests to their accounts before they are placed.
+
+use super::{
+    ask::refuse,
+    event::Ask,
+    gossip::LOAN_CHANNEL,
+    state::{account_of, State},
+};
+use crate::refusal::{Cause, Refusal};
+use carobwheel_core::{
+    id::RegionId,
+    limit::{ChargeId, ChargeRequest, Limiter, LoanMessage, Outcome, Outgoing},
+    slot::Peer,
+    time::Millis,
+};
+use carobwheel_wire::peer::Message;
+use std::{collections::HashMap, mem};
+use tokio_util::sync::CancellationToken;
+
+/// Longest time for which a request waits for tokens of its account, in milliseconds.
+const MAX_WAIT_MS: u64 = 1_000;
+/// Share of the time to the deadline that may go by waiting for tokens.
+const WAIT_DIVISOR: u64 = 4;
+/// Requests that wait for tokens at most.
+const MAX_WAITING: usize = 4_096;
+
+/// A request that waits for tokens of its account.
+struct Waiting {
+    ask: Box<Ask>,
+    until: Millis,
+    retry_at: Millis,
+}
+
+/// Charges of the requests of this instance.
+pub(super) struct Charging {
+    pub(super) limiter: Limiter,
+    cancels: HashMap<ChargeId, CancellationToken>,
+    waiting: Vec<Waiting>,
+}
+
+impl Charging {
+    pub(super) fn new(me: Peer, region: RegionId) -> Self {
+        Self {
+            limiter: Limiter::new(me, region),
+            cancels: HashMap::new(),
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Ends the requests behind charges that no longer cover them.
+    pub(super) fn cancel(&mut self, charges: impl IntoIterator<Item = ChargeId>) {
+        for charge in charges {
+            if let Some(cancel) = self.cancels.remove(&charge) {
+                log::warn!(charge = charge.0; "request ended: its charge no longer covers it");
+                cancel.cancel();
+            }
+        }
+    }
+}
+
+impl State {
+    /// Charges the request, then looks for a place.
+    pub(super) fn charge(&mut self, ask: Box<Ask>, now: Millis) {
+        let wait_ms = (ask.deadline.since(now) / WAIT_DIVISOR).min(MAX_WAIT_MS);
+        self.try_charge(ask, now.plus(wait_ms), now);
+    }
+
+    fn try_charge(&mut self, mut ask: Box<Ask>, until: Millis, now: Millis) {
+        let Some(account) = account_of(&ask) else {
+            self.seek_place(ask, now);
+            return;
+        };
+        let request = ChargeRequest {
+            account,
+            prompt_tokens: ask.prompt_tokens,
+            max_output_tokens: ask.max_output_tokens,
+            wait_until: until,
+        };
+        match self.charging.limiter.try_charge(&request, now) {
+            Outcome::Admitted { charge } => {
+                ask.charge = Some(charge);
+                let cancel = ask.cancel.clone();
+                self.charging.cancels.insert(charge, cancel);
+                self.seek_place(ask, now);
+            }
+            Outcome::Borrow { messages, wait_ms } => {
+                self.send_loans(messages);
+                self.wait_for_tokens(ask, until, now.plus(wait_ms.max(1)));
+            }
+            Outcome::Wait { ms } => self.wait_for_tokens(ask, until, now.plus(ms.max(1))),
+            Outcome::Refused { retry_after_ms } => {
+                let message = "the account has used up its rate";
+                let refusal = Refusal::not_run(Cause::RateLimited, message);
+                refuse(ask, refusal.retry_after(retry_after_ms));
+            }
+            Outcome::TooLarge => {
+                let message = "prompt and output together exceed the account's burst";
+                refuse(ask, Refusal::not_run(Cause::TooLarge, message));
+            }
+            Outcome::UnknownAccount => {
+                refuse(ask, Refusal::not_run(Cause::InvalidKey, "no such account"));
+            }
+        }
+    }
+
+    fn wait_for_tokens(&mut self, ask: Box<Ask>, until: Millis, retry_at: Millis) {
+        if self.charging.waiting.len() >= MAX_WAITING {
+            let message = "too many requests wait for tokens of their accounts";
+            refuse(
+                ask,
+                Refusal::not_run(Cause::Overloaded, message).retry_after(1_000),
+            );
+            return;
+        }
+        self.charging.waiting.push(Waiting {
+            ask,
+            until,
+            retry_at,
+        });
+    }
+
+    /// Tries the waiting requests again that are due, or all of them after news of a loan.
+    fn retry_waiting(&mut self, all: bool, now: Millis) {
+        let waiting = mem::take(&mut self.charging.waiting);
+        for entry in waiting {
+            if entry.ask.reply.is_closed() {
+                continue;
+            }
+            if all || entry.retry_at <= now {
+                self.try_charge(entry.ask, entry.until, now);
+            } else {
+                self.charging.waiting.push(entry);
+            }
+        }
+    }
+
+    /// A request with a charge has ended.
+    pub(super) fn uncharge(&mut self, charge: ChargeId, output_tokens: u64, now: Millis) {
+        self.charging.cancels.remove(&charge);
+        self.charging.limiter.settle(charge, output_tokens, now);
+    }
+
+    pub(super) fn tick_charging(&mut self, now: Millis) {
+        let messages = self.charging.limiter.tick(now);
+        self.send_loans(messages);
+        let ended = self.charging.limiter.take_ended();
+        self.charging.cancel(ended);
+        self.retry_waiting(false, now);
+    }
+
+    /// Takes a message about loans from a peer.
+    pub(super) fn on_loans(&mut self, from: &Peer, message: &LoanMessage, now: Millis) {
+        let has_grants = !message.grants.is_empty();
+        let answers = self.charging.limiter.on_message(from, message, now);
+        self.send_loans(answers);
+        if has_grants {
+            self.retry_waiting(true, now);
+        }
+    }
+
+    fn send_loans(&self, messages: Vec<Outgoing>) {
+        for (to, message) in messages {
+            let addr = self
+                .members
+                .member(&to.instance)
+                .filter(|member| member.identity.incarnation.0 == to.incarnation)
+                .map(|member| member.identity.peer_addr);
+            let Some(addr) = addr else {
+                continue;
+            };
+            let signed = (self.me.incarnation, message);
+            match postcard::to_stdvec(&signed) {
+                Ok(bytes) => {
+                    let message = Message::opaque(LOAN_CHANNEL, bytes);
+                    self.outlets.send(to.instance, Some(addr), message);
+                }
+                Err(err) => log::error!("a message about loans cannot be encoded: {err}"),
+            }
+        }
+    }
+}
--- a/crates/gateway/src/decide/event.rs
+++ b/crates/gateway/src/decide/event.rs
@@ -1,15 +1,19 @@
 //! What other threads tell the deciding thread, and what it answers.
 
-use crate::{in_force::InForce, refusal::Refusal};
+use crate::{in_force::InForce, peers::Inbound, refusal::Refusal};
 use carobwheel_core::{
     id::{ClassId, ModelId, RegionId, RequestId, ServiceId, UpstreamId, VersionId},
     identity::Caller,
+    limit::ChargeId,
     retry::{Decision, Failure},
     route::Hops,
+    slot,
     time::Millis,
 };
+use carobwheel_wire::platform::InstanceList;
 use std::sync::Arc;
 use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
 
 /// What a request asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,6 +59,10 @@
     pub tried: Vec<UpstreamId>,
     /// The way that the request has taken, this instance included.
     pub hops: Hops,
+    /// Charge of an earlier attempt of the same request.
+    pub charge: Option<ChargeId>,
+    /// Ends the request when its account may not go on with it.
+    pub cancel: CancellationToken,
     /// Where the decision goes.
     pub reply: oneshot::Sender<Result<Placed, Refusal>>,
 }
@@ -72,6 +80,8 @@
     pub version: Option<VersionId>,
     /// Priority passed on to the engine; 0 is the most urgent.
     pub priority: u8,
+    /// Charge of the request, to be settled when it ends; none on open routes.
+    pub charge: Option<ChargeId>,
 }
 
 /// How a placed request ended.
@@ -134,6 +144,43 @@
     MayRetry(Box<RetryQuestion>),
     /// A document arrived from the store or a peer.
     Document(Arc<InForce>),
+    /// A request with a charge has ended.
+    Uncharge {
+        /// The charge.
+        charge: ChargeId,
+        /// Output tokens that were generated.
+        output_tokens: u64,
+    },
+    /// Something arrived from a peer.
+    Peer(Box<Inbound>),
+    /// The record of slots of one region was read.
+    Slots(Box<SlotsRead>),
+    /// The records of slots of all regions have been read once.
+    SlotsKnown,
+    /// The live list was read.
+    LiveList(Box<LiveListRead>),
     /// The instance is leaving.
     Leave,
 }
+
+/// A record of slots as read.
+#[derive(Debug)]
+pub struct SlotsRead {
+    /// Region of the slots.
+    pub region: RegionId,
+    /// Revision of the record; 0 if there is none.
+    pub revision: u64,
+    /// The record.
+    pub record: slot::Record,
+    /// Time at which the read began; 0 if it is not known.
+    pub began: Millis,
+}
+
+/// The live list as read.
+#[derive(Debug)]
+pub struct LiveListRead {
+    /// The list.
+    pub list: InstanceList,
+    /// Time at which the read began.
+    pub began: Millis,
+}
--- /dev/null
+++ b/crates/gateway/src/decide/membership.rs
@@ -0,0 +1,191 @@
+//! Which instances there are.
+
+use super::{event::LiveListRead, slots::peer_of, state::State};
+use crate::{
+    intake::{Entry, EntryList, LIFETIME_S},
+    peers::Inbound,
+    platform::Command,
+    settings::Settings,
+};
+use carobwheel_core::{
+    id::InstanceId,
+    member::{self, Event as MemberEvent, Identity, Incarnation, LiveEntry, State as MemberState},
+    slot::Peer,
+    time::Millis,
+};
+use carobwheel_wire::{
+    peer::Message,
+    platform::{InstanceState, LiveInstance},
+};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// This instance as its peers see it.
+pub(super) fn own_identity(settings: &Settings, incarnation: u64) -> Identity {
+    let nowhere = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+    Identity {
+        instance: settings.instance.id.clone(),
+        incarnation: Incarnation(incarnation),
+        region: settings.instance.region.clone(),
+        data_centre: settings.instance.data_centre.clone(),
+        peer_addr: settings
+            .peers
+            .as_ref()
+            .map_or(nowhere, |peers| peers.address),
+        caller_addr: settings.callers.address,
+    }
+}
+
+impl State {
+    pub(super) fn tick_members(&mut self, now: Millis) {
+        let packets = self.members.tick(now);
+        self.outlets.send_packets(packets);
+        self.fetch_document(now);
+        self.log_member_events(now);
+    }
+
+    /// Takes what arrived from a peer.
+    pub(super) fn on_inbound(&mut self, inbound: Inbound, now: Millis) {
+        match inbound {
+            Inbound::Message { from, message } => self.on_message(&from, message, now),
+            Inbound::DocumentFailed { from } => {
+                log::debug!(from = from.as_str(); "a peer did not send its document");
+            }
+            // Documents are parsed before they reach this thread.
+            Inbound::Document { .. } => {}
+        }
+    }
+
+    fn on_message(&mut self, from: &InstanceId, message: Message, now: Millis) {
+        match message {
+            Message::Member(packet) => self.on_packet(from, packet, now),
+            Message::Opaque(opaque) => self.on_opaque(from, opaque.channel, &opaque.bytes, now),
+            // The thread of the links answers echoes itself.
+            Message::Echo(_) | Message::EchoReply(_) => {}
+        }
+    }
+
+    fn on_packet(&mut self, from: &InstanceId, packet: member::Packet, now: Millis) {
+        let peer = Peer {
+            instance: from.clone(),
+            incarnation: packet.incarnation.0,
+        };
+        self.slots.presence.note_heartbeat(&peer, now);
+        let answers = self.members.on_packet(from, packet, now);
+        self.outlets.send_packets(answers);
+        self.fetch_document(now);
+    }
+
+    /// Takes the live list as read from the platform.
+    pub(super) fn on_live_list(&mut self, read: &LiveListRead, now: Millis) {
+        let lines: Vec<LiveEntry> = read
+            .list
+            .instances
+            .iter()
+            .map(|instance| self.live_entry(instance))
+            .collect();
+        let listed: Vec<Peer> = lines
+            .iter()
+            .map(|line| peer_of_identity(&line.identity))
+            .collect();
+        self.slots.presence.note_live_list(&listed, read.began, now);
+        let packets = self.members.on_live_list(&lines, now);
+        self.outlets.send_packets(packets);
+        let instances = u32::try_from(self.members.snapshot().len()).unwrap_or(u32::MAX);
+        self.outlets
+            .command(Command::SetInstances(instances.max(1)));
+    }
+
+    // A platform that does not know incarnations means the one that runs now.
+    fn live_entry(&self, instance: &LiveInstance) -> LiveEntry {
+        let known = self.members.member(&instance.id);
+        let incarnation = instance
+            .incarnation
+            .or_else(|| known.map(|member| member.identity.incarnation.0))
+            .unwrap_or(0);
+        LiveEntry {
+            identity: Identity {
+                instance: instance.id.clone(),
+                incarnation: Incarnation(incarnation),
+                region: instance.region.clone(),
+                data_centre: instance.data_centre.clone(),
+                peer_addr: instance.peer_address,
+                caller_addr: instance.caller_address,
+            },
+            is_leaving: instance.state == InstanceState::Leaving,
+        }
+    }
+
+    /// Asks a peer for a document that is newer than the one in force.
+    fn fetch_document(&mut self, now: Millis) {
+        let Some((from, addr)) = self.members.fetch_from(now) else {
+            return;
+        };
+        let above_revision = self.revision().unwrap_or(0);
+        if let Some(peers) = &self.outlets.peers {
+            // A full queue means that the fetch is advised again later.
+            let _ = peers.fetch_document(from, addr, above_revision);
+        }
+    }
+
+    /// Announces that this instance is leaving, and hands its slots over.
+    pub(super) fn leave(&mut self, now: Millis) {
+        if self.is_leaving {
+            return;
+        }
+        self.is_leaving = true;
+        let packets = self.members.leave(now);
+        self.outlets.send_packets(packets);
+        self.outlets.command(Command::Leave);
+        self.publish_entries();
+    }
+
+    fn log_member_events(&mut self, now: Millis) {
+        for event in self.members.take_events() {
+            log::info!("membership: {event:?}");
+            if event == MemberEvent::ToldToLeave {
+                self.leave(now);
+            }
+        }
+    }
+
+    /// Publishes which instances callers may use: those of the own region first.
+    pub(super) fn publish_entries(&self) {
+        let own_region = &self.identity.region;
+        let mut members: Vec<_> = self
+            .members
+            .snapshot()
+            .into_iter()
+            .filter(|member| member.state == MemberState::Alive && member.is_reachable)
+            .collect();
+        members.sort_by_key(|member| {
+            let identity = &member.identity;
+            let is_away = identity.region != *own_region;
+            (is_away, identity.region.clone(), identity.instance.clone())
+        });
+        let owners = self.slots.keeper.record();
+        let entries = members
+            .into_iter()
+            .map(|member| Entry {
+                url: format!("http://{}", member.identity.caller_addr),
+                owned_shards: owners
+                    .owned_by(&peer_of(&member))
+                    .iter()
+                    .map(|slot| (slot.shard, slot.role))
+                    .collect(),
+                instance: member.identity.instance,
+                region: member.identity.region,
+            })
+            .collect();
+        self.outlets.entries.store(EntryList {
+            entries,
+            lifetime_s: LIFETIME_S,
+        });
+    }
+}
+
+fn peer_of_identity(identity: &Identity) -> Peer {
+    Peer {
+        instance: identity.instance.clone(),
+        incarnation: identity.incarnation.0,
+    }
+}
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -5,21 +5,25 @@
 
 mod apply;
 mod ask;
+mod charge;
 mod event;
+mod gossip;
+mod membership;
+mod outlets;
 mod settle;
+mod slots;
 mod state;
 
-pub use event::{Ask, Ending, Event, Placed, RetryQuestion, Settlement, Target};
-
-use crate::{
-    in_force::Current,
-    ring::{ring, Sender},
-    settings::Identity,
+pub use event::{
+    Ask, Ending, Event, LiveListRead, Placed, RetryQuestion, Settlement, SlotsRead, Target,
 };
+pub use outlets::Outlets;
+
+use crate::{ring::Receiver, settings::Settings};
 use anyhow::Context as _;
 use carobwheel_core::time::Clock;
 use state::State;
-use std::{sync::mpsc, thread, time::Duration};
+use std::{thread, time::Duration};
 use tokio_util::sync::CancellationToken;
 
 /// Events that wait for the deciding thread at most.
@@ -32,31 +36,25 @@
 ///
 /// Fails if the thread cannot be started.
 pub fn start(
-    identity: &Identity,
+    settings: &Settings,
+    incarnation: u64,
     clock: Clock,
-    current: Current,
+    mut events: Receiver<Event>,
+    outlets: Outlets,
     cancel: CancellationToken,
-) -> anyhow::Result<(Sender<Event>, thread::JoinHandle<()>)> {
-    let (announce, announced) = mpsc::channel();
-    let mut state = State::new(identity.clone(), clock, current);
-    let thread = thread::Builder::new()
+) -> anyhow::Result<thread::JoinHandle<()>> {
+    let mut state = State::new(settings, incarnation, clock, outlets);
+    thread::Builder::new()
         .name("decide".to_owned())
         .spawn(move || {
-            let (sender, mut receiver) = ring(RING_EVENTS, thread::current());
-            if announce.send(sender).is_err() {
-                return;
-            }
+            events.attach();
             while !cancel.is_cancelled() {
-                while let Some(event) = receiver.try_recv() {
+                while let Some(event) = events.try_recv() {
                     state.handle(event);
                 }
                 state.tick();
-                receiver.park(TICK);
+                events.park(TICK);
             }
         })
-        .context("cannot start the deciding thread")?;
-    let sender = announced
-        .recv()
-        .context("the deciding thread ended at its start")?;
-    Ok((sender, thread))
+        .context("cannot start the deciding thread")
 }
--- /dev/null
+++ b/crates/gateway/src/decide/outlets.rs
@@ -0,0 +1,42 @@
+//! Where the deciding thread's decisions go.
+
+use crate::{in_force::Current, intake::Entries, peers, platform, ring::Sender};
+use carobwheel_core::{id::InstanceId, member};
+use carobwheel_wire::peer::Message;
+use std::net::SocketAddr;
+
+/// The other threads, as far as the deciding thread tells them something.
+pub struct Outlets {
+    /// The document in force.
+    pub current: Current,
+    /// Instances that callers may use.
+    pub entries: Entries,
+    /// Links to other instances; none for an instance that stands alone.
+    pub peers: Option<peers::Handle>,
+    /// The platform thread.
+    pub platform: Sender<platform::Command>,
+}
+
+impl Outlets {
+    /// Sends a message to a peer. Like a datagram it may get lost, also when the queue is full.
+    pub(super) fn send(&self, to: InstanceId, addr: Option<SocketAddr>, message: Message) {
+        if let Some(peers) = &self.peers {
+            let _ = peers.send(to, addr, message);
+        }
+    }
+
+    /// Sends packets of the membership table.
+    pub(super) fn send_packets(&self, packets: Vec<member::Outgoing>) {
+        for outgoing in packets {
+            let message = Message::Member(outgoing.packet);
+            self.send(outgoing.to, outgoing.addr, message);
+        }
+    }
+
+    /// Gives the platform thread a command; every command is given again later if it gets lost.
+    pub(super) fn command(&self, command: platform::Command) {
+        if self.platform.try_send(command).is_err() {
+            log::warn!("the platform thread is behind");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/decide/slots.rs
@@ -0,0 +1,154 @@
+//! Which shards of accounts this instance counts for.
+
+use super::{event::SlotsRead, state::State};
+use crate::platform::Command;
+use carobwheel_core::{
+    id::RegionId,
+    member::{MemberView, State as MemberState},
+    slot::{Keeper, Peer, Presence, Record, Update, View},
+    time::Millis,
+};
+use rand::Rng as _;
+use std::collections::BTreeMap;
+
+/// Time between two writes of the record, in milliseconds; jitter of the same length comes on top.
+const WRITE_PERIOD_MS: u64 = 500;
+/// Time between two reads while the slots wait for their confirmation, in milliseconds.
+const CONFIRM_PERIOD_MS: u64 = 500;
+
+/// The slots of this instance and what is known of those of others.
+pub(super) struct Slots {
+    pub(super) keeper: Keeper,
+    pub(super) presence: Presence,
+    /// The records of all regions have been read once.
+    pub(super) are_known: bool,
+    pub(super) are_void: bool,
+    records: BTreeMap<RegionId, (u64, Record)>,
+    write_at: Millis,
+}
+
+impl Slots {
+    pub(super) fn new(me: Peer, now: Millis) -> Self {
+        Self {
+            keeper: Keeper::new(me, now),
+            presence: Presence::default(),
+            are_known: false,
+            are_void: false,
+            records: BTreeMap::new(),
+            write_at: now,
+        }
+    }
+}
+
+impl State {
+    /// Makes the slots void after a pause in which another instance may have taken them.
+    pub(super) fn guard_pause(&mut self, now: Millis) {
+        if !self.slots.keeper.has_paused(now) {
+            return;
+        }
+        log::warn!("this process was paused: its slots are void until the store confirms them");
+        self.slots.are_void = true;
+        let uncovered = self.charging.limiter.void();
+        self.charging.cancel(uncovered);
+        self.outlets.command(Command::ReadSlots);
+    }
+
+    /// Takes a record of slots as read from the store.
+    pub(super) fn on_slots(&mut self, read: SlotsRead, now: Millis) {
+        if read.region == self.identity.region {
+            self.slots.presence.note_record(&read.record, now);
+            let record = read.record.clone();
+            match self.slots.keeper.on_read(read.revision, record, read.began) {
+                Update::Unchanged => {}
+                Update::Owned(owned) => self.charging.limiter.set_slots(&owned, now),
+                Update::Confirmed(owned) => {
+                    log::info!("the store has confirmed the slots");
+                    self.slots.are_void = false;
+                    self.charging.limiter.confirm(&owned, now);
+                }
+            }
+        }
+        let known = self.slots.records.get(&read.region);
+        if known.is_some_and(|(revision, _)| *revision > read.revision) {
+            return;
+        }
+        let entry = (read.revision, read.record);
+        self.slots.records.insert(read.region, entry);
+        let owners = self
+            .slots
+            .records
+            .iter()
+            .flat_map(|(region, (_, record))| record.slots(region));
+        self.charging.limiter.set_owners(owners);
+    }
+
+    pub(super) fn tick_slots(&mut self, now: Millis) {
+        self.update_members(now);
+        if now < self.slots.write_at || !self.slots.are_known {
+            return;
+        }
+        let jitter_ms = self.rng.random_range(0..WRITE_PERIOD_MS);
+        self.slots.write_at = now.plus(WRITE_PERIOD_MS + jitter_ms);
+        self.write_slots(now);
+    }
+
+    fn write_slots(&mut self, now: Millis) {
+        let region = self.identity.region.clone();
+        let alive: Vec<Peer> = self
+            .members
+            .alive_in(&region)
+            .into_iter()
+            .map(|identity| Peer {
+                instance: identity.instance.clone(),
+                incarnation: identity.incarnation.0,
+            })
+            .collect();
+        let slots = &mut self.slots;
+        let presence = &slots.presence;
+        let view = View {
+            me: &self.me,
+            is_leaving: self.is_leaving,
+            alive: &alive,
+            absence: &|peer| presence.absence(peer, now),
+        };
+        match slots.keeper.next_write(&view) {
+            Some(write) => {
+                self.charging.limiter.suspend(&write.suspended, now);
+                self.outlets.command(Command::WriteSlots(Box::new(write)));
+            }
+            None if slots.are_void => {
+                slots.write_at = now.plus(CONFIRM_PERIOD_MS);
+                self.outlets.command(Command::ReadSlots);
+            }
+            None => {}
+        }
+    }
+
+    /// Tells the limiter which members may still spend tokens, and what all of them have settled.
+    fn update_members(&mut self, now: Millis) {
+        let members = self.members.snapshot();
+        let present: Vec<Peer> = members
+            .iter()
+            .filter(|member| !self.is_confirmed_gone(member, now))
+            .map(peer_of)
+            .collect();
+        let settled = self.fleet_settled_revision(&present);
+        self.charging.limiter.set_members(&present, now);
+        if let Some(revision) = settled {
+            self.charging.limiter.set_fleet_revision(revision, now);
+        }
+    }
+
+    fn is_confirmed_gone(&self, member: &MemberView, now: Millis) -> bool {
+        let is_silent = matches!(member.state, MemberState::Gone | MemberState::Leaving);
+        is_silent && self.slots.presence.absence(&peer_of(member), now).is_gone()
+    }
+}
+
+/// The run of an instance behind a member.
+pub(super) fn peer_of(member: &MemberView) -> Peer {
+    Peer {
+        instance: member.identity.instance.clone(),
+        incarnation: member.identity.incarnation.0,
+    }
+}
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -1,21 +1,32 @@
 //! All decision state of one instance.
 
-use super::event::{Ask, Event};
+use super::{
+    charge::Charging,
+    event::{Ask, Event},
+    membership,
+    outlets::Outlets,
+    slots::Slots,
+};
 use crate::{
-    in_force::{Current, InForce},
-    settings::Identity,
+    in_force::InForce,
+    settings::{Identity, Settings},
 };
 use carobwheel_core::{
     admit::{Admit, AdmitSettings},
-    id::{AccountId, UpstreamId},
+    id::UpstreamId,
+    identity::Caller,
+    member::Members,
     retry::{Outliers, Retrier, RetrySettings},
     route::{FlightId, Router},
+    slot::Peer,
     time::{Clock, Millis},
 };
-use rand::{rngs::StdRng, SeedableRng as _};
+use rand::{rngs::StdRng, Rng as _, SeedableRng as _};
 use std::{collections::HashMap, sync::Arc};
 
+const MEMBER_TICK_MS: u64 = 50;
 const EXPIRY_PERIOD_MS: u64 = 250;
+const GOSSIP_PERIOD_MS: u64 = 1_000;
 
 /// A placement that has not been settled.
 pub(super) struct Open {
@@ -34,28 +45,70 @@
 /// The state behind every decision.
 pub(super) struct State {
     pub(super) identity: Identity,
-    pub(super) current: Current,
+    pub(super) me: Peer,
+    pub(super) outlets: Outlets,
     pub(super) configured: Option<Configured>,
+    pub(super) members: Members,
+    pub(super) slots: Slots,
+    pub(super) charging: Charging,
     pub(super) admit: Admit<Box<Ask>>,
     pub(super) open: HashMap<u64, Open>,
     pub(super) last_ticket: u64,
+    pub(super) digest_sequence: u64,
+    pub(super) is_leaving: bool,
     pub(super) rng: StdRng,
     clock: Clock,
-    expired_at: Millis,
+    due: Due,
+}
+
+/// When each periodic duty was last done.
+#[derive(Default)]
+struct Due {
+    members: Millis,
+    expiry: Millis,
+    gossip: Millis,
+}
+
+/// Whether a duty with this period is due, and if so notes that it is done.
+fn is_due(last: &mut Millis, period_ms: u64, now: Millis) -> bool {
+    let is_due = now.since(*last) >= period_ms;
+    if is_due {
+        *last = now;
+    }
+    is_due
 }
 
 impl State {
-    pub(super) fn new(identity: Identity, clock: Clock, current: Current) -> Self {
+    pub(super) fn new(
+        settings: &Settings,
+        incarnation: u64,
+        clock: Clock,
+        outlets: Outlets,
+    ) -> Self {
+        let now = clock.now();
+        let identity = settings.instance.clone();
+        let me = Peer {
+            instance: identity.id.clone(),
+            incarnation,
+        };
+        let mut rng = StdRng::from_os_rng();
+        let own = membership::own_identity(settings, incarnation);
         Self {
+            members: Members::new(own, 0, rng.random(), now),
+            slots: Slots::new(me.clone(), now),
+            charging: Charging::new(me.clone(), identity.region.clone()),
             identity,
-            current,
+            me,
+            outlets,
             configured: None,
             admit: Admit::new(AdmitSettings::default()),
             open: HashMap::new(),
             last_ticket: 0,
-            rng: StdRng::from_os_rng(),
+            digest_sequence: 0,
+            is_leaving: false,
+            rng,
             clock,
-            expired_at: Millis::default(),
+            due: Due::default(),
         }
     }
 
@@ -69,22 +122,39 @@
                 output_tokens,
             } => self.progress(ticket, output_tokens, now),
             Event::Settle(settlement) => self.settle(&settlement, now),
+            Event::Uncharge {
+                charge,
+                output_tokens,
+            } => self.uncharge(charge, output_tokens, now),
             Event::MayRetry(question) => self.may_retry(*question, now),
             Event::Document(next) => self.apply(next, now),
-            Event::Leave => {}
+            Event::Peer(inbound) => self.on_inbound(*inbound, now),
+            Event::Slots(read) => self.on_slots(*read, now),
+            Event::SlotsKnown => self.slots.are_known = true,
+            Event::LiveList(read) => self.on_live_list(&read, now),
+            Event::Leave => self.leave(now),
         }
     }
 
     /// Work that is due by time alone.
     pub(super) fn tick(&mut self) {
         let now = self.clock.now();
-        if now.since(self.expired_at) < EXPIRY_PERIOD_MS {
-            return;
+        // The guard against long pauses has to see every tick, before anything is decided.
+        self.guard_pause(now);
+        if is_due(&mut self.due.members, MEMBER_TICK_MS, now) {
+            self.tick_members(now);
+            self.tick_slots(now);
+            self.tick_charging(now);
+        }
+        if is_due(&mut self.due.gossip, GOSSIP_PERIOD_MS, now) {
+            self.gossip(now);
+            self.publish_entries();
+        }
+        if is_due(&mut self.due.expiry, EXPIRY_PERIOD_MS, now) {
+            self.expire_waiting(now);
+            self.bring_back(now);
+            self.place_waiting(now);
         }
-        self.expired_at = now;
-        self.expire_waiting(now);
-        self.bring_back(now);
-        self.place_waiting(now);
     }
 
     fn bring_back(&mut self, now: Millis) {
@@ -103,9 +173,9 @@
 }
 
 /// Account that a request runs for.
-pub(super) fn account_of(ask: &Ask) -> Option<&AccountId> {
+pub(super) fn account_of(ask: &Ask) -> Option<&carobwheel_core::id::AccountId> {
     match &ask.caller {
-        carobwheel_core::identity::Caller::Account(credential) => Some(&credential.account),
-        carobwheel_core::identity::Caller::Open => None,
+        Caller::Account(credential) => Some(&credential.account),
+        Caller::Open => None,
     }
 }
--- a/crates/gateway/src/in_force/mod.rs
+++ b/crates/gateway/src/in_force/mod.rs
@@ -3,7 +3,11 @@
 //! The deciding thread replaces it; every other thread reads the newest one without waiting.
 
 use arc_swap::ArcSwapOption;
-use carobwheel_core::{document::Document, identity::KeyTable};
+use bytes::Bytes;
+use carobwheel_core::{
+    document::{Document, Fault},
+    identity::KeyTable,
+};
 use std::sync::Arc;
 
 /// A document with its revision and what is derived from it.
@@ -15,17 +19,24 @@
     pub document: Document,
     /// Callers' keys of the document.
     pub keys: KeyTable,
+    /// The document as published, for peers that fetch it.
+    pub bytes: Bytes,
 }
 
 impl InForce {
-    /// The document with everything derived from it.
-    pub fn new(revision: u64, document: Document) -> Self {
-        let keys = KeyTable::new(&document);
-        Self {
+    /// Reads and validates the document that was published at `revision`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault found.
+    pub fn parse(revision: u64, bytes: Bytes) -> Result<Self, Vec<Fault>> {
+        let document = Document::parse(&bytes)?;
+        Ok(Self {
             revision,
+            keys: KeyTable::new(&document),
             document,
-            keys,
-        }
+            bytes,
+        })
     }
 }
 
--- a/crates/gateway/src/intake/action/mod.rs
+++ b/crates/gateway/src/intake/action/mod.rs
@@ -34,8 +34,8 @@
 ) -> Result<Answer, Refusal> {
     let spec = spec(&work)?;
     // The place comes first: a request that is refused costs the store nothing.
-    let placed = work::place(shared, &work, &[]).await?;
-    let upstream = upstream::Upstream::new(shared, placed);
+    let place = work::place(shared, &work, &[], None).await?;
+    let upstream = upstream::Upstream::new(place);
     let (reply, answer) = oneshot::channel();
     let driver = Driver {
         shared: Arc::clone(shared),
--- a/crates/gateway/src/intake/action/upstream.rs
+++ b/crates/gateway/src/intake/action/upstream.rs
@@ -1,11 +1,16 @@
 //! The upstream's side of an action.
 
-use super::super::{answer::Answer, pass, work, work::Work, Shared};
+use super::super::{
+    answer::Answer,
+    pass,
+    work::{self, Place, Work},
+    Shared,
+};
 use crate::{
-    decide::{Ending, Placed},
+    decide::Ending,
     dispatch::{ExchangeError, Head},
     refusal::{Refusal, Run},
-    relay::{Framing, Settling},
+    relay::{Charged, Framing, Settling},
 };
 use bytes::BytesMut;
 use carobwheel_core::{
@@ -14,23 +19,24 @@
     retry::Failure,
 };
 use std::sync::Arc;
-use tokio_util::sync::CancellationToken;
 
 /// Longest answer of an action, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
 
 /// A place and the exchange on it.
 pub(super) struct Upstream {
-    place: Option<(Placed, Settling, CancellationToken)>,
+    place: Option<Place>,
+    charged: Option<Charged>,
     tried: Vec<UpstreamId>,
     /// What the deciding thread said when it had no place.
     pub(super) refusal: Option<Refusal>,
 }
 
 impl Upstream {
-    pub(super) fn new(shared: &Shared, placed: Placed) -> Self {
+    pub(super) fn new(place: Place) -> Self {
         Self {
-            place: Some(hold(shared, placed)),
+            place: Some(place),
+            charged: None,
             tried: Vec::new(),
             refusal: None,
         }
@@ -41,8 +47,9 @@
         if self.place.is_some() {
             return true;
         }
-        match work::place(shared, work, &self.tried).await {
-            Ok(placed) => self.place = Some(hold(shared, placed)),
+        let charged = self.charged.take();
+        match work::place(shared, work, &self.tried, charged).await {
+            Ok(place) => self.place = Some(place),
             Err(refusal) => self.refusal = Some(refusal),
         }
         self.place.is_some()
@@ -54,13 +61,14 @@
         shared: &Arc<Shared>,
         work: &Work,
     ) -> (Vec<UpstreamEvent>, Option<Answer>) {
-        let (placed, mut settling, cancel) = self
+        let mut place = self
             .place
             .take()
             .expect("a place is found before an exchange");
-        let exchange = work::dispatch(shared, work, &placed, true, cancel).await;
+        let exchange = work::dispatch(shared, work, &place, true).await;
+        let settling = &mut place.settling;
         let gathered = match exchange {
-            Ok(head) => gather(head, &mut settling).await,
+            Ok(head) => gather(head, settling).await,
             Err(err) => Err(err),
         };
         match gathered {
@@ -70,8 +78,9 @@
                 (events, Some(answer))
             }
             Err(err) => {
+                self.charged = settling.take_charge();
                 settling.settle(Ending::Failed(err.failure()));
-                self.tried.push(placed.upstream);
+                self.tried.push(place.placed.upstream);
                 let bytes_may_have_left = err.failure() != Failure::ConnectFailed;
                 let failed = UpstreamEvent::Failed {
                     bytes_may_have_left,
@@ -82,12 +91,6 @@
     }
 }
 
-fn hold(shared: &Shared, placed: Placed) -> (Placed, Settling, CancellationToken) {
-    let cancel = CancellationToken::new();
-    let settling = Settling::new(placed.ticket, shared.decide.clone(), cancel.clone());
-    (placed, settling, cancel)
-}
-
 async fn gather(
     mut head: Head,
     settling: &mut Settling,
--- a/crates/gateway/src/intake/answer.rs
+++ b/crates/gateway/src/intake/answer.rs
@@ -21,7 +21,7 @@
     /// A body in hand.
     Whole(Bytes),
     /// A body that is relayed as it arrives.
-    Stream(RelayBody),
+    Stream(Box<RelayBody>),
 }
 
 /// An answer to a caller.
@@ -91,7 +91,7 @@
             }
             AnswerBody::Stream(body) => {
                 response.max_chunk_size(CHUNK_BYTES);
-                response.streamed_body(body);
+                response.streamed_body(*body);
             }
         }
         response.finalize()
--- a/crates/gateway/src/intake/gather.rs
+++ b/crates/gateway/src/intake/gather.rs
@@ -40,7 +40,8 @@
         }
         if body.len() > MAX_GATHERED_BYTES {
             let relayed = RelayBody::new(chunks, framing, settling, running);
-            return Ok(AnswerBody::Stream(relayed.beginning_with(body.freeze())));
+            let relayed = relayed.beginning_with(body.freeze());
+            return Ok(AnswerBody::Stream(Box::new(relayed)));
         }
     }
     if matches!(framing, Framing::Length(length_bytes) if length_bytes != body.len() as u64) {
--- a/crates/gateway/src/intake/handler.rs
+++ b/crates/gateway/src/intake/handler.rs
@@ -5,7 +5,7 @@
     head, pass, Shared,
 };
 use crate::refusal::{Cause, Refusal, Run};
-use carobwheel_core::id::RequestId;
+use carobwheel_core::{id::RequestId, identity::Caller};
 use rocket::{
     catcher::{self, BoxFuture},
     http::{Method, Status},
@@ -83,7 +83,7 @@
     match (head.method, head.path.as_str()) {
         (Method::Get | Method::Head, "/healthz") => Ok(plain(200, "ok")),
         (Method::Get | Method::Head, "/readyz") => Ok(ready(shared)),
-        (Method::Get, "/v1/entry") => Ok(entry(shared)),
+        (Method::Get, "/v1/entry") => entry(shared, head.key.as_deref()),
         (Method::Get, "/v1/models") => models(shared, head.key.as_deref()),
         _ => {
             let running = shared.in_flight.begin().ok_or_else(too_many)?;
@@ -116,9 +116,18 @@
     plain(200, "ready")
 }
 
-fn entry(shared: &Shared) -> Answer {
-    let entries = serde_json::json!(**shared.entries.load());
-    Answer::json(200, Run::NotRun, &entries)
+fn entry(shared: &Shared, key: Option<&str>) -> Result<Answer, Refusal> {
+    let list = shared.entries.load();
+    let Some(in_force) = shared.current.load().filter(|_| key.is_some()) else {
+        return Ok(Answer::json(200, Run::NotRun, &serde_json::json!(*list)));
+    };
+    let caller = pass::identify(&in_force, key, false)?;
+    let account = match &caller {
+        Caller::Account(credential) => in_force.document.account(&credential.account),
+        Caller::Open => None,
+    };
+    let list = account.map_or_else(|| (*list).clone(), |account| list.for_account(account));
+    Ok(Answer::json(200, Run::NotRun, &serde_json::json!(list)))
 }
 
 fn models(shared: &Shared, key: Option<&str>) -> Result<Answer, Refusal> {
--- a/crates/gateway/src/intake/mod.rs
+++ b/crates/gateway/src/intake/mod.rs
@@ -17,13 +17,12 @@
 mod work;
 
 pub(crate) use action::Claims;
-pub use entry::{Entry, EntryList, LIFETIME_S};
+pub use entry::{Entries, Entry, EntryList, LIFETIME_S};
 
 use crate::{
     decide, dispatch, in_flight::InFlight, in_force::Current, ring::Sender, settings::Settings,
 };
 use anyhow::Context as _;
-use arc_swap::ArcSwap;
 use carobwheel_core::{
     id::{InstanceId, UpstreamId},
     time::Clock,
@@ -69,7 +68,7 @@
     /// Credential of each upstream.
     pub credentials: BTreeMap<UpstreamId, String>,
     /// Instances that callers may use, in order.
-    pub entries: ArcSwap<EntryList>,
+    pub entries: Entries,
     /// Requests in flight.
     pub in_flight: Arc<InFlight>,
     /// Room for request bodies, in units of [`BODY_UNIT_BYTES`].
--- a/crates/gateway/src/intake/pass.rs
+++ b/crates/gateway/src/intake/pass.rs
@@ -116,6 +116,7 @@
         deadline: shared.clock.now().plus(call.deadline_ms),
         call,
         hops,
+        cancel: CancellationToken::new(),
         _room: held.room,
     })
 }
@@ -127,21 +128,21 @@
     running: Running,
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
+    let mut charged = None;
     loop {
-        let placed = work::place(shared, work, &tried).await?;
-        let cancel = CancellationToken::new();
-        let mut settling = Settling::new(placed.ticket, shared.decide.clone(), cancel.clone());
         let is_retry = !tried.is_empty();
-        let exchange = work::dispatch(shared, work, &placed, is_retry, cancel).await;
+        let mut place = work::place(shared, work, &tried, charged).await?;
+        let exchange = work::dispatch(shared, work, &place, is_retry).await;
         let (failure, refusal) = match exchange {
             Ok(head) => match retried_status(head.status) {
-                None => return answer(head, settling, running).await,
+                None => return answer(head, place.settling, running).await,
                 Some(failure) => (failure, upstream_refusal(head.status)),
             },
             Err(err) => (err.failure(), refusal_of(&err)),
         };
-        settling.settle(Ending::Failed(failure));
-        tried.push(placed.upstream);
+        charged = place.settling.take_charge();
+        place.settling.settle(Ending::Failed(failure));
+        tried.push(place.placed.upstream);
         let after_ms = work::may_retry(shared, work, failure, tried.len())
             .await
             .ok_or(refusal)?;
@@ -185,7 +186,8 @@
 async fn answer(head: Head, settling: Settling, running: Running) -> Result<Answer, Refusal> {
     let framing = framing(&head.headers);
     let body = if framing == Framing::Events {
-        AnswerBody::Stream(RelayBody::new(head.chunks, framing, settling, running))
+        let relayed = RelayBody::new(head.chunks, framing, settling, running);
+        AnswerBody::Stream(Box::new(relayed))
     } else {
         gather(head.chunks, framing, settling, running).await?
     };
--- a/crates/gateway/src/intake/work.rs
+++ b/crates/gateway/src/intake/work.rs
@@ -5,11 +5,13 @@
     decide::{Ask, Event, Placed, RetryQuestion},
     dispatch::{ExchangeError, Head, Job},
     refusal::{Cause, Refusal},
+    relay::{Charged, Settling},
 };
 use bytes::Bytes;
 use carobwheel_core::{
     id::{RequestId, UpstreamId},
     identity::Caller,
+    limit::ChargeId,
     retry::{Decision, Failure},
     route::Hops,
     time::Millis,
@@ -35,15 +37,47 @@
     pub(super) call: classify::Call,
     pub(super) deadline: Millis,
     pub(super) hops: Hops,
+    /// Ends the request and every exchange of it.
+    pub(super) cancel: CancellationToken,
     /// Room that the body takes while the request runs.
     pub(super) _room: OwnedSemaphorePermit,
 }
 
-/// Asks for a place at an upstream that is not among `tried`.
+/// A place at an upstream, given back when it is dropped.
+pub(super) struct Place {
+    pub(super) placed: Placed,
+    pub(super) settling: Settling,
+    /// Ends the exchange on this place.
+    pub(super) cancel: CancellationToken,
+}
+
+/// Asks for a place at an upstream that is not among `tried`. `charged` is the charge of an
+/// earlier attempt.
 pub(super) async fn place(
     shared: &Shared,
     work: &Work,
     tried: &[UpstreamId],
+    charged: Option<Charged>,
+) -> Result<Place, Refusal> {
+    let placed = ask(shared, work, tried, charged.as_ref().map(Charged::id)).await?;
+    let charged = charged.or_else(|| {
+        let charge = placed.charge?;
+        Some(Charged::new(charge, shared.decide.clone()))
+    });
+    let cancel = work.cancel.child_token();
+    let decide = shared.decide.clone();
+    Ok(Place {
+        settling: Settling::new(placed.ticket, charged, decide, cancel.clone()),
+        placed,
+        cancel,
+    })
+}
+
+async fn ask(
+    shared: &Shared,
+    work: &Work,
+    tried: &[UpstreamId],
+    charge: Option<ChargeId>,
 ) -> Result<Placed, Refusal> {
     let (reply, decision) = oneshot::channel();
     let call = &work.call;
@@ -59,6 +93,8 @@
         deadline: work.deadline,
         tried: tried.to_vec(),
         hops: work.hops.clone(),
+        charge,
+        cancel: work.cancel.clone(),
         reply,
     };
     shared
@@ -83,10 +119,10 @@
 pub(super) async fn dispatch(
     shared: &Shared,
     work: &Work,
-    placed: &Placed,
+    place: &Place,
     fresh_connection: bool,
-    cancel: CancellationToken,
 ) -> Result<Head, ExchangeError> {
+    let placed = &place.placed;
     let credential = shared.credentials.get(&placed.upstream);
     let (reply, answered) = oneshot::channel();
     let job = Job {
@@ -96,7 +132,7 @@
         body: work.body.clone(),
         fresh_connection,
         head_timeout: remaining(shared, work),
-        cancel,
+        cancel: place.cancel.clone(),
         reply,
     };
     shared
--- a/crates/gateway/src/options/serve.rs
+++ b/crates/gateway/src/options/serve.rs
@@ -1,22 +1,29 @@
 //! `carobwheel serve`: runs one instance until it is told to stop.
 
 use super::{faulty, EXIT_CUT, EXIT_NOT_STARTED};
-use crate::{daemon, report, settings::Settings};
+use crate::{
+    daemon::{self, Daemon},
+    peers::TlsMaterial,
+    report,
+    settings::Settings,
+};
 use anyhow::Context as _;
+use carobwheel_core::document::Fault;
 use std::{path::Path, process::ExitCode, thread};
 use tokio::{
     runtime,
     signal::unix::{signal, SignalKind},
+    sync::oneshot,
 };
 
 /// Runs the instance that the file at `path` describes.
 pub(super) fn run(path: &Path) -> ExitCode {
-    let settings = match Settings::read(path) {
-        Ok(settings) => settings,
+    let (settings, tls) = match read(path) {
+        Ok(read) => read,
         Err(faults) => return faulty(path, &faults),
     };
     report::start_logs(&settings.log_level);
-    match serve(&settings) {
+    match serve(&settings, tls) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(cut) => {
             eprintln!("{cut} requests were cut");
@@ -29,8 +36,18 @@
     }
 }
 
-/// Serves until the first signal, then drains. Returns the number of requests that were cut.
-fn serve(settings: &Settings) -> anyhow::Result<usize> {
+fn read(path: &Path) -> Result<(Settings, Option<TlsMaterial>), Vec<Fault>> {
+    let settings = Settings::read(path)?;
+    let tls = match &settings.peers {
+        Some(peers) => Some(peers.read_tls()?),
+        None => None,
+    };
+    Ok((settings, tls))
+}
+
+/// Serves until the first signal to stop, then drains. Returns the number of requests that were
+/// cut.
+fn serve(settings: &Settings, tls: Option<TlsMaterial>) -> anyhow::Result<usize> {
     let event_loop = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -38,14 +55,18 @@
     event_loop.block_on(async {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
-        let daemon = daemon::start(settings)?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        let mut hangup = signal(SignalKind::hangup())?;
+        let daemon = daemon::start(settings, tls)?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = hangup.recv() => rotate(settings, &daemon),
+            }
         }
         log::info!("stopping: draining requests; a second signal stops at once");
         let in_flight = daemon.in_flight();
-        let (announce, drained) = tokio::sync::oneshot::channel();
+        let (announce, drained) = oneshot::channel();
         thread::spawn(move || announce.send(daemon.stop()));
         tokio::select! {
             cut = drained => cut.context("the daemon panicked while it stopped"),
@@ -54,3 +75,22 @@
         }
     })
 }
+
+/// Reads the files of the material again and uses it for new links.
+fn rotate(settings: &Settings, daemon: &Daemon) {
+    let (Some(peers), Some(handle)) = (&settings.peers, daemon.peers()) else {
+        log::info!("no links to other instances, so there is nothing to rotate");
+        return;
+    };
+    match peers.read_tls() {
+        Ok(material) => match handle.reload(&material) {
+            Ok(()) => log::info!("new links use the new certificate"),
+            Err(err) => log::error!("the certificate stays: {err}"),
+        },
+        Err(faults) => {
+            for fault in faults {
+                log::error!("the certificate stays: {fault}");
+            }
+        }
+    }
+}
--- a/crates/gateway/src/platform/document.rs
+++ b/crates/gateway/src/platform/document.rs
@@ -1,19 +1,18 @@
 //! Follows the configuration document in the store.
 
+use super::report;
 use crate::{
     decide,
     in_force::InForce,
-    ring::{Full, Sender},
+    ring::Sender,
     store::{Change, Record, Scope, StoreClient, WatchUpdate},
 };
-use carobwheel_core::document::Document;
 use std::{sync::Arc, time::Duration};
 use tokio::time;
 
 /// Key of the document. Operators and consoles write it too, so the value stands bare.
 pub const DOCUMENT_KEY: &str = "config/document";
 const READ_PAUSE: Duration = Duration::from_millis(200);
-const RING_PAUSE: Duration = Duration::from_millis(5);
 
 /// Reads the document and reports every later one, for ever.
 pub(super) async fn follow(store: &StoreClient, decide: &Sender<decide::Event>) {
@@ -21,34 +20,34 @@
     let snapshot = loop {
         match store.read(&scope).await {
             Ok(snapshot) => break snapshot,
-            Err(err) => log::warn!("cannot read the document: {err}"),
+            Err(err) => log::debug!("cannot read the document: {err}"),
         }
         time::sleep(READ_PAUSE).await;
     };
     for record in &snapshot.records {
-        report(record, decide).await;
+        take(record, decide).await;
     }
     let mut watch = store.watch(scope, snapshot.revision + 1);
     loop {
         match watch.next().await {
             WatchUpdate::Changes(changes) => {
                 for change in &changes {
-                    report_change(change, decide).await;
+                    take_change(change, decide).await;
                 }
             }
             WatchUpdate::Reset(snapshot) => {
                 for record in &snapshot.records {
-                    report(record, decide).await;
+                    take(record, decide).await;
                 }
             }
-            WatchUpdate::Lost(err) => log::warn!("lost the watch on the document: {err}"),
+            WatchUpdate::Lost(err) => log::debug!("lost the watch on the document: {err}"),
         }
     }
 }
 
-async fn report_change(change: &Change, decide: &Sender<decide::Event>) {
+async fn take_change(change: &Change, decide: &Sender<decide::Event>) {
     match change {
-        Change::Put(record) => report(record, decide).await,
+        Change::Put(record) => take(record, decide).await,
         // An accepted document never reverts, so a deleted key changes nothing.
         Change::Deleted { revision, .. } => {
             log::error!(revision = *revision; "the document was deleted; the last one stays");
@@ -57,25 +56,16 @@
 }
 
 /// Validates a document and hands it on. An invalid one is left out as a whole.
-async fn report(record: &Record, decide: &Sender<decide::Event>) {
+async fn take(record: &Record, decide: &Sender<decide::Event>) {
     let Ok(revision) = u64::try_from(record.mod_revision) else {
         return;
     };
-    let document = match Document::parse(&record.value) {
-        Ok(document) => document,
+    match InForce::parse(revision, record.value.clone().into()) {
+        Ok(in_force) => report(decide::Event::Document(Arc::new(in_force)), decide).await,
         Err(faults) => {
             for fault in faults {
                 log::error!(revision = revision; "invalid document: {fault}");
             }
-            return;
         }
-    };
-    let mut event = decide::Event::Document(Arc::new(InForce::new(revision, document)));
-    while let Err(Full(unsent)) = decide.try_send(event) {
-        if decide.is_closed() {
-            return;
-        }
-        event = unsent;
-        time::sleep(RING_PAUSE).await;
     }
 }
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -1,24 +1,45 @@
 //! The store, the live list and the directory as seen by one instance.
 //!
-//! One thread with an event loop of its own. What it learns goes to the deciding thread as events.
+//! One thread with an event loop of its own. What it learns goes to the deciding thread as events;
+//! what the deciding thread wants done comes in as [`Command`] values.
 
 mod document;
+mod live_list;
+mod slots;
 
 pub use document::DOCUMENT_KEY;
 
 use crate::{
     decide,
-    ring::Sender,
+    ring::{AsyncReceiver, Full, Sender},
     settings::Settings,
     store::{StoreClient, StoreClientOptions},
 };
 use anyhow::Context as _;
-use std::thread;
-use tokio::runtime;
+use carobwheel_core::{id::RegionId, slot, time::Clock};
+use reqwest::{redirect, retry, Client};
+use std::{thread, time::Duration};
+use tokio::{runtime, time};
 use tokio_util::sync::CancellationToken;
 
+/// Commands that wait for the platform thread at most.
+pub const RING_COMMANDS: usize = 256;
 /// Longest silence of a watch before it moves to a new connection, in milliseconds.
 const WATCH_IDLE_MS: u64 = 4_000;
+const RING_PAUSE: Duration = Duration::from_millis(5);
+
+/// What the deciding thread wants done.
+#[derive(Debug)]
+pub enum Command {
+    /// Read the record of slots of the own region.
+    ReadSlots,
+    /// Write the record of slots of the own region, then read it.
+    WriteSlots(Box<slot::Write>),
+    /// So many instances share the store's rates.
+    SetInstances(u32),
+    /// This instance is leaving: take its entry out of the directory.
+    Leave,
+}
 
 /// A client of the store that `settings` name, for the process `incarnation` of this instance.
 ///
@@ -39,25 +60,100 @@
 ///
 /// # Errors
 ///
-/// Fails if the thread or its event loop cannot be set up.
+/// Fails if the thread, its event loop or its HTTP client cannot be set up.
 pub fn start(
+    settings: &Settings,
+    clock: Clock,
     store: StoreClient,
     decide: Sender<decide::Event>,
+    commands: AsyncReceiver<Command>,
     cancel: CancellationToken,
 ) -> anyhow::Result<thread::JoinHandle<()>> {
     let event_loop = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot set up the platform's event loop")?;
+    let client = Client::builder()
+        .no_proxy()
+        .redirect(redirect::Policy::none())
+        .retry(retry::never())
+        .build()
+        .context("cannot set up the platform's HTTP client")?;
+    let settings = settings.clone();
     thread::Builder::new()
         .name("platform".to_owned())
         .spawn(move || {
+            let duties = Duties {
+                settings,
+                clock,
+                store,
+                decide,
+                client,
+            };
             event_loop.block_on(async {
                 tokio::select! {
-                    () = document::follow(&store, &decide) => {}
+                    () = duties.run(commands) => {}
                     () = cancel.cancelled() => {}
                 }
             });
         })
         .context("cannot start the platform thread")
 }
+
+struct Duties {
+    settings: Settings,
+    clock: Clock,
+    store: StoreClient,
+    decide: Sender<decide::Event>,
+    client: Client,
+}
+
+impl Duties {
+    async fn run(&self, commands: AsyncReceiver<Command>) {
+        let leave = CancellationToken::new();
+        tokio::join!(
+            document::follow(&self.store, &self.decide),
+            slots::follow(&self.store, self.clock, &self.decide),
+            self.obey(commands, &leave),
+            self.follow_platform(&leave),
+        );
+    }
+
+    async fn follow_platform(&self, leave: &CancellationToken) {
+        if let Some(platform) = &self.settings.platform {
+            let url = &platform.url;
+            tokio::join!(
+                live_list::poll(url, &self.client, self.clock, &self.decide),
+                live_list::enter(url, &self.client, &self.settings, leave),
+            );
+        }
+    }
+
+    async fn obey(&self, mut commands: AsyncReceiver<Command>, leave: &CancellationToken) {
+        let region: &RegionId = &self.settings.instance.region;
+        while let Some(command) = commands.recv().await {
+            match command {
+                Command::ReadSlots => {
+                    slots::read(&self.store, self.clock, region, &self.decide).await;
+                }
+                Command::WriteSlots(write) => {
+                    slots::write(&self.store, self.clock, region, &write, &self.decide).await;
+                }
+                Command::SetInstances(instances) => self.store.set_instances(instances),
+                Command::Leave => leave.cancel(),
+            }
+        }
+    }
+}
+
+/// Hands an event to the deciding thread, waiting for room.
+async fn report(event: decide::Event, decide: &Sender<decide::Event>) {
+    let mut event = event;
+    while let Err(Full(unsent)) = decide.try_send(event) {
+        if decide.is_closed() {
+            return;
+        }
+        event = unsent;
+        time::sleep(RING_PAUSE).await;
+    }
+}
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -8,5 +8,5 @@
 mod sse;
 
 pub use body::{Framing, RelayBody};
-pub use settle::Settling;
+pub use settle::{Charged, Settling};
 pub use sse::SseScan;
--- a/crates/gateway/src/relay/settle.rs
+++ b/crates/gateway/src/relay/settle.rs
@@ -4,6 +4,7 @@
     decide::{Ending, Event, Settlement},
     ring::{Full, Sender},
 };
+use carobwheel_core::limit::ChargeId;
 use std::{thread, time::Duration};
 use tokio_util::sync::CancellationToken;
 
@@ -11,6 +12,51 @@
 const REPORTED_TOKENS: u64 = 32;
 const RETRY_PAUSE: Duration = Duration::from_millis(1);
 
+/// A charge that has still to be settled. Dropping it settles it by the tokens noted.
+pub struct Charged {
+    charge: ChargeId,
+    output_tokens: u64,
+    decide: Sender<Event>,
+}
+
+impl Charged {
+    /// A guard for `charge`.
+    pub fn new(charge: ChargeId, decide: Sender<Event>) -> Self {
+        Self {
+            charge,
+            output_tokens: 0,
+            decide,
+        }
+    }
+
+    /// The charge.
+    pub fn id(&self) -> ChargeId {
+        self.charge
+    }
+}
+
+impl Drop for Charged {
+    fn drop(&mut self) {
+        let event = Event::Uncharge {
+            charge: self.charge,
+            output_tokens: self.output_tokens,
+        };
+        send(&self.decide, event);
+    }
+}
+
+// A lost settlement would hold a place or tokens for long, so a full ring is waited for.
+fn send(decide: &Sender<Event>, event: Event) {
+    let mut event = event;
+    while let Err(Full(unsent)) = decide.try_send(event) {
+        if decide.is_closed() {
+            return;
+        }
+        event = unsent;
+        thread::sleep(RETRY_PAUSE);
+    }
+}
+
 /// A placement that has still to be settled. Dropping it settles it as cancelled and cancels the
 /// exchange behind it.
 pub struct Settling {
@@ -19,15 +65,22 @@
     reported_tokens: u64,
     has_first_byte: bool,
     is_settled: bool,
+    charged: Option<Charged>,
     decide: Sender<Event>,
     cancel: CancellationToken,
 }
 
 impl Settling {
     /// A guard for the placement `ticket`, whose exchange is cancelled by `cancel`.
-    pub fn new(ticket: u64, decide: Sender<Event>, cancel: CancellationToken) -> Self {
+    pub fn new(
+        ticket: u64,
+        charged: Option<Charged>,
+        decide: Sender<Event>,
+        cancel: CancellationToken,
+    ) -> Self {
         Self {
             ticket,
+            charged,
             output_tokens: 0,
             reported_tokens: 0,
             has_first_byte: false,
@@ -80,19 +133,21 @@
         if ending != Ending::Whole {
             self.cancel.cancel();
         }
-        let mut event = Event::Settle(Settlement {
+        if let Some(charged) = &mut self.charged {
+            charged.output_tokens = self.output_tokens;
+        }
+        let settlement = Settlement {
             ticket: self.ticket,
             ending,
             output_tokens: self.output_tokens,
-        });
-        // A lost settlement would hold the upstream's place for ever, so a full ring is waited for.
-        while let Err(Full(unsent)) = self.decide.try_send(event) {
-            if self.decide.is_closed() {
-                return;
-            }
-            event = unsent;
-            thread::sleep(RETRY_PAUSE);
-        }
+        };
+        send(&self.decide, Event::Settle(settlement));
+        self.charged = None;
+    }
+
+    /// Takes the charge out, for another attempt of the same request.
+    pub fn take_charge(&mut self) -> Option<Charged> {
+        self.charged.take()
     }
 }
 
--- a/crates/gateway/src/ring/mod.rs
+++ b/crates/gateway/src/ring/mod.rs
@@ -5,8 +5,8 @@
 //! is woken is a closure, so that a plain thread and an event loop can both receive.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
-    thread::Thread,
+    sync::{Arc, Mutex, OnceLock, PoisonError},
+    thread::{self, Thread},
     time::Duration,
 };
 use tokio::sync::Notify;
@@ -61,9 +61,16 @@
 /// The receiving side of a ring, for a plain thread.
 pub struct Receiver<T> {
     consumer: rtrb::Consumer<T>,
+    thread: Arc<OnceLock<Thread>>,
 }
 
 impl<T> Receiver<T> {
+    /// Makes the current thread the one that senders wake.
+    pub fn attach(&self) {
+        // A second call from the same thread changes nothing.
+        let _ = self.thread.set(thread::current());
+    }
+
     /// The oldest value, if there is one.
     pub fn try_recv(&mut self) -> Option<T> {
         self.consumer.pop().ok()
@@ -72,7 +79,7 @@
     /// Blocks this thread until a sender wakes it or `timeout` has passed.
     pub fn park(&self, timeout: Duration) {
         if self.consumer.is_empty() {
-            std::thread::park_timeout(timeout);
+            thread::park_timeout(timeout);
         }
     }
 }
@@ -103,14 +110,22 @@
     }
 }
 
-/// A ring of `capacity` values whose receiver is the thread `receiver`.
-pub fn ring<T>(capacity: usize, receiver: Thread) -> (Sender<T>, Receiver<T>) {
+/// A ring of `capacity` values whose receiver is a thread, see [`Receiver::attach`].
+pub fn ring<T>(capacity: usize) -> (Sender<T>, Receiver<T>) {
     let (producer, consumer) = rtrb::RingBuffer::new(capacity);
+    let thread = Arc::new(OnceLock::<Thread>::new());
     let sender = Sender {
         producer: Arc::new(Mutex::new(producer)),
-        wake: Arc::new(move || receiver.unpark()),
+        wake: {
+            let thread = Arc::clone(&thread);
+            Arc::new(move || {
+                if let Some(thread) = thread.get() {
+                    thread.unpark();
+                }
+            })
+        },
     };
-    (sender, Receiver { consumer })
+    (sender, Receiver { consumer, thread })
 }
 
 /// A ring of `capacity` values whose receiver is a task of an event loop.
--- a/crates/gateway/src/settings/check.rs
+++ b/crates/gateway/src/settings/check.rs
@@ -2,7 +2,7 @@
 
 use super::Settings;
 use carobwheel_core::document::Fault;
-use std::{fmt::Display, ops::RangeInclusive};
+use std::{fmt::Display, net::SocketAddr, ops::RangeInclusive};
 
 const THREADS: RangeInclusive<usize> = 1..=64;
 const MAX_REQUESTS: RangeInclusive<usize> = 1..=65_536;
@@ -18,6 +18,9 @@
     let mut faults = Vec::new();
     callers(settings, &mut faults);
     addresses(settings, &mut faults);
+    if let Some(peers) = &settings.peers {
+        reachable("peers.address", peers.address, &mut faults);
+    }
     url("store.url", &settings.store.url, &mut faults);
     let timeout_ms = settings.store.timeout_ms;
     range(
@@ -64,7 +67,7 @@
 
 fn callers(settings: &Settings, faults: &mut Vec<Fault>) {
     let callers = &settings.callers;
-    url("callers.advertised_url", &callers.advertised_url, faults);
+    reachable("callers.address", callers.address, faults);
     range(
         "callers.threads",
         callers.threads,
@@ -108,6 +111,14 @@
     }
 }
 
+// Other instances pass the address on, and none of them could reach an unspecified one.
+fn reachable(path: &str, address: SocketAddr, faults: &mut Vec<Fault>) {
+    if address.ip().is_unspecified() {
+        let message = format!("{address} is no address that others can reach");
+        faults.push(Fault::new(path, message));
+    }
+}
+
 fn range<T>(path: &str, value: T, range: &RangeInclusive<T>, unit: &str, faults: &mut Vec<Fault>)
 where
     T: PartialOrd + Display,
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 
+use crate::peers::TlsMaterial;
 use carobwheel_core::{
     document::Fault,
     id::{DataCentreId, InstanceId, RegionId, UpstreamId},
@@ -28,10 +29,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Callers {
-    /// Address to listen on.
+    /// Address to listen on; `/v1/entry` names it, so it has to be one that callers can reach.
     pub address: SocketAddr,
-    /// Base URL that `/v1/entry` names for this instance.
-    pub advertised_url: String,
     /// Threads that read requests and write answers (1 to 64).
     #[serde(default = "default_threads")]
     pub threads: usize,
@@ -50,7 +49,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Peers {
-    /// UDP address to listen on.
+    /// UDP address to listen on; other instances dial it.
     pub address: SocketAddr,
     /// File with the certificates of the authorities that sign instances, as PEM.
     pub ca_pem_file: String,
@@ -60,6 +59,32 @@
     pub key_pem_file: String,
 }
 
+impl Peers {
+    /// Reads the files of the material for mutual TLS.
+    ///
+    /// # Errors
+    ///
+    /// Names every file that cannot be read.
+    pub fn read_tls(&self) -> Result<TlsMaterial, Vec<Fault>> {
+        let mut faults = Vec::new();
+        let mut read = |path: &str, file: &str| {
+            std::fs::read_to_string(file).unwrap_or_else(|err| {
+                faults.push(Fault::new(path, format!("cannot read {file}: {err}")));
+                String::new()
+            })
+        };
+        let material = TlsMaterial {
+            ca_pem: read("peers.ca_pem_file", &self.ca_pem_file),
+            cert_pem: read("peers.certificate_pem_file", &self.certificate_pem_file),
+            key_pem: read("peers.key_pem_file", &self.key_pem_file),
+        };
+        if faults.is_empty() {
+            return Ok(material);
+        }
+        Err(faults)
+    }
+}
+
 /// The platform's key-value service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
