Wait for the fleet before being ready, and for the record before the answer

Change: read the own region's record once the store answers; readiness waits for the fleet's settled revision; owners travel by gossip, so that an instance started in a store outage knows them; the answer of an action follows its record, for at most 500 ms.

--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -54,6 +54,7 @@
     let guard = cancel.clone().drop_guard();
     let current = Current::default();
     let entries = Entries::default();
+    let is_ready = Arc::new(AtomicBool::new(false));
     let store = platform::store_client(settings, incarnation)?;
     let (decide, events) = ring::ring(decide::RING_EVENTS);
     let (commands, platform_commands) = ring::async_ring(platform::RING_COMMANDS);
@@ -74,6 +75,7 @@
     let outlets = Outlets {
         current: current.clone(),
         entries: entries.clone(),
+        is_ready: Arc::clone(&is_ready),
         peers: peers.clone(),
         platform: commands,
     };
@@ -102,6 +104,7 @@
         in_flight: Arc::new(InFlight::new(callers.max_requests)),
         body_room: Arc::new(Semaphore::new(body_units)),
         body_timeout_ms: callers.body_timeout_ms,
+        is_ready,
         is_leaving: AtomicBool::new(false),
         requests: AtomicU64::new(0),
         incarnation,
--- a/crates/gateway/src/decide/gossip.rs
+++ b/crates/gateway/src/decide/gossip.rs
@@ -2,32 +2,100 @@
 
 use super::{slots::peer_of, state::State};
 use carobwheel_core::{
+    id::InstanceId,
     limit::LoanMessage,
     route::{LoadDigest, DIGEST_LIFETIME_MS},
-    slot::Peer,
+    slot::{OwnedSlot, Peer, Role, SlotId, SHARDS},
     time::Millis,
 };
+use serde::{Deserialize, Serialize};
 
 /// Channel of messages about loans.
 pub(super) const LOAN_CHANNEL: u8 = 1;
 /// Topic of the settled revision; travels to the whole fleet.
 const SETTLED_TOPIC: u8 = 1;
+/// Topic of the slots that a member owns; travels to the whole fleet.
+const OWNED_TOPIC: u8 = 2;
 /// Topic of the work in flight; stays inside the region.
 const LOAD_TOPIC: u8 = 200;
 const _: () = assert!(LOAD_TOPIC > carobwheel_core::member::MAX_FLEET_TOPIC);
 const _: () = assert!(DIGEST_LIFETIME_MS > 1_000);
 
+/// The slots that one member owns: a bit for each shard.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct OwnedSlots {
+    primary: u64,
+    backup: u64,
+}
+
+const _: () = assert!(SHARDS as u32 <= u64::BITS);
+
+impl OwnedSlots {
+    fn insert(&mut self, role: Role, shard: u16) {
+        match role {
+            Role::Primary => self.primary |= 1 << shard,
+            Role::Backup => self.backup |= 1 << shard,
+        }
+    }
+
+    fn iter(self) -> impl Iterator<Item = (Role, u16)> {
+        let bits = [(Role::Primary, self.primary), (Role::Backup, self.backup)];
+        bits.into_iter().flat_map(|(role, bits)| {
+            (0..SHARDS)
+                .filter(move |shard| bits >> shard & 1 == 1)
+                .map(move |shard| (role, shard))
+        })
+    }
+}
+
 impl State {
     /// Tells the peers what has changed here, and takes in what has changed there.
     pub(super) fn gossip(&mut self, now: Millis) {
-        self.tell_settled_revision();
         self.tell_load();
+        self.hear_owners();
         self.hear_loads(now);
     }
 
-    fn tell_settled_revision(&mut self) {
+    /// Tells the fleet which revision the limits here have settled on, if that is news.
+    pub(super) fn tell_settled_revision(&mut self) {
         let revision = self.charging.limiter.settled_revision();
-        self.set_entry(SETTLED_TOPIC, &revision);
+        if revision != self.told_settled_revision {
+            self.told_settled_revision = revision;
+            self.set_entry(SETTLED_TOPIC, &revision);
+        }
+    }
+
+    /// Tells the fleet which slots this instance owns.
+    pub(super) fn tell_owned(&mut self, owned: &[OwnedSlot]) {
+        let mut told = OwnedSlots::default();
+        for slot in owned {
+            told.insert(slot.role, slot.shard);
+        }
+        self.set_entry(OWNED_TOPIC, &told);
+    }
+
+    /// Takes in which slots the members own. Their own word counts more than the records of the
+    /// store, which an outage may keep from this instance.
+    pub(super) fn hear_owners(&mut self) {
+        let mut owners = self.slots.recorded_owners();
+        for entry in self.members.entries(OWNED_TOPIC) {
+            let told = postcard::from_bytes::<OwnedSlots>(entry.bytes);
+            let (Ok(told), Some(member)) = (told, self.members.member(entry.origin)) else {
+                continue;
+            };
+            for (role, shard) in told.iter() {
+                let slot = SlotId {
+                    region: member.identity.region.clone(),
+                    shard,
+                    role,
+                };
+                owners.insert(slot, peer_of(&member));
+            }
+        }
+        if owners != self.slots.owners {
+            self.charging.limiter.set_owners(owners.clone());
+            self.slots.owners = owners;
+        }
     }
 
     fn tell_load(&mut self) {
@@ -39,7 +107,7 @@
         self.set_entry(LOAD_TOPIC, &digest);
     }
 
-    fn set_entry<T: serde::Serialize>(&mut self, topic: u8, value: &T) {
+    fn set_entry<T: Serialize>(&mut self, topic: u8, value: &T) {
         let encoded = postcard::to_stdvec(value);
         let Ok(bytes) = encoded else {
             return;
@@ -79,14 +147,17 @@
         Some(lowest)
     }
 
+    /// Whether `instance` has told that it has a document in force.
+    pub(super) fn has_settled(&self, instance: &InstanceId) -> bool {
+        *instance == self.identity.id && self.configured.is_some()
+            || self
+                .members
+                .entries(SETTLED_TOPIC)
+                .any(|entry| entry.origin == instance)
+    }
+
     /// Takes a message that another module of a peer has sent.
-    pub(super) fn on_opaque(
-        &mut self,
-        from: &carobwheel_core::id::InstanceId,
-        channel: u8,
-        bytes: &[u8],
-        now: Millis,
-    ) {
+    pub(super) fn on_opaque(&mut self, from: &InstanceId, channel: u8, bytes: &[u8], now: Millis) {
         if channel != LOAN_CHANNEL {
             log::debug!(channel = channel; "message of an unknown channel skipped");
             return;
--- a/crates/gateway/src/decide/membership.rs
+++ b/crates/gateway/src/decide/membership.rs
@@ -156,22 +156,23 @@
             .snapshot()
             .into_iter()
             .filter(|member| member.state == MemberState::Alive && member.is_reachable)
+            .filter(|member| self.has_settled(&member.identity.instance))
             .collect();
         members.sort_by_key(|member| {
             let identity = &member.identity;
             let is_away = identity.region != *own_region;
             (is_away, identity.region.clone(), identity.instance.clone())
         });
-        let owners = self.slots.keeper.record();
+        let owned_shards = |owner: &Peer| {
+            let slots = self.slots.owners.iter();
+            let owned = slots.filter(|(_, peer)| *peer == owner);
+            owned.map(|(slot, _)| (slot.shard, slot.role)).collect()
+        };
         let entries = members
             .into_iter()
             .map(|member| Entry {
                 url: format!("http://{}", member.identity.caller_addr),
-                owned_shards: owners
-                    .owned_by(&peer_of(&member))
-                    .iter()
-                    .map(|slot| (slot.shard, slot.role))
-                    .collect(),
+                owned_shards: owned_shards(&peer_of(&member)),
                 instance: member.identity.instance,
                 region: member.identity.region,
             })
--- a/crates/gateway/src/decide/outlets.rs
+++ b/crates/gateway/src/decide/outlets.rs
@@ -3,7 +3,10 @@
 use crate::{in_force::Current, intake::Entries, peers, platform, ring::Sender};
 use carobwheel_core::{id::InstanceId, member};
 use carobwheel_wire::peer::Message;
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::{atomic::AtomicBool, Arc},
+};
 
 /// The other threads, as far as the deciding thread tells them something.
 pub struct Outlets {
@@ -11,6 +14,8 @@
     pub current: Current,
     /// Instances that callers may use.
     pub entries: Entries,
+    /// The instance can serve requests.
+    pub is_ready: Arc<AtomicBool>,
     /// Links to other instances; none for an instance that stands alone.
     pub peers: Option<peers::Handle>,
     /// The platform thread.
--- a/crates/gateway/src/decide/slots.rs
+++ b/crates/gateway/src/decide/slots.rs
@@ -5,17 +5,20 @@
 use carobwheel_core::{
     id::RegionId,
     member::{MemberView, State as MemberState},
-    slot::{Keeper, Peer, Presence, Record, Update, View},
+    slot::{Keeper, Peer, Presence, Record, SlotId, Update, View},
     time::Millis,
 };
 use rand::Rng as _;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::atomic::Ordering};
 
 /// Time between two writes of the record, in milliseconds; jitter of the same length comes on top.
 const WRITE_PERIOD_MS: u64 = 500;
 /// Time between two reads while the slots wait for their confirmation, in milliseconds.
 const CONFIRM_PERIOD_MS: u64 = 500;
 
+/// Time after its start at which an instance with a document is ready in any case, in milliseconds.
+const READY_AT_LATEST_MS: u64 = 20_000;
+
 /// The slots of this instance and what is known of those of others.
 pub(super) struct Slots {
     pub(super) keeper: Keeper,
@@ -23,6 +26,8 @@
     /// The records of all regions have been read once.
     pub(super) are_known: bool,
     pub(super) are_void: bool,
+    /// Owners of the slots of all regions, as far as they are known.
+    pub(super) owners: BTreeMap<SlotId, Peer>,
     records: BTreeMap<RegionId, (u64, Record)>,
     write_at: Millis,
 }
@@ -34,10 +39,19 @@
             presence: Presence::default(),
             are_known: false,
             are_void: false,
+            owners: BTreeMap::new(),
             records: BTreeMap::new(),
             write_at: now,
         }
     }
+
+    /// Owners as the records of the store name them.
+    pub(super) fn recorded_owners(&self) -> BTreeMap<SlotId, Peer> {
+        self.records
+            .iter()
+            .flat_map(|(region, (_, record))| record.slots(region))
+            .collect()
+    }
 }
 
 impl State {
@@ -53,6 +67,12 @@
         self.outlets.command(Command::ReadSlots);
     }
 
+    /// The store has answered. A region without a record shows only when its key is read.
+    pub(super) fn slots_known(&mut self) {
+        self.slots.are_known = true;
+        self.outlets.command(Command::ReadSlots);
+    }
+
     /// Takes a record of slots as read from the store.
     pub(super) fn on_slots(&mut self, read: SlotsRead, now: Millis) {
         if read.region == self.identity.region {
@@ -60,11 +80,15 @@
             let record = read.record.clone();
             match self.slots.keeper.on_read(read.revision, record, read.began) {
                 Update::Unchanged => {}
-                Update::Owned(owned) => self.charging.limiter.set_slots(&owned, now),
+                Update::Owned(owned) => {
+                    self.charging.limiter.set_slots(&owned, now);
+                    self.tell_owned(&owned);
+                }
                 Update::Confirmed(owned) => {
                     log::info!("the store has confirmed the slots");
                     self.slots.are_void = false;
                     self.charging.limiter.confirm(&owned, now);
+                    self.tell_owned(&owned);
                 }
             }
         }
@@ -74,12 +98,7 @@
         }
         let entry = (read.revision, read.record);
         self.slots.records.insert(read.region, entry);
-        let owners = self
-            .slots
-            .records
-            .iter()
-            .flat_map(|(region, (_, record))| record.slots(region));
-        self.charging.limiter.set_owners(owners);
+        self.hear_owners();
     }
 
     pub(super) fn tick_slots(&mut self, now: Millis) {
@@ -137,6 +156,22 @@
         if let Some(revision) = settled {
             self.charging.limiter.set_fleet_revision(revision, now);
         }
+        self.tell_settled_revision();
+        self.judge_readiness(settled.is_some(), now);
+    }
+
+    /// An instance is ready once it can charge requests, at the latest after a while: a member
+    /// that never tells its revision may not keep others from serving.
+    fn judge_readiness(&mut self, is_fleet_settled: bool, now: Millis) {
+        let Some(in_force) = self.revision() else {
+            return;
+        };
+        let knows_owners = !self.slots.owners.is_empty();
+        let is_late = now.0 > READY_AT_LATEST_MS;
+        let can_charge = is_fleet_settled && knows_owners;
+        if (can_charge || is_late) && !self.outlets.is_ready.swap(true, Ordering::Relaxed) {
+            log::info!(revision = in_force, can_charge; "ready");
+        }
     }
 
     fn is_confirmed_gone(&self, member: &MemberView, now: Millis) -> bool {
--- a/crates/gateway/src/intake/action/mod.rs
+++ b/crates/gateway/src/intake/action/mod.rs
@@ -21,9 +21,12 @@
     },
     time::Millis,
 };
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{collections::VecDeque, pin::pin, sync::Arc, time::Duration};
 use tokio::{sync::oneshot, time};
 
+/// Longest time for which an answer waits for its record.
+const RELAY_DELAY: Duration = Duration::from_millis(500);
+
 type Reply = oneshot::Sender<Result<Answer, Refusal>>;
 
 /// Runs the action of `work` and answers as soon as its fate is known.
@@ -133,9 +136,7 @@
             } => {
                 let wait_ms = not_before.since(self.now());
                 time::sleep(Duration::from_millis(wait_ms)).await;
-                let lease = self.lease.expect("an outcome follows a claim on a lease");
-                let claims = &self.shared.claims;
-                let answer = claims.write(&key, &record, revision, lease).await;
+                let answer = self.write_outcome(&key, &record, revision).await;
                 vec![Input::Store { call, answer }]
             }
             Effect::Release { key, record } => {
@@ -144,9 +145,10 @@
             }
             Effect::Dispatch { call, send_before } => self.dispatch(call, send_before).await,
             Effect::Relay => {
-                let relayed = self.relayed.take();
-                let answer = relayed.expect("an answer is relayed once it is in hand");
-                self.answer(Ok(answer));
+                // With a key the answer follows the record, so that a repeat finds it.
+                if self.work.idempotency_key.is_none() {
+                    self.relay();
+                }
                 Vec::new()
             }
             Effect::Answer(answer) => {
@@ -154,7 +156,10 @@
                 self.answer(answer);
                 Vec::new()
             }
-            Effect::End => Vec::new(),
+            Effect::End => {
+                self.relay();
+                Vec::new()
+            }
         }
     }
 
@@ -167,6 +172,30 @@
         claims.create(key, record, lease).await
     }
 
+    /// Writes the outcome and relays the answer, which does not wait long for a slow store.
+    async fn write_outcome(
+        &mut self,
+        key: &OnceKey,
+        record: &Record,
+        revision: u64,
+    ) -> StoreAnswer {
+        let lease = self.lease.expect("an outcome follows a claim on a lease");
+        let shared = Arc::clone(&self.shared);
+        let mut write = pin!(shared.claims.write(key, record, revision, lease));
+        let written = time::timeout(RELAY_DELAY, &mut write).await;
+        self.relay();
+        match written {
+            Ok(answer) => answer,
+            Err(_) => write.await,
+        }
+    }
+
+    fn relay(&mut self) {
+        if let Some(answer) = self.relayed.take() {
+            self.answer(Ok(answer));
+        }
+    }
+
     async fn dispatch(&mut self, call: u32, send_before: Millis) -> Vec<Input> {
         let events = if self.upstream.find_place(&self.shared, &self.work).await
             && self.now() < send_before
--- a/crates/gateway/src/intake/handler.rs
+++ b/crates/gateway/src/intake/handler.rs
@@ -113,6 +113,9 @@
     if shared.current.load().is_none() {
         return plain(503, "no configuration yet");
     }
+    if !shared.is_ready.load(Ordering::Relaxed) {
+        return plain(503, "joining the fleet");
+    }
     plain(200, "ready")
 }
 
--- a/crates/gateway/src/intake/mod.rs
+++ b/crates/gateway/src/intake/mod.rs
@@ -75,6 +75,8 @@
     pub body_room: Arc<Semaphore>,
     /// Longest time in which a request body has to arrive, in milliseconds.
     pub body_timeout_ms: u64,
+    /// The instance can serve requests.
+    pub is_ready: Arc<AtomicBool>,
     /// The instance is leaving: it is not ready and closes connections.
     pub is_leaving: AtomicBool,
     /// Requests so far.
