--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -65,7 +65,17 @@
         handler: Handler,
     ) -> io::Result<Self> {
         let runtime = build_runtime(name, workers)?;
-        let listener = runtime.block_on(async { listen(addr) })?;
+        let bound = {
+            let _entered = runtime.enter();
+            listen(addr)
+        };
+        let listener = match bound {
+            Ok(listener) => listener,
+            Err(err) => {
+                runtime.shutdown_background();
+                return Err(err);
+            }
+        };
         let addr = listener.local_addr()?;
         let control = Arc::new(Control {
             stop: CancellationToken::new(),
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,246 @@
+//! Tests of the model engine.
+
+#![allow(clippy::unwrap_used)]
+
+#[allow(dead_code)]
+mod support;
+
+use carobwheel_standin::engine::{self, answer_text, EngineOptions, Fault, FaultRule};
+use carobwheel_wire::{
+    openai::{ChatAnswer, ChatChunk, RequestView, CHAT_PATH, DONE},
+    platform::{LoadReport, LOAD_PATH},
+};
+use futures::StreamExt;
+use support::{client, eventually};
+use test_case::test_case;
+
+const TOKENS: u64 = 12;
+
+fn start(options: EngineOptions) -> engine::Engine {
+    engine::start(EngineOptions {
+        answer_tokens: TOKENS,
+        ..options
+    })
+    .unwrap()
+}
+
+fn request_body(stream: bool) -> String {
+    format!(
+        r#"{{"model":"appraiser","stream":{stream},"messages":[{{"role":"user","content":"madder or cochineal?"}}]}}"#
+    )
+}
+
+fn expected() -> String {
+    let body = request_body(false);
+    answer_text(&RequestView::parse(body.as_bytes()).unwrap(), TOKENS)
+}
+
+async fn ask(engine: &engine::Engine, stream: bool) -> reqwest::Result<(u16, String)> {
+    let url = format!("{}{CHAT_PATH}", engine.url());
+    let response = client().post(url).body(request_body(stream)).send().await?;
+    let status = response.status().as_u16();
+    Ok((status, response.text().await?))
+}
+
+fn streamed_text(body: &str) -> (String, bool) {
+    let events: Vec<_> = body
+        .split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: "))
+        .collect();
+    let is_done = events.last() == Some(&DONE);
+    let text = events
+        .iter()
+        .filter(|event| **event != DONE)
+        .filter_map(|event| {
+            let chunk: ChatChunk = serde_json::from_str(event).unwrap();
+            chunk.choices.into_iter().next()?.delta.content
+        })
+        .collect();
+    (text, is_done)
+}
+
+#[tokio::test]
+async fn whole_answer_is_the_one_expected() {
+    let engine = start(EngineOptions::default());
+    let (status, body) = ask(&engine, false).await.unwrap();
+    let answer: ChatAnswer = serde_json::from_str(&body).unwrap();
+    assert_eq!(status, 200);
+    assert_eq!(
+        answer.choices[0].message.content.as_deref(),
+        Some(expected().as_str())
+    );
+    assert_eq!(answer.usage.unwrap().completion_tokens, TOKENS);
+}
+
+#[test_case(0; "all at once")]
+#[test_case(1; "token by token")]
+#[tokio::test]
+async fn streamed_answer_is_the_one_expected(token_ms: u64) {
+    let engine = start(EngineOptions {
+        token_ms,
+        ..EngineOptions::default()
+    });
+    let (_, body) = ask(&engine, true).await.unwrap();
+    assert_eq!(streamed_text(&body), (expected(), true));
+}
+
+#[tokio::test]
+async fn another_engine_resumes_without_a_seam() {
+    let engine = start(EngineOptions::default());
+    let url = format!("{}{CHAT_PATH}", engine.url());
+    let request = client().post(url).header(engine::RESUME_HEADER, "5");
+    let body = request
+        .body(request_body(true))
+        .send()
+        .await
+        .unwrap()
+        .text()
+        .await
+        .unwrap();
+    let (rest, is_done) = streamed_text(&body);
+    assert!(is_done);
+    let first: String = expected().split_inclusive(' ').take(5).collect();
+    assert_eq!(first + &rest, expected());
+}
+
+#[test_case(Fault::DieBeforeFirstByte, false; "dies before the first byte, whole")]
+#[test_case(Fault::DieBeforeFirstByte, true; "dies before the first byte, streamed")]
+#[test_case(Fault::DieAfterBytes(100), false; "dies in a whole answer")]
+#[test_case(Fault::DieAfterBytes(100), true; "dies in a stream")]
+#[test_case(Fault::Short, false; "short whole answer")]
+#[tokio::test]
+async fn fault_breaks_the_connection(fault: Fault, stream: bool) {
+    let engine = start(EngineOptions::default());
+    engine.fail_next(fault, 1);
+    assert!(ask(&engine, stream).await.is_err());
+    assert_eq!(
+        ask(&engine, stream).await.unwrap().0,
+        200,
+        "only one request fails"
+    );
+    assert_eq!(engine.counts().failed, 1);
+}
+
+#[tokio::test]
+async fn short_stream_lacks_its_end() {
+    let engine = start(EngineOptions::default());
+    engine.fail_next(Fault::Short, 1);
+    let (_, body) = ask(&engine, true).await.unwrap();
+    let (text, is_done) = streamed_text(&body);
+    assert!(!is_done);
+    assert!(expected().starts_with(&text) && text.len() < expected().len());
+}
+
+#[tokio::test]
+async fn caller_that_leaves_a_stream_is_noticed() {
+    let engine = start(EngineOptions {
+        token_ms: 3_600_000,
+        ..EngineOptions::default()
+    });
+    let url = format!("{}{CHAT_PATH}", engine.url());
+    let response = client()
+        .post(url)
+        .body(request_body(true))
+        .send()
+        .await
+        .unwrap();
+    eventually("the request runs", || engine.load().running == 1).await;
+    drop(response);
+    eventually("the request is cancelled", || {
+        engine.counts().cancelled == 1
+    })
+    .await;
+    assert_eq!(engine.load(), LoadReport::default());
+}
+
+#[tokio::test]
+async fn requests_beyond_the_batch_wait_and_show_in_the_load() {
+    let engine = start(EngineOptions {
+        first_token_ms: 3_600_000,
+        batch_slots: 2,
+        ..EngineOptions::default()
+    });
+    let pending = (0..5)
+        .map(|_| ask(&engine, true))
+        .collect::<futures::stream::FuturesUnordered<_>>();
+    let mut pending = pending;
+    tokio::select! {
+        _ = pending.next() => panic!("no request can be done"),
+        () = eventually("three wait", || engine.load().waiting == 3) => {}
+    }
+    let url = format!("{}{LOAD_PATH}", engine.url());
+    let report = client()
+        .get(url)
+        .send()
+        .await
+        .unwrap()
+        .bytes()
+        .await
+        .unwrap();
+    let report: LoadReport = serde_json::from_slice(&report).unwrap();
+    assert_eq!((report.running, report.waiting), (2, 3));
+}
+
+#[tokio::test]
+async fn credential_is_required_and_every_header_recorded() {
+    let engine = start(EngineOptions {
+        credential: Some("engine-credential".to_owned()),
+        ..EngineOptions::default()
+    });
+    assert_eq!(ask(&engine, false).await.unwrap().0, 401);
+    let url = format!("{}{CHAT_PATH}?q=querysecret", engine.url());
+    let request = client()
+        .post(url)
+        .bearer_auth("engine-credential")
+        .header("x-any", "headersecret");
+    let status = request
+        .body(request_body(false))
+        .send()
+        .await
+        .unwrap()
+        .status();
+    assert_eq!(status, 200);
+    assert_eq!(engine.count_containing("headersecret"), 1);
+    assert_eq!(engine.count_containing("querysecret"), 1);
+    assert_eq!(engine.count_containing("cochineal"), 2);
+    assert_eq!(engine.counts().unauthorized, 1);
+}
+
+#[tokio::test]
+async fn refusing_engine_accepts_again_on_the_same_address() {
+    let engine = start(EngineOptions::default());
+    engine.set_refusing(true);
+    let mut is_refused = false;
+    while !is_refused {
+        is_refused = ask(&engine, false).await.is_err_and(|err| err.is_connect());
+    }
+    engine.set_refusing(false);
+    while ask(&engine, false).await.is_err() {}
+}
+
+#[tokio::test]
+async fn random_faults_follow_their_rate() {
+    const REQUESTS: u64 = 400;
+    let engine = start(EngineOptions {
+        seed: 7,
+        ..EngineOptions::default()
+    });
+    engine.add_fault(FaultRule::random(Fault::Status(503), 250_000));
+    let mut refused = 0;
+    let http = client();
+    for _ in 0..REQUESTS {
+        let url = format!("{}{CHAT_PATH}", engine.url());
+        let status = http
+            .post(url)
+            .body(request_body(false))
+            .send()
+            .await
+            .unwrap()
+            .status();
+        refused += u64::from(status == 503);
+    }
+    assert!(
+        (60..140).contains(&refused),
+        "{refused} of {REQUESTS} refused"
+    );
+}
