--- a/crates/gateway/src/store/budget.rs
+++ b/crates/gateway/src/store/budget.rs
@@ -3,13 +3,29 @@
 use carobwheel_core::time::Millis;
 
 /// Reads that all instances together may make, in calls a second. A waiting watch counts as one.
-pub const FLEET_READS_PER_S: f64 = 1_800.0;
+pub const FLEET_READS_PER_S: f64 = 1_600.0;
 /// Writes that all instances together may make, in calls a second.
 pub const FLEET_WRITES_PER_S: f64 = 300.0;
-/// Calls that may be made at once, as the yield of this time, in seconds.
-const BURST_S: f64 = 1.0;
-/// Smallest burst, in calls.
-const MIN_BURST_CALLS: f64 = 2.0;
+/// Burst of reads. It is small, since news makes all instances read at the same time.
+const READ_BURST: Burst = Burst {
+    yield_s: 0.25,
+    min_calls: 1.0,
+};
+/// Burst of writes. Callers' actions come independently of each other, and a small burst would
+/// refuse many of them.
+const WRITE_BURST: Burst = Burst {
+    yield_s: 1.0,
+    min_calls: 4.0,
+};
+
+/// Calls that may be made at once.
+#[derive(Clone, Copy, Debug)]
+struct Burst {
+    /// The yield of this time, in seconds.
+    yield_s: f64,
+    /// Smallest burst, in calls.
+    min_calls: f64,
+}
 
 /// Kind of a call, by the rate that it counts against.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,23 +39,31 @@
 /// A token bucket of calls.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
+    burst: Burst,
     calls_per_s: f64,
     level_calls: f64,
     filled_at: Millis,
 }
 
 impl Bucket {
-    fn new(calls_per_s: f64, now: Millis) -> Self {
-        Self {
+    fn new(burst: Burst, calls_per_s: f64, now: Millis) -> Self {
+        let mut bucket = Self {
+            burst,
             calls_per_s,
-            level_calls: burst_calls(calls_per_s),
+            level_calls: 0.0,
             filled_at: now,
-        }
+        };
+        bucket.level_calls = bucket.burst_calls();
+        bucket
+    }
+
+    fn burst_calls(&self) -> f64 {
+        (self.calls_per_s * self.burst.yield_s).max(self.burst.min_calls)
     }
 
     fn refill(&mut self, now: Millis) {
         let yielded = ms_to_s(now.since(self.filled_at)) * self.calls_per_s;
-        self.level_calls = (self.level_calls + yielded).min(burst_calls(self.calls_per_s));
+        self.level_calls = (self.level_calls + yielded).min(self.burst_calls());
         self.filled_at = self.filled_at.max(now);
     }
 }
@@ -56,8 +80,8 @@
     pub fn for_fleet(instances: u32, now: Millis) -> Self {
         let (reads_per_s, writes_per_s) = shares(instances);
         Self {
-            reads: Bucket::new(reads_per_s, now),
-            writes: Bucket::new(writes_per_s, now),
+            reads: Bucket::new(READ_BURST, reads_per_s, now),
+            writes: Bucket::new(WRITE_BURST, writes_per_s, now),
         }
     }
 
@@ -113,10 +137,6 @@
     (reads_per_s, FLEET_WRITES_PER_S / instances)
 }
 
-fn burst_calls(calls_per_s: f64) -> f64 {
-    (calls_per_s * BURST_S).max(MIN_BURST_CALLS)
-}
-
 #[allow(clippy::cast_precision_loss)]
 fn ms_to_s(ms: u64) -> f64 {
     ms as f64 / 1_000.0
--- /dev/null
+++ b/crates/gateway/tests/store_bench/mod.rs
@@ -0,0 +1,72 @@
+//! A store, a proxy before it, and a client that goes through the proxy.
+
+#![allow(clippy::unwrap_used, dead_code)]
+
+use carobwheel_gateway::store::{
+    BackoffOptions, Record, StoreClient, StoreClientOptions, WriteOutcome,
+};
+use carobwheel_standin::{
+    proxy::{self, Proxy, ProxyOptions},
+    store::{self, Store, StoreOptions},
+};
+use std::{future::Future, time::Duration};
+use tokio::time::timeout;
+
+/// Longest wait for a result before a test fails.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Deadline of one attempt, in milliseconds.
+pub(crate) const ATTEMPT_MS: u64 = 1_000;
+
+/// Longest pause between calls to a store that does not answer, in milliseconds.
+const PAUSE_MS: u64 = 4_000;
+
+pub(crate) struct Bench {
+    pub(crate) store: Store,
+    pub(crate) proxy: Proxy,
+    pub(crate) client: StoreClient,
+}
+
+pub(crate) fn client(url: String, writer: &str) -> StoreClient {
+    let options = StoreClientOptions {
+        attempt_deadline_ms: ATTEMPT_MS,
+        idle_deadline_ms: 300,
+        backoff: BackoffOptions {
+            first_ms: PAUSE_MS,
+            longest_ms: PAUSE_MS,
+            ..BackoffOptions::default()
+        },
+        seed: 1,
+        ..StoreClientOptions::new(url, writer)
+    };
+    StoreClient::new(options).unwrap()
+}
+
+pub(crate) fn bench() -> Bench {
+    bench_with(&StoreOptions::default())
+}
+
+pub(crate) fn bench_with(options: &StoreOptions) -> Bench {
+    let store = store::start(options).unwrap();
+    let proxy = proxy::start_tcp(ProxyOptions::new(store.addr())).unwrap();
+    let client = client(format!("http://{}", proxy.addr()), "n1.1");
+    Bench {
+        store,
+        proxy,
+        client,
+    }
+}
+
+pub(crate) async fn within<T>(future: impl Future<Output = T>) -> T {
+    timeout(PATIENCE, future).await.unwrap()
+}
+
+pub(crate) fn revision_of(outcome: &WriteOutcome) -> i64 {
+    match outcome {
+        WriteOutcome::Written { revision } => *revision,
+        other => panic!("not written: {other:?}"),
+    }
+}
+
+pub(crate) fn value_of(record: Option<Record>) -> String {
+    String::from_utf8(record.unwrap().value).unwrap()
+}
--- /dev/null
+++ b/crates/gateway/tests/store_budget.rs
@@ -0,0 +1,200 @@
+//! A fleet at the target size returning to a store after an outage, on a simulated clock.
+
+#![allow(clippy::unwrap_used)]
+
+use carobwheel_core::time::Millis;
+use carobwheel_gateway::store::{
+    Backoff, BackoffOptions, Budget, CallKind, FLEET_READS_PER_S, FLEET_WRITES_PER_S,
+};
+use rand::{rngs::StdRng, Rng, SeedableRng};
+use test_case::test_case;
+
+const INSTANCES: u32 = 370;
+const STEP_MS: u64 = 10;
+const OUTAGE_STARTS: Millis = Millis(20_000);
+const OUTAGE_ENDS: Millis = Millis(80_000);
+const END: Millis = Millis(140_000);
+/// What the store takes, in calls a second.
+const STORE_READS_PER_S: u64 = 2_000;
+const STORE_WRITES_PER_S: u64 = 400;
+/// Time between two turns of an instance, in milliseconds.
+const TURN_MS: u64 = 5_000;
+/// Calls that each instance wants to make at its turn, and again when the store returns.
+const WANTED_READS: u64 = 12;
+const WANTED_WRITES: u64 = 3;
+
+struct Instance {
+    next_turn: Millis,
+    budget: Budget,
+    backoff: Backoff,
+    reads: u64,
+    writes: u64,
+}
+
+/// Calls that reach the store, by second.
+#[derive(Default)]
+struct Seconds {
+    reads: Vec<u64>,
+    writes: Vec<u64>,
+}
+
+impl Seconds {
+    fn count(&mut self, kind: CallKind, now: Millis) {
+        let counts = match kind {
+            CallKind::Read => &mut self.reads,
+            CallKind::Write => &mut self.writes,
+        };
+        let second = usize::try_from(now.0 / 1_000).unwrap_or(usize::MAX);
+        counts.resize(counts.len().max(second + 1), 0);
+        counts[second] += 1;
+    }
+}
+
+/// Lets every instance make all the calls it may, a backlog included, and returns what the store
+/// got and how many calls are still wanted at the end.
+fn run(seed: u64) -> (Seconds, u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut seconds = Seconds::default();
+    let mut fleet: Vec<_> = (0..INSTANCES)
+        .map(|_| Instance {
+            next_turn: Millis(rng.random_range(0..TURN_MS)),
+            budget: Budget::for_fleet(INSTANCES, Millis(0)),
+            backoff: Backoff::new(BackoffOptions::default()),
+            reads: 0,
+            writes: 0,
+        })
+        .collect();
+    let mut now = Millis(0);
+    while now < END {
+        let is_down = (OUTAGE_STARTS..OUTAGE_ENDS).contains(&now);
+        for instance in &mut fleet {
+            let is_turn = now >= instance.next_turn && now <= OUTAGE_ENDS;
+            if is_turn || now == OUTAGE_ENDS {
+                instance.next_turn = now.plus(TURN_MS);
+                instance.reads = WANTED_READS;
+                instance.writes = WANTED_WRITES;
+            }
+            let (reads, writes) = (instance.reads, instance.writes);
+            for kind in [CallKind::Read, CallKind::Write] {
+                let wanted = if kind == CallKind::Read {
+                    reads
+                } else {
+                    writes
+                };
+                for _ in 0..wanted {
+                    if !call(instance, kind, now, is_down, &mut rng, &mut seconds) {
+                        break;
+                    }
+                }
+            }
+        }
+        now = now.plus(STEP_MS);
+    }
+    let rest = fleet
+        .iter()
+        .map(|instance| instance.reads + instance.writes);
+    (seconds, rest.sum())
+}
+
+/// Makes a call if the instance may, and says whether it may go on.
+fn call(
+    instance: &mut Instance,
+    kind: CallKind,
+    now: Millis,
+    is_down: bool,
+    rng: &mut StdRng,
+    seconds: &mut Seconds,
+) -> bool {
+    if instance.budget.take(kind, now).is_err() || instance.backoff.admit(now).is_err() {
+        return false;
+    }
+    seconds.count(kind, now);
+    if is_down {
+        instance.backoff.failed(now, rng.random_range(0.0..1.0));
+        if instance.backoff.is_open() {
+            instance.budget.drain(now);
+        }
+        return false;
+    }
+    instance.backoff.succeeded();
+    match kind {
+        CallKind::Read => instance.reads -= 1,
+        CallKind::Write => instance.writes -= 1,
+    }
+    true
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn fleet_that_returns_after_an_outage_stays_within_the_stores_rates(seed: u64) {
+    let (seconds, rest) = run(seed);
+    let reads = seconds.reads.iter().max().copied().unwrap_or_default();
+    let writes = seconds.writes.iter().max().copied().unwrap_or_default();
+    let waiting_watches = u64::from(INSTANCES);
+    assert!(
+        reads + waiting_watches <= STORE_READS_PER_S,
+        "{reads} reads in a second"
+    );
+    assert!(writes <= STORE_WRITES_PER_S, "{writes} writes in a second");
+    assert_eq!(rest, 0, "the backlog is worked off");
+    if seed == 1 {
+        let during = |calls: &[u64]| calls[40..80].iter().sum::<u64>() / 40;
+        let after = |calls: &[u64]| calls[80..].iter().max().copied().unwrap_or_default();
+        let summary = format!(
+            "per second: outage {} reads {} writes, return at most {} reads {} writes",
+            during(&seconds.reads),
+            during(&seconds.writes),
+            after(&seconds.reads),
+            after(&seconds.writes)
+        );
+        insta::assert_snapshot!(summary, @"per second: outage 54 reads 16 writes, return at most 768 reads 196 writes");
+    }
+}
+
+/// Calls that one instance makes in a second if it always wants to, after `saved_ms` of quiet.
+fn calls_in_a_second(kind: CallKind, saved_ms: u64) -> u64 {
+    let mut budget = Budget::for_fleet(INSTANCES, Millis(0));
+    budget.drain(Millis(0));
+    let start = Millis(saved_ms);
+    let instants = (0..1_000).map(|ms| start.plus(ms));
+    let made = instants.map(|now| {
+        let mut calls = 0;
+        while budget.take(kind, now).is_ok() {
+            calls += 1;
+        }
+        calls
+    });
+    made.sum()
+}
+
+#[test]
+fn even_simultaneous_reads_of_all_instances_stay_within_the_stores_rate() {
+    const QUIET_MS: u64 = 60_000;
+    let waiting_watches = u64::from(INSTANCES);
+    let reads = u64::from(INSTANCES) * calls_in_a_second(CallKind::Read, QUIET_MS);
+    assert!(
+        reads + waiting_watches <= STORE_READS_PER_S,
+        "{reads} reads in a second"
+    );
+}
+
+#[test_case(CallKind::Read, FLEET_READS_PER_S)]
+#[test_case(CallKind::Write, FLEET_WRITES_PER_S)]
+fn lasting_demand_of_all_instances_gets_the_fleets_rate(kind: CallKind, fleet_per_s: f64) {
+    const SECONDS: u32 = 100;
+    let mut budget = Budget::for_fleet(INSTANCES, Millis(0));
+    budget.drain(Millis(0));
+    let taken = (0..SECONDS * 1_000).filter(|ms| budget.take(kind, Millis((*ms).into())).is_ok());
+    let taken = f64::from(u32::try_from(taken.count()).unwrap());
+    let watches_per_s = match kind {
+        CallKind::Read => f64::from(INSTANCES),
+        CallKind::Write => 0.0,
+    };
+    let total_per_s = taken / f64::from(SECONDS) * f64::from(INSTANCES) + watches_per_s;
+    let ratio = total_per_s / fleet_per_s;
+    assert!(
+        (0.97..=1.0).contains(&ratio),
+        "{total_per_s} of {fleet_per_s} calls a second"
+    );
+}
