--- /dev/null
+++ b/crates/gateway/tests/promise_answers.rs
@@ -0,0 +1,182 @@
+//! Promises about answers and refusals, kept by real processes.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use carobwheel_standin::{
+    engine::{EngineOptions, Fault, FaultRule},
+    service::ServiceFault,
+    store::Availability,
+};
+use futures::future::join_all;
+use support::{expected_answer, Caller, Fleet, FleetOptions, REGIONS};
+use test_case::test_case;
+
+const TOKENS: u64 = 40;
+
+async fn fleet() -> Fleet {
+    let engine = EngineOptions {
+        answer_tokens: TOKENS,
+        token_ms: 1,
+        ..EngineOptions::default()
+    };
+    Fleet::start(FleetOptions {
+        engine,
+        ..FleetOptions::default()
+    })
+    .await
+}
+
+/// Many callers at once, some of whom leave early, on engines that fail at random.
+#[test_case(false; "whole")]
+#[test_case(true; "streamed")]
+#[tokio::test]
+async fn every_caller_gets_the_whole_answer_to_its_own_request(stream: bool) {
+    const CALLERS: usize = 240;
+    let fleet = fleet().await;
+    for engine in fleet.engines.values() {
+        engine.add_fault(FaultRule::random(Fault::DieBeforeFirstByte, 30_000));
+        engine.add_fault(FaultRule::random(Fault::DieAfterBytes(500), 30_000));
+        engine.add_fault(FaultRule::random(Fault::Short, 30_000));
+        engine.add_fault(FaultRule::random(Fault::Late(300), 100_000));
+        engine.add_fault(FaultRule::random(Fault::Status(503), 30_000));
+    }
+    let caller = Caller::of("insurers");
+    let ask = |number: usize| {
+        let caller = caller.clone();
+        let url = fleet.instances[number % fleet.instances.len()].url.clone();
+        async move {
+            let prompt = format!("question {number}");
+            let asked = caller.chat(&url, &prompt, stream);
+            if number.is_multiple_of(10) {
+                // This caller leaves; its answer must not reach anybody else.
+                let patience = std::time::Duration::from_millis(20);
+                return tokio::time::timeout(patience, asked)
+                    .await
+                    .is_err()
+                    .then_some(true);
+            }
+            let reply = asked.await.unwrap();
+            let text = if stream {
+                reply.streamed_text()
+            } else {
+                reply.whole_text()
+            };
+            if reply.is_failure() {
+                return Some(false);
+            }
+            assert_eq!(text, Some(expected_answer(&prompt, TOKENS)), "{reply:?}");
+            Some(true)
+        }
+    };
+    let answered = join_all((0..CALLERS).map(ask)).await;
+    let whole = answered
+        .into_iter()
+        .flatten()
+        .filter(|is_whole| *is_whole)
+        .count();
+    assert!(whole > CALLERS / 2, "{whole} of {CALLERS} answered whole");
+}
+
+/// An answer too long to be held in memory breaks off: its caller has to notice.
+#[test_case(false; "whole")]
+#[test_case(true; "streamed")]
+#[tokio::test]
+async fn a_long_answer_that_breaks_off_is_never_taken_for_a_whole_one(stream: bool) {
+    const LONG_TOKENS: u64 = 400_000;
+    const CUT_AFTER_BYTES: usize = 2_000_000;
+    let engine = EngineOptions {
+        answer_tokens: LONG_TOKENS,
+        ..EngineOptions::default()
+    };
+    let fleet = Fleet::start(FleetOptions {
+        engine,
+        ..FleetOptions::default()
+    })
+    .await;
+    for engine in fleet.engines.values() {
+        engine.add_fault(FaultRule::random(
+            Fault::DieAfterBytes(CUT_AFTER_BYTES),
+            1_000_000,
+        ));
+    }
+    let caller = Caller::of("insurers");
+    let reply = caller
+        .chat(&fleet.instance("north").url, "long", stream)
+        .await
+        .unwrap();
+    let length = reply.body.as_ref().map(String::len);
+    assert!(
+        reply.is_failure(),
+        "status {} with a body of {length:?} bytes",
+        reply.status
+    );
+}
+
+/// What a service does to a request, and whether the store answers.
+#[test_case(&[ServiceFault::Status(503)], Availability::Up; "refused by the service")]
+#[test_case(&[ServiceFault::DieBeforeRunning], Availability::Up; "service dies before running")]
+#[test_case(&[ServiceFault::DieAfterRunning], Availability::Up; "service dies after running")]
+#[test_case(&[ServiceFault::DieInAnswer], Availability::Up; "service dies in its answer")]
+#[test_case(&[], Availability::Refusing; "store refuses")]
+#[test_case(&[], Availability::Unavailable; "store unavailable")]
+#[test_case(&[], Availability::Hanging; "store hangs")]
+#[tokio::test]
+async fn a_refusal_saying_not_run_is_true(faults: &[ServiceFault], store: Availability) {
+    let fleet = fleet().await;
+    let caller = Caller::of("insurers");
+    fleet.store.set_availability(store);
+    let mut refused = 0;
+    for (number, instance) in fleet.instances.iter().enumerate() {
+        for service in fleet.services.values() {
+            service.fail_next(faults);
+        }
+        let action = format!("a-{number}");
+        let reply = caller.confirm(&instance.url, &action).await.unwrap();
+        let runs = fleet.runs(&action);
+        match reply.run.as_str() {
+            "not-run" => assert_eq!(runs, 0, "{reply:?}"),
+            "ran" => assert_eq!(runs, 1, "{reply:?}"),
+            "may-have-run" => assert!(runs <= 1, "{reply:?}"),
+            other => panic!("`{other}` in {reply:?}"),
+        }
+        refused += usize::from(reply.status >= 400);
+    }
+    let is_store_down = store != Availability::Up;
+    assert!(
+        !is_store_down || refused == fleet.instances.len(),
+        "{refused} refused"
+    );
+}
+
+#[tokio::test]
+async fn a_refusal_for_want_of_an_upstream_says_not_run_and_is_true() {
+    let fleet = fleet().await;
+    for region in REGIONS {
+        fleet.engines[region].add_fault(FaultRule::random(Fault::Status(503), 1_000_000));
+        fleet.services[region].set_refusing(true);
+        fleet.services[region].cut();
+    }
+    let caller = Caller::of("insurers");
+    for instance in &fleet.instances {
+        let reply = caller.chat(&instance.url, "hello", true).await.unwrap();
+        assert_eq!(
+            (reply.status, reply.run.as_str()),
+            (503, "not-run"),
+            "{reply:?}"
+        );
+        let reply = caller.confirm(&instance.url, "a-1").await.unwrap();
+        assert_eq!(
+            (reply.status, reply.run.as_str()),
+            (503, "not-run"),
+            "{reply:?}"
+        );
+    }
+    let started: u64 = fleet
+        .engines
+        .values()
+        .map(|engine| engine.counts().started)
+        .sum();
+    assert_eq!((started, fleet.runs("a-1")), (0, 0));
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,216 @@
+//! A small fleet of real `carobwheel` processes between callers and stand-ins.
+//!
+//! Each region has its own proxy before the store, so that a region can be cut off from it.
+
+#![allow(clippy::unwrap_used, dead_code, unused_imports)]
+
+mod caller;
+mod document;
+mod process;
+
+pub(crate) use caller::{chat_body, expected_answer, Caller, Reply};
+pub(crate) use document::{account, key_of, DocumentBuilder};
+pub(crate) use process::Instance;
+
+use carobwheel_standin::{
+    engine::{self, Engine, EngineOptions},
+    proxy::{self, Proxy, ProxyOptions},
+    service::{self, Service, ServiceOptions},
+    store::{self, Store, StoreOptions},
+};
+use serde_json::json;
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    path::PathBuf,
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
+
+/// Regions of the fleet.
+pub(crate) const REGIONS: [&str; 3] = ["north", "central", "south"];
+/// Longest wait for a condition before a test fails.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+/// Time that the users mean by "within seconds".
+pub(crate) const SECONDS: Duration = Duration::from_secs(10);
+/// Key of the document in the store.
+const DOCUMENT_KEY: &str = "config/document";
+
+static NEXT_FOLDER: AtomicU64 = AtomicU64::new(0);
+
+/// How to set the stage.
+pub(crate) struct FleetOptions {
+    /// Instances in each region.
+    pub(crate) instances_in_region: usize,
+    /// Options of every engine.
+    pub(crate) engine: EngineOptions,
+    /// Options of every service.
+    pub(crate) service: ServiceOptions,
+    /// Changes the document before it is published.
+    pub(crate) document: fn(&mut DocumentBuilder),
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            instances_in_region: 1,
+            engine: EngineOptions::default(),
+            service: ServiceOptions::default(),
+            document: |_| {},
+        }
+    }
+}
+
+/// A fleet, its platform and its upstreams.
+pub(crate) struct Fleet {
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) store: Store,
+    pub(crate) store_proxies: BTreeMap<&'static str, Proxy>,
+    pub(crate) engines: BTreeMap<&'static str, Engine>,
+    pub(crate) services: BTreeMap<&'static str, Service>,
+    pub(crate) document: DocumentBuilder,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts one engine and one service a region, the platform and the instances, and waits until
+    /// all are ready.
+    pub(crate) async fn start(options: FleetOptions) -> Self {
+        let store = store::start(&StoreOptions::default()).unwrap();
+        let mut fleet = Self {
+            instances: Vec::new(),
+            store_proxies: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            document: DocumentBuilder::default(),
+            folder: new_folder(),
+            store,
+        };
+        for region in REGIONS {
+            fleet.start_region(region, &options);
+        }
+        (options.document)(&mut fleet.document);
+        fleet.publish();
+        for region in REGIONS {
+            for number in 0..options.instances_in_region {
+                fleet
+                    .start_instance(region, &format!("{region}-{number}"))
+                    .await;
+            }
+        }
+        fleet
+    }
+
+    fn start_region(&mut self, region: &'static str, options: &FleetOptions) {
+        let proxy = proxy::start_tcp(ProxyOptions::new(self.store.addr())).unwrap();
+        self.store_proxies.insert(region, proxy);
+        let engine = engine::start(EngineOptions {
+            credential: Some(credential(&format!("{region}-engine"))),
+            ..options.engine.clone()
+        });
+        let engine = engine.unwrap();
+        self.document.add_engine(region, &engine.url());
+        self.engines.insert(region, engine);
+        let service = service::start(ServiceOptions {
+            credential: Some(credential(&format!("{region}-ledger"))),
+            ..options.service.clone()
+        });
+        let service = service.unwrap();
+        self.document.add_service(region, &service.url());
+        self.services.insert(region, service);
+    }
+
+    /// Starts an instance and waits until it is ready.
+    pub(crate) async fn start_instance(&mut self, region: &'static str, id: &str) {
+        let store_url = format!("http://{}", self.store_proxies[region].addr());
+        let credentials: BTreeMap<_, _> = REGIONS
+            .iter()
+            .flat_map(|region| [format!("{region}-engine"), format!("{region}-ledger")])
+            .map(|upstream| (upstream.clone(), credential(&upstream)))
+            .collect();
+        let settings = |address: &str| {
+            json!({
+                "instance": {"id": id, "region": region, "data_centre": format!("{region}-a")},
+                "callers": {"address": address, "advertised_url": format!("http://{address}")},
+                "store": {"url": store_url, "timeout_ms": 1_000},
+                "upstream_credentials": credentials,
+                "shutdown": {"announce_ms": 200, "drain_ms": 60_000},
+            })
+        };
+        let instance = Instance::start(&self.folder, id, region, settings).await;
+        self.instances.push(instance);
+    }
+
+    /// Publishes the document as it stands.
+    pub(crate) fn publish(&self) {
+        self.store
+            .set_value(DOCUMENT_KEY, self.document.to_json().as_bytes());
+    }
+
+    /// The first instance of `region`.
+    pub(crate) fn instance(&self, region: &str) -> &Instance {
+        let found = self
+            .instances
+            .iter()
+            .find(|instance| instance.region == region);
+        found.unwrap()
+    }
+
+    /// Requests that the engines have seen, refused ones included.
+    pub(crate) fn engine_requests(&self) -> u64 {
+        self.engines
+            .values()
+            .map(|engine| engine.counts().requests)
+            .sum()
+    }
+
+    /// Times that the action with the key `key` ran on any service.
+    pub(crate) fn runs(&self, key: &str) -> u64 {
+        self.services
+            .values()
+            .map(|service| service.runs(key))
+            .sum()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.instances.clear();
+        if std::thread::panicking() {
+            eprintln!("logs are left in {}", self.folder.display());
+        } else {
+            std::fs::remove_dir_all(&self.folder).unwrap_or_default();
+        }
+    }
+}
+
+fn credential(upstream: &str) -> String {
+    format!("credential-of-{upstream}")
+}
+
+fn new_folder() -> PathBuf {
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("fleet-{}-{number}", std::process::id());
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+/// Waits until `condition` gives a value.
+pub(crate) async fn eventually<T, F: Future<Output = Option<T>>>(
+    what: &str,
+    patience: Duration,
+    mut condition: impl FnMut() -> F,
+) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = condition().await {
+            return value;
+        }
+        assert!(
+            start.elapsed() < patience,
+            "not within {patience:?}: {what}"
+        );
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
