Add randomised runs of the limits and their measurement

The proof of the limits needs faults: loss, delay, duplication, reordering, pauses, kills, store outages with lost answers, partitions, drift and changes of the document. A reference bucket that starts empty checks both moments of counting; five planted faults each have to be caught.

--- /dev/null
+++ b/crates/core/tests/limit_random.rs
@@ -0,0 +1,259 @@
+//! Seeded randomised runs: no account exceeds its rate and burst in any window, whatever fails.
+
+// The measurement of `carobctl` drives the same world; not every part is used here.
+#[allow(dead_code, unreachable_pub)]
+#[path = "../../ctl/src/experiment/limits/world/mod.rs"]
+mod world;
+
+use carobwheel_core::document::{Account, Document, Objective, Policy, Region};
+use carobwheel_core::id::{AccountId, RegionId};
+use carobwheel_core::slot::TOLERATED_PAUSE_MS;
+use rand::{rngs::StdRng, Rng, SeedableRng};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use test_case::test_case;
+use world::fault::{Fault, Plant};
+use world::flow::{Flow, Placement};
+use world::{Setup, World};
+
+const RUN_MS: u64 = 150_000;
+const FAULTS_UNTIL_MS: u64 = 130_000;
+const REGIONS: usize = 3;
+const NODES: usize = 6;
+/// Seeds of every run in CI; the environment variable `CAROBWHEEL_SEEDS` asks for more.
+const CI_SEEDS: u64 = 12;
+
+fn regions() -> Vec<RegionId> {
+    ["north", "south", "west"]
+        .map(|id| id.parse().expect("a valid name"))
+        .to_vec()
+}
+
+fn account(id: &str, rate_tokens_per_s: u64, burst_tokens: u64) -> Account {
+    Account {
+        id: id.parse().expect("a valid name"),
+        rate_tokens_per_s,
+        burst_tokens,
+        queue_weight: 1,
+        bound_region: None,
+        keys: Vec::new(),
+    }
+}
+
+fn document(weights: [u32; REGIONS], bound: Option<RegionId>) -> Document {
+    let regions = regions().into_iter().zip(weights);
+    let mut accounts = vec![
+        account("fast", 2_000, 20_000),
+        account("slow", 7, 4_000),
+        account("bound", 500, 6_000),
+    ];
+    accounts[2].bound_region = bound;
+    Document {
+        schema: 1,
+        policy: Policy {
+            objective: Objective::Cost,
+            retry_budget_pct: 10,
+            max_body_bytes: 1_000_000,
+        },
+        regions: regions
+            .map(|(id, rate_weight)| Region {
+                id,
+                data_centres: Vec::new(),
+                rate_weight,
+            })
+            .collect(),
+        accounts,
+        classes: Vec::new(),
+        models: Vec::new(),
+        upstreams: Vec::new(),
+        routes: Vec::new(),
+        rollouts: Vec::new(),
+    }
+}
+
+fn flow(id: &str, tokens_per_s: u64, rng: &mut StdRng) -> Flow {
+    let placement = match rng.random_range(0..3) {
+        0 => Placement::Spread,
+        1 => Placement::One(rng.random_range(0..NODES)),
+        _ => Placement::Moving { period_ms: 9_000 },
+    };
+    let account: AccountId = id.parse().expect("a valid name");
+    Flow {
+        account,
+        tokens_per_s,
+        placement,
+        max_prompt_tokens: rng.random_range(50..1_500),
+        max_output_tokens: rng.random_range(10..2_000),
+        least_output_pct: rng.random_range(0..=100),
+        patience_ms: rng.random_range(0..2_000),
+        on_ms: [0, 5_000, 20_000][rng.random_range(0..3)],
+    }
+}
+
+fn faults(rng: &mut StdRng) -> Vec<(u64, Fault)> {
+    let mut faults = vec![(0, Fault::Publish(1))];
+    for _ in 0..rng.random_range(1..6) {
+        let at_ms = rng.random_range(5_000..FAULTS_UNTIL_MS);
+        let node = rng.random_range(0..NODES);
+        let length_ms = rng.random_range(1_000..60_000);
+        match rng.random_range(0..6) {
+            0 => {
+                faults.push((at_ms, Fault::Kill(node)));
+                faults.push((at_ms + length_ms, Fault::Start(node)));
+            }
+            1 => {
+                let pause_ms = TOLERATED_PAUSE_MS + rng.random_range(0..40_000);
+                faults.push((at_ms, Fault::Pause(node, pause_ms)));
+            }
+            2 => faults.push((at_ms, Fault::Pause(node, rng.random_range(100..30_000)))),
+            3 => {
+                faults.push((at_ms, Fault::StoreDown));
+                faults.push((at_ms + length_ms, Fault::StoreUp));
+            }
+            4 => {
+                faults.push((at_ms, Fault::Isolate(rng.random_range(0..REGIONS))));
+                faults.push((at_ms + length_ms, Fault::Heal));
+            }
+            _ => faults.push((at_ms, Fault::Publish(rng.random_range(2..5)))),
+        }
+    }
+    faults
+}
+
+fn setup(seed: u64, plant: Plant) -> Setup {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
+    let flows = vec![
+        flow("fast", 6_000, &mut rng),
+        flow("slow", 60, &mut rng),
+        flow("bound", 1_500, &mut rng),
+    ];
+    Setup {
+        seed,
+        regions: regions(),
+        nodes: NODES,
+        documents: vec![
+            document([1, 1, 1], Some(regions()[1].clone())),
+            document([4, 1, 1], Some(regions()[1].clone())),
+            document([1, 1, 8], Some(regions()[2].clone())),
+            document([1, 2, 1], None),
+        ],
+        flows,
+        faults: faults(&mut rng),
+        plant,
+        loss_pct: [0, 2, 10][rng.random_range(0..3)],
+        tick_ms: 100,
+        drift_ppm: 200,
+        message_bytes: |_| 0,
+    }
+}
+
+fn run(setup: Setup) -> Option<String> {
+    let mut world = World::new(setup);
+    world.run_until(RUN_MS);
+    let violation = world.violation()?;
+    Some(format!("{violation:?}"))
+}
+
+/// A violation found by the reference bucket or by an assertion inside the program.
+fn find_violation(setup: Setup) -> Option<String> {
+    let result = catch_unwind(AssertUnwindSafe(|| run(setup)));
+    result.unwrap_or_else(|panic| {
+        let text = panic.downcast_ref::<&str>().copied().unwrap_or("assertion");
+        Some(text.to_owned())
+    })
+}
+
+fn seeds() -> u64 {
+    let asked = std::env::var("CAROBWHEEL_SEEDS").ok();
+    asked
+        .and_then(|seeds| seeds.parse().ok())
+        .unwrap_or(CI_SEEDS)
+}
+
+#[test]
+fn no_account_exceeds_its_rate_and_burst() {
+    let threads = 4;
+    let found: Vec<String> = std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..threads)
+            .map(|worker| {
+                scope.spawn(move || {
+                    (worker..seeds())
+                        .step_by(threads as usize)
+                        .filter_map(|seed| {
+                            let found = find_violation(setup(seed, Plant::Nothing))?;
+                            Some(format!("seed {seed}: {found}"))
+                        })
+                        .collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        workers
+            .into_iter()
+            .flat_map(|w| w.join().unwrap())
+            .collect()
+    });
+    assert!(
+        found.is_empty(),
+        "{} of {}: {found:#?}",
+        found.len(),
+        seeds()
+    );
+}
+
+/// A steady load of small requests at all instances; `on_ms` as in [`Flow`].
+fn steady_flow(id: &str, tokens_per_s: u64, on_ms: u64) -> Flow {
+    Flow {
+        account: id.parse().expect("a valid name"),
+        tokens_per_s,
+        placement: Placement::Spread,
+        max_prompt_tokens: 200,
+        max_output_tokens: 100,
+        least_output_pct: 100,
+        patience_ms: 500,
+        on_ms,
+    }
+}
+
+const KILLS: [(u64, Fault); 5] = [
+    (0, Fault::Publish(1)),
+    (20_000, Fault::Kill(0)),
+    (21_000, Fault::Kill(4)),
+    (22_000, Fault::Start(0)),
+    (22_000, Fault::Start(4)),
+];
+const PAUSE_AND_OUTAGE: [(u64, Fault); 5] = [
+    (0, Fault::Publish(1)),
+    (20_000, Fault::Pause(0, 80_000)),
+    (20_000, Fault::Pause(1, 80_000)),
+    (99_000, Fault::StoreDown),
+    (120_000, Fault::StoreUp),
+];
+const GROWTH_DURING_PARTITION: [(u64, Fault); 4] = [
+    (0, Fault::Publish(1)),
+    (30_000, Fault::Isolate(2)),
+    (31_000, Fault::Publish(2)),
+    (90_000, Fault::Heal),
+];
+
+#[test_case(Plant::LoanCreditedTwice, &KILLS[..1], 0; "loan credited twice")]
+#[test_case(Plant::LentForgotten, &KILLS[..1], 0; "lender forgets what it has lent")]
+#[test_case(Plant::PauseRuleOff, &PAUSE_AND_OUTAGE, 50_000; "pause rule off")]
+#[test_case(Plant::FullStart, &KILLS, 0; "new owner starts full")]
+#[test_case(Plant::GrowthAtOnce, &GROWTH_DURING_PARTITION, 0; "share grows at once")]
+fn planted_fault_is_caught(plant: Plant, faults: &[(u64, Fault)], on_ms: u64) {
+    let scenario = |plant: Plant| {
+        let mut setup = setup(1, plant);
+        setup.faults = faults.to_vec();
+        setup.loss_pct = 0;
+        setup.flows = vec![
+            steady_flow("fast", 6_000, on_ms),
+            steady_flow("slow", 60, on_ms),
+        ];
+        setup
+    };
+    assert_eq!(find_violation(scenario(Plant::Nothing)), None);
+    assert_ne!(
+        find_violation(scenario(plant)),
+        None,
+        "{plant:?} was not caught"
+    );
+}
--- /dev/null
+++ b/crates/ctl/src/experiment/limits/mod.rs
@@ -0,0 +1,176 @@
+//! Wrongful refusals of the limits against a perfect central bucket and a static split.
+
+mod baseline;
+mod scenario;
+pub mod world;
+
+use anyhow::ensure;
+use carobwheel_core::limit::LoanMessage;
+use scenario::{Scenario, NODES};
+use serde::Serialize;
+use world::flow::Placement;
+use world::{Tally, World};
+
+/// Arguments of `carobctl experiment limits`.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Seed of the offered load and of the faults' details.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Prints JSON lines in place of a table.
+    #[arg(long)]
+    pub json: bool,
+    /// Measures only scenarios whose name contains this text.
+    #[arg(long, default_value = "")]
+    pub only: String,
+}
+
+/// What one way of holding the limit decided.
+#[derive(Clone, Debug, Serialize)]
+pub struct Decisions {
+    /// Requests offered.
+    pub offered: u64,
+    /// Share of requests refused, in percent.
+    pub refused_pct: f64,
+    /// Share of requests refused although a perfect bucket that was charged alike would have
+    /// admitted them, in percent.
+    pub wrongful_pct: f64,
+}
+
+impl From<Tally> for Decisions {
+    fn from(tally: Tally) -> Self {
+        let offered = tally.admitted + tally.refused;
+        let pct = |count: u64| 100.0 * count as f64 / offered.max(1) as f64;
+        Self {
+            offered,
+            refused_pct: pct(tally.refused),
+            wrongful_pct: pct(tally.wrongful),
+        }
+    }
+}
+
+/// Result of one scenario for the measured account.
+#[derive(Clone, Debug, Serialize)]
+pub struct Measurement {
+    /// What happens.
+    pub scenario: &'static str,
+    /// Offered load in percent of the account's rate.
+    pub load_pct: u64,
+    /// Where requests arrive.
+    pub placement: &'static str,
+    /// Parts and lending.
+    pub lending: Decisions,
+    /// One perfect bucket.
+    pub central: Decisions,
+    /// A fixed share for each instance.
+    pub fixed_split: Decisions,
+    /// Loan messages sent by an instance in a second.
+    pub messages_per_s: f64,
+    /// Bytes of loan messages sent by an instance in a second, before encryption and headers.
+    pub bytes_per_s: f64,
+    /// Store calls of an instance in an hour for the record of owners.
+    pub store_calls_per_h: f64,
+    /// Writes of the record that took effect, over all instances and the whole run.
+    pub store_writes: u64,
+}
+
+/// Runs the measurement.
+///
+/// # Errors
+///
+/// Fails if an account exceeded its rate and burst, or if a result cannot be written.
+pub fn run(args: Args) -> anyhow::Result<()> {
+    if !args.json {
+        println!("{}", heading());
+    }
+    for scenario in scenario::all() {
+        if !scenario.name.contains(&args.only) {
+            continue;
+        }
+        let measurement = measure(&scenario, args.seed)?;
+        let line = if args.json {
+            serde_json::to_string(&measurement)?
+        } else {
+            row(&measurement)
+        };
+        println!("{line}");
+    }
+    Ok(())
+}
+
+fn message_bytes(message: &LoanMessage) -> usize {
+    postcard::to_stdvec(message).map_or(0, |bytes| bytes.len())
+}
+
+fn measure(scenario: &Scenario, seed: u64) -> anyhow::Result<Measurement> {
+    let mut world = World::new(scenario::setup(scenario, seed, message_bytes));
+    world.tally_from_ms = scenario.tally_from_ms;
+    world.run_until(scenario.end_ms);
+    let account = &scenario::document().accounts[0];
+    let from_ms = scenario.tally_from_ms;
+    let central = baseline::run(account, &world.arrivals, 1, |_| 0, from_ms);
+    let fixed = baseline::run(account, &world.arrivals, NODES as u64, |node| node, from_ms);
+    let lending = world.tallies.get(&scenario::measured()).copied();
+    let (messages, bytes) = world.traffic();
+    let node_s = NODES as f64 * scenario.end_ms as f64 / 1_000.0;
+    let violation = world.violation();
+    ensure!(violation.is_none(), "{}: {violation:?}", scenario.name);
+    Ok(Measurement {
+        scenario: scenario.name,
+        load_pct: scenario.load_pct,
+        placement: placement_name(scenario.placement),
+        lending: lending.unwrap_or_default().into(),
+        central: central.into(),
+        fixed_split: fixed.into(),
+        messages_per_s: messages as f64 / node_s,
+        bytes_per_s: bytes as f64 / node_s,
+        store_calls_per_h: world.store.calls as f64 * 3_600.0 / node_s,
+        store_writes: world.store.writes,
+    })
+}
+
+fn placement_name(placement: Placement) -> &'static str {
+    match placement {
+        Placement::Spread => "spread",
+        Placement::One(_) => "one instance",
+        Placement::Moving { .. } => "moving",
+    }
+}
+
+fn heading() -> String {
+    format!(
+        "{:<25} {:>5} {:<13} {:>7} | {:>9} {:>9} | {:>9} | {:>9} {:>9} | {:>7} {:>7} {:>8} {:>6}",
+        "scenario",
+        "load%",
+        "placement",
+        "offered",
+        "refused%",
+        "wrongful%",
+        "central%",
+        "split%",
+        "wrongful%",
+        "msg/s",
+        "B/s",
+        "calls/h",
+        "writes"
+    )
+}
+
+fn row(of: &Measurement) -> String {
+    format!(
+        "{:<25} {:>5} {:<13} {:>7} | {:>9.3} {:>9.3} | {:>9.3} | {:>9.3} {:>9.3} | {:>7.2} {:>7.0} {:>8.0} {:>6}",
+        of.scenario,
+        of.load_pct,
+        of.placement,
+        of.lending.offered,
+        of.lending.refused_pct,
+        of.lending.wrongful_pct,
+        of.central.refused_pct,
+        of.fixed_split.refused_pct,
+        of.fixed_split.wrongful_pct,
+        of.messages_per_s,
+        of.bytes_per_s,
+        of.store_calls_per_h,
+        of.store_writes
+    )
+}
