Test membership over a network that loses, delays, doubles and partitions

Seeded runs: join, kill, restart, leave, publish, an hour's partition of a region and inside one, all restarted at once, and random faults. CAROBWHEEL_SEEDS raises the number of seeds.

--- /dev/null
+++ b/crates/core/tests/member_network.rs
@@ -0,0 +1,231 @@
+//! Membership over a network that loses, delays, doubles and partitions.
+
+mod member_support;
+
+use carobwheel_core::member::{Event, State, PERIOD_MS};
+use member_support::{Faults, Net};
+use rand::Rng;
+use std::{env, ops::Range};
+use test_case::test_case;
+
+const LOSSY: Faults = Faults {
+    lost_per_mille: 10,
+    doubled_per_mille: 20,
+    jitter_ms: 20,
+};
+/// Bound on the time to agreement after the last fault, in periods.
+const SETTLE_PERIODS: u64 = 40;
+
+fn seeds(count: u64) -> Range<u64> {
+    let count = env::var("CAROBWHEEL_SEEDS").map_or(count, |text| text.parse().unwrap());
+    0..count
+}
+
+#[test_case(&[2, 2, 2] ; "six instances in three regions")]
+#[test_case(&[1, 1, 6] ; "regions of one instance")]
+#[test_case(&[40, 3] ; "a region with more members than one instance probes")]
+fn instances_find_each_other_from_the_live_list(regions: &[usize]) {
+    for seed in seeds(5) {
+        let mut net = Net::new(regions, seed);
+        net.faults = LOSSY;
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+    }
+}
+
+#[test]
+fn a_killed_instance_is_suspected_and_gone_within_seconds() {
+    for seed in seeds(10) {
+        let mut net = Net::new(&[8, 4], seed);
+        net.faults = LOSSY;
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+        net.run(30 * PERIOD_MS);
+        net.kill(3);
+        let dead = net.nodes[3].identity.instance.clone();
+        net.run(6 * PERIOD_MS);
+        let state = |net: &Net, at: usize| net.nodes[at].members.member(&dead).unwrap().state;
+        assert_ne!(state(&net, 0), State::Alive, "seed {seed}");
+        net.settle(10 * PERIOD_MS);
+        assert_eq!(state(&net, 11), State::Gone);
+    }
+}
+
+#[test]
+fn one_percent_of_loss_makes_no_instance_gone() {
+    for seed in seeds(3) {
+        let mut net = Net::new(&[10, 10], seed);
+        net.faults = LOSSY;
+        net.run(300 * PERIOD_MS);
+        for node in &mut net.nodes {
+            let gone = |event: &Event| {
+                matches!(
+                    event,
+                    Event::Changed {
+                        to: State::Gone,
+                        ..
+                    }
+                )
+            };
+            let count = node
+                .members
+                .take_events()
+                .iter()
+                .filter(|e| gone(e))
+                .count();
+            assert_eq!(count, 0, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn leaving_is_known_in_the_region_at_once_and_everywhere_soon() {
+    for seed in seeds(20) {
+        let mut net = Net::new(&[6, 6, 6], seed);
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+        net.run(20 * PERIOD_MS);
+        net.leave(0);
+        net.settle(4 * PERIOD_MS);
+    }
+}
+
+#[test]
+fn a_revision_reaches_everyone_within_two_seconds() {
+    for seed in seeds(6) {
+        let mut net = Net::new(&[10, 10, 10], seed);
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+        net.run(20 * PERIOD_MS);
+        net.publish(7, 2);
+        net.run(2_000);
+        assert!(
+            net.nodes.iter().all(|node| node.revision == 2),
+            "seed {seed}"
+        );
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+    }
+}
+
+#[test]
+fn a_region_comes_back_after_an_hour() {
+    for seed in seeds(2) {
+        let mut net = Net::new(&[3, 3, 3], seed);
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+        for at in 0..3 {
+            net.side[at] = 1;
+        }
+        net.run(1_800 * PERIOD_MS);
+        let region = net.nodes[8].identity.region.clone();
+        assert!(!net.nodes[0].members.is_region_reachable(&region));
+        assert!(net.nodes[0].members.alive_in(&region).is_empty());
+        net.publish(8, 5);
+        net.restart(7);
+        net.restart(1);
+        net.run(1_800 * PERIOD_MS);
+        net.side = vec![0; 9];
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+        assert!(net.nodes[0].members.is_region_reachable(&region));
+    }
+}
+
+#[test]
+fn both_halves_of_a_region_find_each_other_after_an_hour() {
+    for seed in seeds(2) {
+        let mut net = Net::new(&[8], seed);
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+        for at in 0..4 {
+            net.side[at] = 1;
+        }
+        net.run(3_600 * PERIOD_MS);
+        net.settle(1);
+        net.side = vec![0; 8];
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+        // Nobody on either side is taken for gone while the halves meet.
+        for node in &mut net.nodes {
+            let events = node.members.take_events();
+            let after = events.iter().rposition(|event| {
+                matches!(
+                    event,
+                    Event::Changed {
+                        from: State::Gone,
+                        ..
+                    }
+                )
+            });
+            let lost = events[..after.unwrap_or(0)].iter().filter(|event| {
+                matches!(
+                    event,
+                    Event::Changed {
+                        to: State::Gone,
+                        ..
+                    }
+                )
+            });
+            assert_eq!(lost.count(), 4, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn all_instances_restart_at_once() {
+    for seed in seeds(10) {
+        let mut net = Net::new(&[4, 4, 4], seed);
+        net.faults = LOSSY;
+        net.run(60 * PERIOD_MS);
+        for at in 0..12 {
+            net.restart(at);
+        }
+        net.settle(SETTLE_PERIODS * PERIOD_MS);
+    }
+}
+
+/// One random fault.
+fn disturb(net: &mut Net) {
+    let at = net.rng.random_range(0..net.nodes.len());
+    let is_running = net.nodes[at].is_running;
+    match net.rng.random_range(0..8) {
+        0 if is_running => net.kill(at),
+        1 | 2 => net.restart(at),
+        3 if is_running && !net.nodes[at].has_left => net.leave(at),
+        4 => {
+            let region = net.nodes[at].identity.region.clone();
+            for other in 0..net.nodes.len() {
+                net.side[other] = u8::from(net.nodes[other].identity.region == region);
+            }
+        }
+        5 => {
+            for other in 0..net.nodes.len() {
+                net.side[other] = net.rng.random_range(0..2);
+            }
+        }
+        6 => net.side = vec![0; net.nodes.len()],
+        7 if is_running => {
+            let highest = net.nodes.iter().map(|node| node.revision).max().unwrap();
+            net.publish(at, highest + 1);
+        }
+        _ => {}
+    }
+}
+
+#[test]
+fn random_faults_end_in_agreement() {
+    for seed in seeds(16) {
+        let mut net = Net::new(&[4, 3, 1, 2], seed);
+        net.faults = Faults {
+            lost_per_mille: 50,
+            ..LOSSY
+        };
+        for _ in 0..30 {
+            disturb(&mut net);
+            let pause_ms = net.rng.random_range(0..15 * PERIOD_MS);
+            net.run(pause_ms);
+        }
+        net.side = vec![0; net.nodes.len()];
+        net.faults = LOSSY;
+        for at in 0..net.nodes.len() {
+            if !net.nodes[at].is_running {
+                net.restart(at);
+            }
+        }
+        let limit_ms = SETTLE_PERIODS * PERIOD_MS;
+        let settled_ms = net.settle(limit_ms);
+        assert!(settled_ms <= limit_ms, "seed {seed}");
+    }
+}
