--- a/crates/core/tests/member_network.rs
+++ b/crates/core/tests/member_network.rs
@@ -17,7 +17,8 @@
 const SETTLE_PERIODS: u64 = 40;
 
 fn seeds(count: u64) -> Range<u64> {
-    let count = env::var("CAROBWHEEL_SEEDS").map_or(count, |text| text.parse().unwrap());
+    let count =
+        env::var("CAROBWHEEL_SEEDS").map_or(count, |text| text.parse().expect("number of seeds"));
     0..count
 }
 
@@ -197,7 +198,12 @@
         }
         6 => net.side = vec![0; net.nodes.len()],
         7 if is_running => {
-            let highest = net.nodes.iter().map(|node| node.revision).max().unwrap();
+            let highest = net
+                .nodes
+                .iter()
+                .map(|node| node.revision)
+                .max()
+                .unwrap_or(0);
             net.publish(at, highest + 1);
         }
         _ => {}
--- a/crates/core/tests/member_support/mod.rs
+++ b/crates/core/tests/member_support/mod.rs
@@ -62,10 +62,14 @@
     let port = 1 + index as u16;
     let addr = SocketAddr::from(([10, region as u8, 0, 1], port));
     Identity {
-        instance: format!("r{region}-i{index}").parse().unwrap(),
+        instance: format!("r{region}-i{index}")
+            .parse()
+            .expect("valid identifier"),
         incarnation: Incarnation(incarnation),
-        region: format!("r{region}").parse().unwrap(),
-        data_centre: format!("r{region}-d{}", index % 2).parse().unwrap(),
+        region: format!("r{region}").parse().expect("valid identifier"),
+        data_centre: format!("r{region}-d{}", index % 2)
+            .parse()
+            .expect("valid identifier"),
         peer_addr: addr,
         caller_addr: addr,
     }
@@ -210,7 +214,7 @@
             }
             self.queue.pop();
             self.now = at;
-            let flight = self.flights.remove(&number).unwrap();
+            let flight = self.flights.remove(&number).expect("queued flight");
             if !self.nodes[flight.to].is_running || self.side[flight.from] != self.side[flight.to] {
                 continue;
             }
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -9,6 +9,8 @@
 mod codec;
 mod frame;
 mod message;
+#[cfg(test)]
+mod tests;
 
 pub use codec::{decode, encode, DecodeError, Decoded};
 pub use frame::{
