--- /dev/null
+++ b/crates/gateway/tests/peers_forward.rs
@@ -0,0 +1,218 @@
+//! Requests forwarded between instances, and documents fetched from them.
+
+mod peers_support;
+
+use bytes::Bytes;
+use carobwheel_gateway::peers::{
+    ForwardAnswer, ForwardError, Inbound, IncomingForward, Part, ReplyBody,
+};
+use peers_support::{authority, id, wait, Peer, Relay};
+use std::future::Future;
+use std::net::SocketAddr;
+use tokio::sync::{mpsc, oneshot};
+
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime")
+        .block_on(future)
+}
+
+/// Opens a forward in the background.
+fn open(
+    from: &Peer,
+    addr: SocketAddr,
+    body: mpsc::Receiver<Part>,
+) -> oneshot::Receiver<Result<ForwardAnswer, ForwardError>> {
+    let (answer, answered) = oneshot::channel();
+    let handle = from.handle.clone();
+    tokio::spawn(async move {
+        let head = b"question".to_vec();
+        let opened = handle.open_forward(id("b"), addr, head, body).await;
+        let _ = answer.send(opened);
+    });
+    answered
+}
+
+fn next_forward(peer: &Peer) -> IncomingForward {
+    let patience = std::time::Duration::from_secs(30);
+    tokio::task::block_in_place(|| peer.forwards.recv_timeout(patience)).expect("a forward")
+}
+
+async fn read_all(body: &mut mpsc::Receiver<Part>) -> (Vec<u8>, bool) {
+    let mut bytes = Vec::new();
+    while let Some(part) = body.recv().await {
+        match part {
+            Part::Data(data) => bytes.extend_from_slice(&data),
+            Part::End => return (bytes, true),
+        }
+    }
+    (bytes, false)
+}
+
+async fn write(body: &mpsc::Sender<Part>, data: &'static [u8]) -> bool {
+    body.send(Part::Data(Bytes::from_static(data)))
+        .await
+        .is_ok()
+}
+
+/// A forward that has been accepted, with both ends of both bodies.
+struct Exchange {
+    request: mpsc::Sender<Part>,
+    incoming_body: mpsc::Receiver<Part>,
+    cancelled: tokio_util::sync::CancellationToken,
+    reply: ReplyBody,
+    answer: ForwardAnswer,
+}
+
+async fn exchange(a: &Peer, b: &Peer, addr: SocketAddr) -> Exchange {
+    let (request, body) = mpsc::channel(4);
+    let answered = open(a, addr, body);
+    let incoming = next_forward(b);
+    assert_eq!(incoming.from, a.id);
+    assert_eq!(incoming.head, b"question");
+    let reply = incoming.reply.send_head(b"answer".to_vec());
+    let answer = answered.await.expect("no panic").expect("an answer");
+    assert_eq!(answer.head, b"answer");
+    Exchange {
+        request,
+        incoming_body: incoming.body,
+        cancelled: incoming.cancelled,
+        reply,
+        answer,
+    }
+}
+
+fn pair() -> (Peer, Peer) {
+    let authority = authority();
+    (Peer::start(&authority, "a"), Peer::start(&authority, "b"))
+}
+
+#[test]
+fn a_request_and_its_answer_stream_through() {
+    let (a, b) = pair();
+    block_on(async {
+        let mut exchange = exchange(&a, &b, b.addr()).await;
+        assert!(write(&exchange.request, b"one ").await);
+        assert!(write(&exchange.request, b"two").await);
+        exchange.request.send(Part::End).await.unwrap();
+        let whole = read_all(&mut exchange.incoming_body).await;
+        assert_eq!(whole, (b"one two".to_vec(), true));
+        assert!(write(&exchange.reply, b"three").await);
+        exchange.reply.send(Part::End).await.unwrap();
+        let whole = read_all(&mut exchange.answer.body).await;
+        assert_eq!(whole, (b"three".to_vec(), true));
+    });
+}
+
+#[test]
+fn a_caller_that_goes_away_cancels_the_request_at_the_peer() {
+    let (a, b) = pair();
+    block_on(async {
+        let exchange = exchange(&a, &b, b.addr()).await;
+        drop(exchange.answer);
+        exchange.cancelled.cancelled().await;
+        exchange.reply.closed().await;
+    });
+}
+
+#[test]
+fn a_request_body_that_breaks_off_arrives_as_broken_off() {
+    let (a, b) = pair();
+    block_on(async {
+        let mut exchange = exchange(&a, &b, b.addr()).await;
+        assert!(write(&exchange.request, b"half").await);
+        drop(exchange.request);
+        let (_, is_whole) = read_all(&mut exchange.incoming_body).await;
+        assert!(!is_whole);
+    });
+}
+
+#[test]
+fn an_answer_that_breaks_off_arrives_as_broken_off() {
+    let (a, b) = pair();
+    block_on(async {
+        let mut exchange = exchange(&a, &b, b.addr()).await;
+        assert!(write(&exchange.reply, b"half").await);
+        drop(exchange.reply);
+        let (_, is_whole) = read_all(&mut exchange.answer.body).await;
+        assert!(!is_whole);
+    });
+}
+
+#[test]
+fn a_refused_request_may_have_run() {
+    let (a, b) = pair();
+    block_on(async {
+        let (_request, body) = mpsc::channel(1);
+        let answered = open(&a, b.addr(), body);
+        drop(next_forward(&b));
+        let error = answered.await.unwrap().unwrap_err();
+        assert!(!error.is_not_sent());
+    });
+}
+
+#[test]
+fn a_request_to_an_absent_peer_was_surely_not_sent() {
+    let (a, b) = pair();
+    let addr = b.addr();
+    drop(b);
+    block_on(async {
+        let (_request, body) = mpsc::channel(1);
+        let error = open(&a, addr, body).await.unwrap().unwrap_err();
+        assert!(error.is_not_sent());
+    });
+}
+
+#[test]
+fn a_forward_over_a_lost_flow_breaks_off_on_both_sides() {
+    let (a, b) = pair();
+    let relay = Relay::start(b.addr());
+    block_on(async {
+        let mut exchange = exchange(&a, &b, relay.addr).await;
+        relay.lose_flows();
+        let (_, is_whole) = read_all(&mut exchange.answer.body).await;
+        assert!(!is_whole);
+        exchange.cancelled.cancelled().await;
+        // The next request takes a new flow.
+        let (request, body) = mpsc::channel(1);
+        let answered = open(&a, relay.addr, body);
+        let incoming = next_forward(&b);
+        let reply = incoming.reply.send_head(Vec::new());
+        reply.send(Part::End).await.unwrap();
+        answered.await.unwrap().unwrap();
+        drop(request);
+    });
+    assert_eq!(relay.flows(), 2);
+}
+
+#[test]
+fn a_document_comes_from_a_peer_that_has_a_higher_revision() {
+    let (a, b) = pair();
+    let bytes = Bytes::from(vec![b'x'; 900_000]);
+    let fetch = |above| {
+        a.handle.fetch_document(id("b"), b.addr(), above).unwrap();
+        a.next()
+    };
+    let failed = Inbound::DocumentFailed { from: id("b") };
+    assert_eq!(fetch(0), failed);
+    b.handle.serve_document(7, bytes.clone());
+    let document = Inbound::Document {
+        from: id("b"),
+        revision: 7,
+        bytes,
+    };
+    assert_eq!(fetch(6), document);
+    assert_eq!(fetch(7), failed);
+}
+
+#[test]
+fn links_end_with_the_thread() {
+    let (a, b) = pair();
+    a.handle.fetch_document(id("b"), b.addr(), 0).unwrap();
+    a.next();
+    drop(b);
+    wait("no link", || a.handle.stats().links == 0);
+}
