--- /dev/null
+++ b/crates/ctl/src/experiment/gossip/fleet.rs
@@ -0,0 +1,244 @@
+//! A fleet of instances in this process.
+
+use super::node::{self, Event, Node, NodeOptions};
+use super::Args;
+use crate::load::process::{usage, Usage};
+use anyhow::{bail, Context as _};
+use bytes::Bytes;
+use carobwheel_core::member::{Identity, Incarnation, LiveEntry};
+use carobwheel_gateway::peers::{PeerSettings, PeerStats, TlsMaterial};
+use carobwheel_standin::tls::Authority;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Bytes of the headers of IPv4 and UDP before each datagram's payload.
+const HEADER_BYTES: u64 = 28;
+/// Bound on the spread of one revision.
+const SPREAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// Members and regions of the target, which the number of regions follows.
+const TARGET_MEMBERS: f64 = 370.0;
+const TARGET_REGIONS: f64 = 11.0;
+const MIN_REGIONS: usize = 3;
+
+/// Running instances.
+pub(super) struct Fleet {
+    nodes: Vec<Node>,
+    regions: usize,
+    cancel: CancellationToken,
+    base: Usage,
+}
+
+/// Traffic of several instances, in both directions.
+#[derive(Clone, Copy, Default)]
+pub(super) struct Traffic {
+    pub(super) sent_bytes: u64,
+    pub(super) received_bytes: u64,
+}
+
+impl Traffic {
+    fn of(stats: &PeerStats) -> Self {
+        let with_headers = |bytes: u64, datagrams: u64| bytes + HEADER_BYTES * datagrams;
+        Self {
+            sent_bytes: with_headers(stats.sent_udp_bytes, stats.sent_udp_datagrams),
+            received_bytes: with_headers(stats.received_udp_bytes, stats.received_udp_datagrams),
+        }
+    }
+
+    pub(super) fn minus(self, earlier: Self) -> Self {
+        Self {
+            sent_bytes: self.sent_bytes.saturating_sub(earlier.sent_bytes),
+            received_bytes: self.received_bytes.saturating_sub(earlier.received_bytes),
+        }
+    }
+
+    /// Bytes sent.
+    pub(super) fn bytes(self) -> f64 {
+        self.sent_bytes as f64
+    }
+}
+
+/// Cost of one instance.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Cost {
+    pub(super) sent_bytes_per_s: f64,
+    pub(super) received_bytes_per_s: f64,
+    pub(super) most_sent_bytes_per_s: f64,
+    pub(super) processor_pct: f64,
+    pub(super) memory_bytes: f64,
+    pub(super) links: f64,
+    pub(super) dials_per_s: f64,
+}
+
+impl Fleet {
+    pub(super) fn start(args: &Args, members: usize) -> anyhow::Result<Self> {
+        let base = usage(std::process::id())?;
+        let regions = args
+            .regions
+            .map_or_else(|| regions_of(members), usize::from)
+            .min(members);
+        let authority = Authority::new("experiment")?;
+        let cancel = CancellationToken::new();
+        let mut nodes = Vec::new();
+        for index in 0..members {
+            let node = start_node(args, &authority, index, regions, &cancel)?;
+            nodes.push(node);
+        }
+        let list: Vec<LiveEntry> = nodes
+            .iter()
+            .map(|node| LiveEntry {
+                identity: node.identity.clone(),
+                is_leaving: false,
+            })
+            .collect();
+        let list = Arc::new(list);
+        for node in &nodes {
+            node.events
+                .send(Event::LiveList(Arc::clone(&list)))
+                .context("an instance has stopped")?;
+        }
+        Ok(Self {
+            nodes,
+            regions,
+            cancel,
+            base,
+        })
+    }
+
+    pub(super) fn regions(&self) -> usize {
+        self.regions
+    }
+
+    /// Waits until every instance sees all others.
+    pub(super) fn wait_settled(&self, limit: Duration) -> anyhow::Result<()> {
+        let members = self.nodes.len() as u64;
+        let is_settled = || {
+            let alive = |node: &Node| node.seen.alive.load(Ordering::Acquire);
+            self.nodes.iter().all(|node| alive(node) == members)
+        };
+        wait(limit, is_settled).context("the instances do not find each other")?;
+        Ok(())
+    }
+
+    pub(super) fn traffic(&self) -> Traffic {
+        // The threads renew their sums every second.
+        thread::sleep(Duration::from_millis(1_200));
+        let sum = |sum: Traffic, node: &Node| {
+            let traffic = Traffic::of(&node.handle.stats());
+            Traffic {
+                sent_bytes: sum.sent_bytes + traffic.sent_bytes,
+                received_bytes: sum.received_bytes + traffic.received_bytes,
+            }
+        };
+        self.nodes.iter().fold(Traffic::default(), sum)
+    }
+
+    /// Measures the cost of one instance at rest.
+    pub(super) fn measure_cost(&self, duration: Duration) -> anyhow::Result<Cost> {
+        let stats = || -> Vec<PeerStats> { self.nodes.iter().map(|n| n.handle.stats()).collect() };
+        let (before, used_before, start) = (stats(), usage(std::process::id())?, Instant::now());
+        thread::sleep(duration);
+        let (after, used_after) = (stats(), usage(std::process::id())?);
+        let elapsed_s = start.elapsed().as_secs_f64();
+        let members = self.nodes.len() as f64;
+        let mut cost = Cost::default();
+        for (before, after) in before.iter().zip(&after) {
+            let traffic = Traffic::of(after).minus(Traffic::of(before));
+            let sent_bytes_per_s = traffic.sent_bytes as f64 / elapsed_s;
+            cost.sent_bytes_per_s += sent_bytes_per_s / members;
+            cost.received_bytes_per_s += traffic.received_bytes as f64 / elapsed_s / members;
+            cost.most_sent_bytes_per_s = cost.most_sent_bytes_per_s.max(sent_bytes_per_s);
+            cost.links += after.links as f64 / members;
+            cost.dials_per_s += (after.dials - before.dials) as f64 / elapsed_s / members;
+        }
+        let processor_s = used_after.processor_s - used_before.processor_s;
+        cost.processor_pct = 100.0 * processor_s / elapsed_s / members;
+        let memory_bytes = used_after
+            .memory_bytes
+            .saturating_sub(self.base.memory_bytes);
+        cost.memory_bytes = memory_bytes as f64 / members;
+        Ok(cost)
+    }
+
+    /// Gives one instance a new document, and returns the time until all have it in force, in
+    /// milliseconds.
+    pub(super) fn publish(&self, revision: u64, document_bytes: usize) -> anyhow::Result<f64> {
+        let bytes = Bytes::from(vec![b'x'; document_bytes]);
+        let first = &self.nodes[revision as usize % self.nodes.len()];
+        let start = Instant::now();
+        first
+            .events
+            .send(Event::Publish { revision, bytes })
+            .context("an instance has stopped")?;
+        let is_in_force = || {
+            let in_force = |node: &Node| node.seen.revision.load(Ordering::Acquire) >= revision;
+            self.nodes.iter().all(in_force)
+        };
+        wait(SPREAD_TIMEOUT, is_in_force).context("the revision does not reach everyone")?;
+        Ok(start.elapsed().as_secs_f64() * 1_000.0)
+    }
+
+    pub(super) fn stop(self) -> anyhow::Result<()> {
+        self.cancel.cancel();
+        for thread in self.nodes.into_iter().flat_map(|node| node.threads) {
+            if thread.join().is_err() {
+                bail!("a thread of an instance has failed");
+            }
+        }
+        Ok(())
+    }
+}
+
+fn start_node(
+    args: &Args,
+    authority: &Authority,
+    index: usize,
+    regions: usize,
+    cancel: &CancellationToken,
+) -> anyhow::Result<Node> {
+    let region = index % regions;
+    let name = format!("region-{region}-instance-{}", index / regions);
+    let pem = authority.issue(&name)?;
+    let tls = TlsMaterial {
+        cert_pem: pem.cert_pem,
+        key_pem: pem.key_pem,
+        ca_pem: pem.ca_pem,
+    };
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let identity = Identity {
+        instance: name.parse()?,
+        incarnation: Incarnation(1_700_000_000_000 + index as u64),
+        region: format!("region-{region}").parse()?,
+        data_centre: format!("region-{region}-dc-{}", index / regions % 4).parse()?,
+        peer_addr: loopback,
+        caller_addr: loopback,
+    };
+    let settings = PeerSettings::new(identity.instance.clone(), loopback, tls);
+    let options = NodeOptions {
+        region_delay_ms: args.region_delay_ms,
+        digest_bytes: usize::from(args.digest_bytes),
+        seed: args.seed.wrapping_mul(1_000).wrapping_add(index as u64),
+    };
+    node::start(identity, settings, options, cancel)
+}
+
+/// Regions of a fleet, between today's three and the target's.
+fn regions_of(members: usize) -> usize {
+    let share = (members as f64 / TARGET_MEMBERS).sqrt();
+    let regions = (TARGET_REGIONS * share).round() as usize;
+    regions.max(MIN_REGIONS)
+}
+
+fn wait(limit: Duration, is_reached: impl Fn() -> bool) -> anyhow::Result<()> {
+    let start = Instant::now();
+    while !is_reached() {
+        if start.elapsed() > limit {
+            bail!("not within {} s", limit.as_secs());
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/experiment/gossip/mod.rs
@@ -0,0 +1,93 @@
+//! `carobctl experiment gossip`: what membership costs an instance, and how fast a revision spreads.
+//!
+//! Instances run as threads of this process over real links on loopback. Packets between regions
+//! are held back to stand for the distance. Costs are measured at rest, after all instances have
+//! found each other, and extrapolated to the target by a straight line through the sizes measured.
+
+mod fleet;
+mod node;
+mod report;
+
+use anyhow::Context as _;
+use fleet::Fleet;
+use report::{Line, Report};
+use std::time::Duration;
+
+/// Arguments of `carobctl experiment gossip`.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Args {
+    /// Numbers of instances to run, one after the other.
+    #[arg(long, value_delimiter = ',', default_values_t = [6, 24, 96],
+          value_parser = clap::value_parser!(u16).range(1..=400))]
+    pub members: Vec<u16>,
+    /// Regions to spread the instances over; chosen by the number of instances if absent.
+    #[arg(long, value_parser = clap::value_parser!(u16).range(1..=40))]
+    pub regions: Option<u16>,
+    /// One-way delay between regions, in milliseconds.
+    #[arg(long, default_value_t = 80, value_parser = clap::value_parser!(u64).range(0..=1_000))]
+    pub region_delay_ms: u64,
+    /// Time to settle before the measurement, in seconds.
+    #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u64).range(1..=600))]
+    pub settle_s: u64,
+    /// Length of the measurement, in seconds.
+    #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u64).range(1..=600))]
+    pub measure_s: u64,
+    /// Revisions to publish one after the other.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=100))]
+    pub revisions: u64,
+    /// Size of the document, in bytes.
+    #[arg(long, default_value_t = 300_000, value_parser = clap::value_parser!(u32).range(1..=1_000_000))]
+    pub document_bytes: u32,
+    /// Load digest that each instance renews every second inside its region, in bytes; 0 for none.
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u16).range(0..=512))]
+    pub digest_bytes: u16,
+    /// Seed of all random choices.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Prints the report as JSON.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// Runs the measurement and prints the report.
+///
+/// # Errors
+///
+/// Fails if an instance cannot be started or the instances do not find each other.
+pub fn run(args: Args) -> anyhow::Result<()> {
+    let mut lines = Vec::new();
+    for members in &args.members {
+        let line = measure(&args, usize::from(*members))
+            .with_context(|| format!("with {members} instances"))?;
+        if !args.json {
+            eprintln!("{members} instances measured");
+        }
+        lines.push(line);
+    }
+    Report::new(lines).print(args.json)
+}
+
+/// Measures a fleet of one size.
+fn measure(args: &Args, members: usize) -> anyhow::Result<Line> {
+    let fleet = Fleet::start(args, members)?;
+    fleet.wait_settled(Duration::from_secs(60))?;
+    std::thread::sleep(Duration::from_secs(args.settle_s));
+    let cost = fleet.measure_cost(Duration::from_secs(args.measure_s))?;
+    let mut spreads_ms = Vec::new();
+    let before = fleet.traffic();
+    for revision in 2..2 + args.revisions {
+        spreads_ms.push(fleet.publish(revision, args.document_bytes as usize)?);
+        std::thread::sleep(Duration::from_secs(5));
+    }
+    let after = fleet.traffic();
+    let bytes_per_revision = after.minus(before).bytes() / args.revisions as f64 / members as f64;
+    let line = Line::new(
+        members,
+        fleet.regions(),
+        cost,
+        spreads_ms,
+        bytes_per_revision,
+    );
+    fleet.stop()?;
+    Ok(line)
+}
--- a/crates/ctl/src/load/mod.rs
+++ b/crates/ctl/src/load/mod.rs
@@ -5,7 +5,7 @@
 //! slow the load down. Latency counts from the scheduled arrival.
 
 mod client;
-mod process;
+pub(crate) mod process;
 mod report;
 
 use anyhow::Context as _;
--- a/crates/ctl/src/load/process.rs
+++ b/crates/ctl/src/load/process.rs
@@ -8,11 +8,11 @@
 
 /// What a process has used.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Usage {
+pub(crate) struct Usage {
     /// Processor time since its start, in seconds.
-    pub(super) processor_s: f64,
+    pub(crate) processor_s: f64,
     /// Resident memory, in bytes.
-    pub(super) memory_bytes: u64,
+    pub(crate) memory_bytes: u64,
 }
 
 /// What the process `pid` has used.
@@ -20,7 +20,7 @@
 /// # Errors
 ///
 /// Fails if there is no such process or `/proc` cannot be read.
-pub(super) fn usage(pid: u32) -> anyhow::Result<Usage> {
+pub(crate) fn usage(pid: u32) -> anyhow::Result<Usage> {
     let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))
         .with_context(|| format!("no process {pid}"))?;
     // The name of the program stands in parentheses and may hold spaces.
