--- a/crates/core/src/admit/queues.rs
+++ b/crates/core/src/admit/queues.rs
@@ -136,6 +136,13 @@
         self.len == 0
     }
 
+    /// Whether requests of this priority or a more urgent one wait. A new request then has to be
+    /// queued even if it could be placed, or it would overtake them.
+    pub fn has_waiting(&self, priority: u8) -> bool {
+        let classes = self.classes.range(..=priority);
+        classes.into_iter().any(|(_, class)| !class.is_empty())
+    }
+
     /// Requests of one account and class waiting.
     pub fn queue_len(&self, account: Option<&AccountId>, priority: u8) -> usize {
         let class = self.classes.get(&priority);
--- a/crates/core/src/admit/round.rs
+++ b/crates/core/src/admit/round.rs
@@ -44,6 +44,10 @@
         queue.limit_deficit(quantum_tokens);
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.turn.is_empty()
+    }
+
     pub(super) fn queue_len(&self, account: &AccountKey) -> usize {
         let queue = self.queues.get(account);
         queue.map_or(0, |queue| queue.entries.len())
--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Seeded measurements of decisions against baselines.
 
+pub mod routing;
+
 use clap::Subcommand;
 
 /// Arguments of `carobctl experiment`.
@@ -12,7 +14,10 @@
 
 /// What is measured.
 #[derive(Debug, Subcommand)]
-pub enum Topic {}
+pub enum Topic {
+    /// Routing, admission and retries under load, against the usual baselines.
+    Routing(routing::Args),
+}
 
 /// Runs the experiment.
 ///
@@ -20,5 +25,7 @@
 ///
 /// Fails if the experiment cannot be set up or a report cannot be written.
 pub fn run(args: Args) -> anyhow::Result<()> {
-    match args.topic {}
+    match args.topic {
+        Topic::Routing(args) => routing::run(args),
+    }
 }
