--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod limits;
 pub mod gossip;
+pub mod routing;
 
 use clap::Subcommand;
 
@@ -18,6 +19,8 @@
 pub enum Topic {
     /// Traffic, processor time and memory of membership, and the spread of a revision.
     Gossip(gossip::Args),
+    /// Routing, admission and retries under load, against the usual baselines.
+    Routing(routing::Args),
 }
 
 /// Runs the experiment.
@@ -28,5 +31,6 @@
 pub fn run(args: Args) -> anyhow::Result<()> {
     match args.topic {
         Topic::Gossip(args) => gossip::run(args),
+        Topic::Routing(args) => routing::run(args),
     }
 }
