Judge readiness by every listed instance, and 5xx answers as perhaps run

Cause: an instance that had heard of nobody took itself for the whole fleet and was ready at once; an upstream's 503 was reported as run, and a refusal by the service itself locked the idempotency key. Ruled out: starting the first owner's parts full. Change: the settled revision waits for every listed instance; 5xx is may-have-run; 429, and 503 with Retry-After, release the claim as not-run.

--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -1,7 +1,7 @@
 //! Seeded measurements of decisions against baselines.
 
-pub mod limits;
 pub mod gossip;
+pub mod limits;
 pub mod routing;
 
 use clap::Subcommand;
@@ -19,6 +19,8 @@
 pub enum Topic {
     /// Traffic, processor time and memory of membership, and the spread of a revision.
     Gossip(gossip::Args),
+    /// Wrongful refusals of the fleet's limits, against a static split and a central counter.
+    Limits(limits::Args),
     /// Routing, admission and retries under load, against the usual baselines.
     Routing(routing::Args),
 }
@@ -31,6 +33,7 @@
 pub fn run(args: Args) -> anyhow::Result<()> {
     match args.topic {
         Topic::Gossip(args) => gossip::run(args),
+        Topic::Limits(args) => limits::run(args),
         Topic::Routing(args) => routing::run(args),
     }
 }
--- a/crates/gateway/src/decide/membership.rs
+++ b/crates/gateway/src/decide/membership.rs
@@ -87,6 +87,8 @@
             .iter()
             .map(|line| peer_of_identity(&line.identity))
             .collect();
+        let names = listed.iter().map(|peer| peer.instance.clone());
+        self.slots.listed = Some(names.collect());
         self.slots.presence.note_live_list(&listed, read.began, now);
         let packets = self.members.on_live_list(&lines, now);
         self.outlets.send_packets(packets);
--- a/crates/gateway/src/decide/slots.rs
+++ b/crates/gateway/src/decide/slots.rs
@@ -3,7 +3,7 @@
 use super::{event::SlotsRead, state::State};
 use crate::platform::Command;
 use carobwheel_core::{
-    id::RegionId,
+    id::{InstanceId, RegionId},
     member::{MemberView, State as MemberState},
     slot::{Keeper, Peer, Presence, Record, SlotId, Update, View},
     time::Millis,
@@ -28,18 +28,24 @@
     pub(super) are_void: bool,
     /// Owners of the slots of all regions, as far as they are known.
     pub(super) owners: BTreeMap<SlotId, Peer>,
+    /// There is a live list to read.
+    pub(super) has_live_list: bool,
+    /// Instances on the live list as last read.
+    pub(super) listed: Option<Vec<InstanceId>>,
     records: BTreeMap<RegionId, (u64, Record)>,
     write_at: Millis,
 }
 
 impl Slots {
-    pub(super) fn new(me: Peer, now: Millis) -> Self {
+    pub(super) fn new(me: Peer, has_live_list: bool, now: Millis) -> Self {
         Self {
             keeper: Keeper::new(me, now),
             presence: Presence::default(),
             are_known: false,
             are_void: false,
             owners: BTreeMap::new(),
+            has_live_list,
+            listed: None,
             records: BTreeMap::new(),
             write_at: now,
         }
@@ -151,13 +157,27 @@
             .filter(|member| !self.is_confirmed_gone(member, now))
             .map(peer_of)
             .collect();
-        let settled = self.fleet_settled_revision(&present);
+        let settled = self
+            .knows_listed(&members)
+            .then(|| self.fleet_settled_revision(&present))
+            .flatten();
         self.charging.limiter.set_members(&present, now);
         if let Some(revision) = settled {
             self.charging.limiter.set_fleet_revision(revision, now);
         }
         self.tell_settled_revision();
-        self.judge_readiness(settled.is_some(), now);
+        let can_charge = settled.is_some_and(|settled| settled > 0);
+        self.judge_readiness(can_charge, now);
+    }
+
+    /// Whether every instance that the live list names has been heard of. A newcomer that has
+    /// heard of nobody would take itself for the whole fleet.
+    fn knows_listed(&self, members: &[MemberView]) -> bool {
+        let Some(listed) = &self.slots.listed else {
+            return !self.slots.has_live_list;
+        };
+        let is_known = |id: &InstanceId| members.iter().any(|m| m.identity.instance == *id);
+        listed.iter().all(is_known)
     }
 
     /// An instance is ready once it can charge requests, at the latest after a while: a member
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -96,7 +96,7 @@
         let own = membership::own_identity(settings, incarnation);
         Self {
             members: Members::new(own, 0, rng.random(), now),
-            slots: Slots::new(me.clone(), now),
+            slots: Slots::new(me.clone(), settings.platform.is_some(), now),
             charging: Charging::new(me.clone(), identity.region.clone()),
             identity,
             me,
--- a/crates/gateway/src/intake/action/mod.rs
+++ b/crates/gateway/src/intake/action/mod.rs
@@ -11,7 +11,7 @@
 use super::{answer::Answer, work, work::Work, Shared};
 use crate::{
     in_flight::Running,
-    refusal::{Cause, Refusal, Run},
+    refusal::{run_of_status, Cause, Refusal, Run},
 };
 use carobwheel_core::{
     identity::Caller,
@@ -247,7 +247,7 @@
 fn replay(outcome: &once::Outcome) -> Answer {
     let mut answer = Answer::whole(
         outcome.status,
-        Run::Ran,
+        run_of_status(outcome.status),
         outcome.body.bytes().unwrap_or_default().to_vec().into(),
     );
     if let Some(content_type) = &outcome.content_type {
--- a/crates/gateway/src/intake/action/upstream.rs
+++ b/crates/gateway/src/intake/action/upstream.rs
@@ -9,7 +9,7 @@
 use crate::{
     decide::Ending,
     dispatch::{ExchangeError, Head},
-    refusal::{Refusal, Run},
+    refusal::{run_of_status, Refusal},
     relay::{Charged, Framing, Settling},
 };
 use bytes::BytesMut;
@@ -18,6 +18,7 @@
     once::{Body, Outcome, UpstreamEvent},
     retry::Failure,
 };
+use reqwest::header::RETRY_AFTER;
 use std::sync::Arc;
 
 /// Longest answer of an action, in bytes.
@@ -68,6 +69,12 @@
         let exchange = work::dispatch(shared, work, &place, true).await;
         let settling = &mut place.settling;
         let gathered = match exchange {
+            Ok(head) if is_refusal(&head) => {
+                self.charged = settling.take_charge();
+                settling.settle(Ending::Failed(Failure::RefusedNotRun));
+                self.tried.push(place.placed.upstream);
+                return (vec![UpstreamEvent::Refused], None);
+            }
             Ok(head) => gather(head, settling).await,
             Err(err) => Err(err),
         };
@@ -91,6 +98,16 @@
     }
 }
 
+/// Whether the upstream itself says that it did not run the request: 429, or 503 with the time
+/// after which to come again. A bare 503 may also come from something that gave up waiting.
+fn is_refusal(head: &Head) -> bool {
+    match head.status {
+        429 => true,
+        503 => head.headers.contains_key(RETRY_AFTER),
+        _ => false,
+    }
+}
+
 async fn gather(
     mut head: Head,
     settling: &mut Settling,
@@ -114,7 +131,7 @@
         content_type: content_type.map(|(_, value)| value.clone()),
         body: Body::new(body.to_vec()),
     };
-    let mut answer = Answer::whole(head.status, Run::Ran, body.freeze());
+    let mut answer = Answer::whole(head.status, run_of_status(head.status), body.freeze());
     answer.headers = headers;
     Ok((outcome, answer))
 }
--- a/crates/gateway/src/intake/pass.rs
+++ b/crates/gateway/src/intake/pass.rs
@@ -15,7 +15,7 @@
     dispatch::{ExchangeError, Head},
     in_flight::Running,
     in_force::InForce,
-    refusal::{Cause, Refusal, Run},
+    refusal::{run_of_status, Cause, Refusal},
     relay::{Framing, RelayBody, Settling},
 };
 use carobwheel_core::{
@@ -163,10 +163,7 @@
     let message = format!("the upstream answered with status {status}");
     match status {
         429 | 503 => Refusal::not_run(Cause::Overloaded, message).retry_after(1_000),
-        _ => Refusal {
-            run: Run::Ran,
-            ..Refusal::may_have_run(Cause::UpstreamFailed, message)
-        },
+        _ => Refusal::may_have_run(Cause::UpstreamFailed, message),
     }
 }
 
@@ -194,7 +191,7 @@
     Ok(Answer {
         status: head.status,
         headers: passed_back(&head.headers),
-        run: Run::Ran,
+        run: run_of_status(head.status),
         body,
     })
 }
--- a/crates/gateway/src/refusal/mod.rs
+++ b/crates/gateway/src/refusal/mod.rs
@@ -13,6 +13,15 @@
     }
 }
 
+/// What the status of an upstream's answer says about the request having run. An upstream that
+/// fails may have failed before or after it ran the request.
+pub fn run_of_status(status: u16) -> Run {
+    match status {
+        500.. => Run::MayHaveRun,
+        _ => Run::Ran,
+    }
+}
+
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Cause {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -131,7 +131,7 @@
         let settings = |address: &str| {
             json!({
                 "instance": {"id": id, "region": region, "data_centre": format!("{region}-a")},
-                "callers": {"address": address, "advertised_url": format!("http://{address}")},
+                "callers": {"address": address},
                 "store": {"url": store_url, "timeout_ms": 1_000},
                 "upstream_credentials": credentials,
                 "shutdown": {"announce_ms": 200, "drain_ms": 60_000},
