--- a/crates/gateway/tests/promise_keys.rs
+++ b/crates/gateway/tests/promise_keys.rs
@@ -5,7 +5,9 @@
 mod support;
 
 use std::time::Duration;
-use support::{eventually, expected_answer, key_of, Caller, Fleet, FleetOptions, Reply, REGIONS, SECONDS};
+use support::{
+    eventually, expected_answer, key_of, Caller, Fleet, FleetOptions, Reply, REGIONS, SECONDS,
+};
 
 const TOKENS: u64 = 16;
 
@@ -27,7 +29,11 @@
             let reply = caller.confirm(&instance.url, &action).await.unwrap();
             assert!(is_served_or_not_run(&reply, is_home), "{reply:?}");
             let runs_at_home = fleet.services[region].runs(&action);
-            assert_eq!(fleet.runs(&action), runs_at_home, "it ran in its region only");
+            assert_eq!(
+                fleet.runs(&action),
+                runs_at_home,
+                "it ran in its region only"
+            );
             assert_eq!(reply.status == 200, runs_at_home == 1, "{reply:?}");
         }
         let elsewhere = REGIONS.into_iter().filter(|other| *other != region);
@@ -169,6 +175,7 @@
     for region in ["central", "south"] {
         fleet.engines[region].set_refusing(true);
         fleet.engines[region].cut();
+        fleet.instance(region).pause();
     }
     for number in 0..20 {
         let prompt = format!("question {number}");
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,17 +8,20 @@
 mod document;
 mod process;
 
-pub(crate) use caller::{chat_body, expected_answer, Caller, Reply};
+pub(crate) use caller::{chat_body, expected_answer, send, Caller, Reply};
 pub(crate) use document::{account, key_of, DocumentBuilder};
 pub(crate) use process::Instance;
 
 use carobwheel_standin::{
     engine::{self, Engine, EngineOptions},
+    livelist::{self, LiveList, LiveListOptions},
     proxy::{self, Proxy, ProxyOptions},
     service::{self, Service, ServiceOptions},
     store::{self, Store, StoreOptions},
+    tls::Authority,
 };
-use serde_json::json;
+use carobwheel_wire::platform::{InstanceState, LiveInstance};
+use serde_json::{json, Value};
 use std::{
     collections::BTreeMap,
     future::Future,
@@ -65,10 +68,12 @@
 pub(crate) struct Fleet {
     pub(crate) instances: Vec<Instance>,
     pub(crate) store: Store,
+    pub(crate) live_list: LiveList,
     pub(crate) store_proxies: BTreeMap<&'static str, Proxy>,
     pub(crate) engines: BTreeMap<&'static str, Engine>,
     pub(crate) services: BTreeMap<&'static str, Service>,
     pub(crate) document: DocumentBuilder,
+    authority: Authority,
     folder: PathBuf,
 }
 
@@ -83,6 +88,8 @@
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
             document: DocumentBuilder::default(),
+            live_list: livelist::start(LiveListOptions::default()).unwrap(),
+            authority: Authority::new("fleet").unwrap(),
             folder: new_folder(),
             store,
         };
@@ -122,23 +129,56 @@
 
     /// Starts an instance and waits until it is ready.
     pub(crate) async fn start_instance(&mut self, region: &'static str, id: &str) {
-        let store_url = format!("http://{}", self.store_proxies[region].addr());
-        let credentials: BTreeMap<_, _> = REGIONS
+        let tls = self.write_tls(id);
+        let settings = |caller_address: &str, peer_address: &str| {
+            self.live_list.add(LiveInstance {
+                id: id.parse().unwrap(),
+                region: region.parse().unwrap(),
+                data_centre: format!("{region}-a").parse().unwrap(),
+                peer_address: peer_address.parse().unwrap(),
+                caller_address: caller_address.parse().unwrap(),
+                state: InstanceState::Live,
+                incarnation: None,
+            });
+            let mut settings = self.settings(region, id, caller_address);
+            settings["peers"] = tls.clone();
+            settings["peers"]["address"] = json!(peer_address);
+            settings
+        };
+        let instance = Instance::start(&self.folder, id, region, settings).await;
+        self.instances.push(instance);
+    }
+
+    fn settings(&self, region: &str, id: &str, caller_address: &str) -> Value {
+        let upstreams = REGIONS
             .iter()
-            .flat_map(|region| [format!("{region}-engine"), format!("{region}-ledger")])
+            .flat_map(|region| [format!("{region}-engine"), format!("{region}-ledger")]);
+        let credentials: BTreeMap<_, _> = upstreams
             .map(|upstream| (upstream.clone(), credential(&upstream)))
             .collect();
-        let settings = |address: &str| {
-            json!({
-                "instance": {"id": id, "region": region, "data_centre": format!("{region}-a")},
-                "callers": {"address": address, "advertised_url": format!("http://{address}")},
-                "store": {"url": store_url, "timeout_ms": 1_000},
-                "upstream_credentials": credentials,
-                "shutdown": {"announce_ms": 200, "drain_ms": 60_000},
-            })
+        json!({
+            "instance": {"id": id, "region": region, "data_centre": format!("{region}-a")},
+            "callers": {"address": caller_address},
+            "store": {"url": format!("http://{}", self.store_proxies[region].addr())},
+            "platform": {"url": self.live_list.url()},
+            "upstream_credentials": credentials,
+            "shutdown": {"announce_ms": 200, "drain_ms": 60_000},
+        })
+    }
+
+    /// Writes the files for mutual TLS and returns the settings that name them.
+    fn write_tls(&self, id: &str) -> Value {
+        let pem = self.authority.issue(id).unwrap();
+        let write = |name: &str, text: &str| {
+            let file = self.folder.join(format!("{id}.{name}.pem"));
+            std::fs::write(&file, text).unwrap();
+            file.display().to_string()
         };
-        let instance = Instance::start(&self.folder, id, region, settings).await;
-        self.instances.push(instance);
+        json!({
+            "ca_pem_file": write("ca", &pem.ca_pem),
+            "certificate_pem_file": write("certificate", &pem.cert_pem),
+            "key_pem_file": write("key", &pem.key_pem),
+        })
     }
 
     /// Publishes the document as it stands.
--- a/crates/gateway/tests/support/process.rs
+++ b/crates/gateway/tests/support/process.rs
@@ -3,7 +3,7 @@
 use super::{eventually, Caller, PATIENCE};
 use std::{
     fs::{self, File},
-    net::{Ipv4Addr, TcpListener},
+    net::{Ipv4Addr, TcpListener, UdpSocket},
     path::Path,
     process::{Child, Command, ExitStatus, Stdio},
 };
@@ -20,17 +20,19 @@
 }
 
 impl Instance {
-    /// Starts an instance with the settings for a free address, and waits until it is ready.
+    /// Starts an instance with the settings for a free address for callers and one for other
+    /// instances, and waits until it is ready.
     pub(crate) async fn start(
         folder: &Path,
         id: &str,
         region: &'static str,
-        settings: impl Fn(&str) -> serde_json::Value,
+        settings: impl Fn(&str, &str) -> serde_json::Value,
     ) -> Self {
         for _ in 0..MAX_STARTS {
             let address = format!("127.0.0.1:{}", free_port());
+            let peer_address = format!("127.0.0.1:{}", free_udp_port());
             let file = folder.join(format!("{id}.json"));
-            fs::write(&file, settings(&address).to_string()).unwrap();
+            fs::write(&file, settings(&address, &peer_address).to_string()).unwrap();
             let log = File::create(folder.join(format!("{id}.log"))).unwrap();
             let child = Command::new(env!("CARGO_BIN_EXE_carobwheel"))
                 .args(["serve", "--settings"])
@@ -121,3 +123,8 @@
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
     listener.local_addr().unwrap().port()
 }
+
+fn free_udp_port() -> u16 {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    socket.local_addr().unwrap().port()
+}
