--- a/crates/gateway/tests/promise_keys.rs
+++ b/crates/gateway/tests/promise_keys.rs
@@ -175,6 +175,7 @@
     for region in ["central", "south"] {
         fleet.engines[region].set_refusing(true);
         fleet.engines[region].cut();
+        fleet.instance(region).pause();
     }
     for number in 0..20 {
         let prompt = format!("question {number}");
