--- a/crates/ctl/src/experiment/limits/baseline.rs
+++ b/crates/ctl/src/experiment/limits/baseline.rs
@@ -5,7 +5,7 @@
 use super::world::Tally;
 use carobwheel_core::document::Account;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, VecDeque};
 
 /// Time between two tries of a request that waits, in milliseconds.
 const RETRY_MS: u64 = 20;
@@ -31,6 +31,7 @@
     let mut buckets: Vec<Bucket> = (0..count).map(|_| Bucket::full(rate, burst)).collect();
     let mut whole = Bucket::full(account.rate_tokens_per_s, account.burst_tokens);
     let mut tally = Tally::default();
+    let mut lines: Vec<VecDeque<usize>> = vec![VecDeque::new(); buckets.len()];
     let mut queue = BinaryHeap::new();
     let mut steps: Vec<Step> = Vec::new();
     for (index, arrival) in arrivals.iter().enumerate() {
@@ -58,15 +59,25 @@
                 let tokens = arrival.prompt_tokens + arrival.max_output_tokens;
                 let is_within = is_within || whole.has(tokens, at_ms);
                 let bucket = &mut buckets[choose(arrival.node)];
+                let line = &mut lines[choose(arrival.node)];
+                if arrival.at_ms == at_ms {
+                    line.push_back(index);
+                }
                 let is_counted = arrival.at_ms >= tally_from_ms;
-                if bucket.has(tokens, at_ms) {
+                let is_first = line.front() == Some(&index);
+                if is_first && bucket.has(tokens, at_ms) {
+                    line.pop_front();
                     tally.admitted += u64::from(is_counted);
+                    if is_counted {
+                        tally.used_tokens += arrival.prompt_tokens + arrival.output_tokens;
+                    }
                     bucket.charge(arrival.prompt_tokens, arrival.max_output_tokens, at_ms);
                     whole.charge(arrival.prompt_tokens, arrival.max_output_tokens, at_ms);
                     let run_ms = arrival.output_tokens * 1_000 / arrival.speed_tokens_per_s;
                     queue.push(Reverse((at_ms + run_ms, steps.len())));
                     steps.push(Step::Settle { arrival: index });
                 } else if at_ms >= arrival.at_ms + arrival.patience_ms {
+                    line.retain(|of| *of != index);
                     tally.refused += u64::from(is_counted);
                     tally.wrongful += u64::from(is_counted && is_within);
                 } else {
--- a/crates/ctl/src/experiment/limits/mod.rs
+++ b/crates/ctl/src/experiment/limits/mod.rs
@@ -35,16 +35,20 @@
     /// Share of requests refused although a perfect bucket that was charged alike would have
     /// admitted them, in percent.
     pub wrongful_pct: f64,
+    /// Tokens used by admitted requests in a second.
+    pub used_tokens_per_s: f64,
 }
 
-impl From<Tally> for Decisions {
-    fn from(tally: Tally) -> Self {
+impl Decisions {
+    fn new(tally: Tally, scenario: &Scenario) -> Self {
+        let measured_s = (scenario.end_ms - scenario.tally_from_ms) as f64 / 1_000.0;
         let offered = tally.admitted + tally.refused;
         let pct = |count: u64| 100.0 * count as f64 / offered.max(1) as f64;
         Self {
             offered,
             refused_pct: pct(tally.refused),
             wrongful_pct: pct(tally.wrongful),
+            used_tokens_per_s: tally.used_tokens as f64 / measured_s,
         }
     }
 }
@@ -119,9 +123,9 @@
         scenario: scenario.name,
         load_pct: scenario.load_pct,
         placement: placement_name(scenario.placement),
-        lending: lending.unwrap_or_default().into(),
-        central: central.into(),
-        fixed_split: fixed.into(),
+        lending: Decisions::new(lending.unwrap_or_default(), scenario),
+        central: Decisions::new(central, scenario),
+        fixed_split: Decisions::new(fixed, scenario),
         messages_per_s: messages as f64 / node_s,
         bytes_per_s: bytes as f64 / node_s,
         store_calls_per_h: world.store.calls as f64 * 3_600.0 / node_s,
@@ -138,17 +142,16 @@
 }
 
 fn heading() -> String {
+    let decisions = |name: &str| format!("{name:>8} wrong% tok/s");
     format!(
-        "{:<25} {:>5} {:<13} {:>7} | {:>9} {:>9} | {:>9} | {:>9} {:>9} | {:>7} {:>7} {:>8} {:>6}",
+        "{:<25} {:>5} {:<12} {:>7} |{} |{} |{} | {:>6} {:>5} {:>7} {:>6}",
         "scenario",
         "load%",
         "placement",
         "offered",
-        "refused%",
-        "wrongful%",
-        "central%",
-        "split%",
-        "wrongful%",
+        decisions("lending%"),
+        decisions("central%"),
+        decisions("split%"),
         "msg/s",
         "B/s",
         "calls/h",
@@ -157,17 +160,24 @@
 }
 
 fn row(of: &Measurement) -> String {
+    let decisions = |of: &Decisions| {
+        let Decisions {
+            refused_pct,
+            wrongful_pct,
+            used_tokens_per_s,
+            ..
+        } = of;
+        format!("{refused_pct:>8.3} {wrongful_pct:>6.3} {used_tokens_per_s:>5.0}")
+    };
     format!(
-        "{:<25} {:>5} {:<13} {:>7} | {:>9.3} {:>9.3} | {:>9.3} | {:>9.3} {:>9.3} | {:>7.2} {:>7.0} {:>8.0} {:>6}",
+        "{:<25} {:>5} {:<12} {:>7} |{} |{} |{} | {:>6.2} {:>5.0} {:>7.0} {:>6}",
         of.scenario,
         of.load_pct,
         of.placement,
         of.lending.offered,
-        of.lending.refused_pct,
-        of.lending.wrongful_pct,
-        of.central.refused_pct,
-        of.fixed_split.refused_pct,
-        of.fixed_split.wrongful_pct,
+        decisions(&of.lending),
+        decisions(&of.central),
+        decisions(&of.fixed_split),
         of.messages_per_s,
         of.bytes_per_s,
         of.store_calls_per_h,
--- a/crates/ctl/src/experiment/limits/world/mod.rs
+++ b/crates/ctl/src/experiment/limits/world/mod.rs
@@ -72,6 +72,8 @@
     pub refused: u64,
     /// Requests refused although a perfect bucket charged alike would have admitted them.
     pub wrongful: u64,
+    /// Tokens that admitted requests use when they run to their end.
+    pub used_tokens: u64,
 }
 
 #[derive(Clone)]
@@ -436,6 +438,7 @@
                 return;
             }
             tally.admitted += 1;
+            tally.used_tokens += arrival.prompt_tokens + arrival.output_tokens;
             let ledger = ledgers.entry(arrival.account.clone()).or_default();
             ledger.generated.push(Use {
                 at_ms: now_ms,
