--- /dev/null
+++ b/crates/core/tests/limit_limiter.rs
@@ -0,0 +1,425 @@
+//! Admission, lending and change of owners, on limiters that exchange messages by hand.
+
+use carobwheel_core::document::{Account, Document, Objective, Policy, Region};
+use carobwheel_core::id::AccountId;
+use carobwheel_core::limit::{
+    ChargeId, ChargeRequest, Limiter, LoanMessage, Outcome, Outgoing, CHARGE_LIFE_MS, LENT_LIFE_MS,
+    MICRO_PER_TOKEN,
+};
+use carobwheel_core::slot::{shard_of, OwnedSlot, Peer, Role, SlotId};
+use carobwheel_core::time::Millis;
+use test_case::test_case;
+
+const REGIONS: [&str; 3] = ["north", "south", "west"];
+const RATE: u64 = 2_000;
+const BURST: u64 = 20_000;
+const FULL: Millis = Millis(60_000);
+
+fn account() -> AccountId {
+    "tenant".parse().expect("a valid name")
+}
+
+fn document(rate_tokens_per_s: u64, burst_tokens: u64, weights: [u32; 3]) -> Document {
+    Document {
+        schema: 1,
+        policy: Policy {
+            objective: Objective::Cost,
+            retry_budget_pct: 10,
+            max_body_bytes: 1_000_000,
+        },
+        regions: REGIONS
+            .iter()
+            .zip(weights)
+            .map(|(id, rate_weight)| Region {
+                id: id.parse().expect("a valid name"),
+                data_centres: Vec::new(),
+                rate_weight,
+            })
+            .collect(),
+        accounts: vec![Account {
+            id: account(),
+            rate_tokens_per_s,
+            burst_tokens,
+            queue_weight: 1,
+            bound_region: None,
+            keys: Vec::new(),
+        }],
+        classes: Vec::new(),
+        models: Vec::new(),
+        upstreams: Vec::new(),
+        routes: Vec::new(),
+        rollouts: Vec::new(),
+    }
+}
+
+fn peer(at: usize) -> Peer {
+    Peer {
+        instance: format!("i{at}").parse().expect("a valid name"),
+        incarnation: 1,
+    }
+}
+
+fn owned(role: Role, epoch: u64) -> OwnedSlot {
+    let shard = shard_of(&account());
+    OwnedSlot { shard, role, epoch }
+}
+
+/// Six instances, two in each region: the first owns the primary, the second the backup.
+struct Fleet {
+    limiters: Vec<Limiter>,
+}
+
+impl Fleet {
+    fn new(document: &Document) -> Self {
+        let members: Vec<Peer> = (0..6).map(peer).collect();
+        let owners: Vec<(SlotId, Peer)> = (0..6).map(|at| (slot(at), peer(at))).collect();
+        let limiters = (0..6).map(|at| {
+            let region = REGIONS[at / 2].parse().expect("a valid name");
+            let mut limiter = Limiter::new(peer(at), region);
+            limiter.set_members(&members, Millis(0));
+            limiter.apply_document(1, document, Millis(0));
+            limiter.set_fleet_revision(1, Millis(0));
+            limiter.set_owners(owners.clone());
+            limiter.set_slots(&[owned(slot(at).role, 1)], Millis(0));
+            limiter
+        });
+        Self {
+            limiters: limiters.collect(),
+        }
+    }
+
+    /// Delivers messages and the answers to them until none is left.
+    fn deliver(&mut self, from: usize, messages: Vec<Outgoing>, now: Millis) {
+        let mut queue: Vec<(usize, Outgoing)> = messages.into_iter().map(|m| (from, m)).collect();
+        while let Some((from, (to, message))) = queue.pop() {
+            let at = (0..6).find(|at| peer(*at) == to).expect("a known peer");
+            let answers = self.limiters[at].on_message(&peer(from), &message, now);
+            queue.extend(answers.into_iter().map(|answer| (at, answer)));
+        }
+    }
+
+    fn tick(&mut self, now: Millis) {
+        for at in 0..6 {
+            let messages = self.limiters[at].tick(now);
+            self.deliver(at, messages, now);
+        }
+    }
+
+    /// Charges a request, delivering messages at once, until it is decided or has to wait.
+    fn charge(&mut self, at: usize, prompt: u64, output: u64, now: Millis) -> Outcome {
+        for _ in 0..5 {
+            match try_charge(&mut self.limiters[at], prompt, output, now) {
+                Outcome::Borrow { messages, .. } => self.deliver(at, messages, now),
+                decided => return decided,
+            }
+        }
+        panic!("borrowing has no end");
+    }
+
+    fn available(&mut self, now: Millis) -> u64 {
+        let levels = self.limiters.iter_mut();
+        let total: u64 = levels.map(|of| of.available_micro(&account(), now)).sum();
+        total / MICRO_PER_TOKEN
+    }
+}
+
+fn slot(at: usize) -> SlotId {
+    SlotId {
+        region: REGIONS[at / 2].parse().expect("a valid name"),
+        shard: shard_of(&account()),
+        role: Role::ALL[at % 2],
+    }
+}
+
+fn try_charge(limiter: &mut Limiter, prompt: u64, output: u64, now: Millis) -> Outcome {
+    let account = account();
+    let request = ChargeRequest {
+        account: &account,
+        prompt_tokens: prompt,
+        max_output_tokens: output,
+        wait_until: now.plus(1_000),
+    };
+    limiter.try_charge(&request, now)
+}
+
+fn admitted(outcome: Outcome) -> ChargeId {
+    match outcome {
+        Outcome::Admitted { charge } => charge,
+        other => panic!("not admitted: {other:?}"),
+    }
+}
+
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(3)]
+#[test_case(5)]
+fn an_idle_account_is_admitted_a_large_request_at_any_instance(at: usize) {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    admitted(fleet.charge(at, 8_000, 0, FULL));
+}
+
+#[test]
+fn the_whole_burst_is_gathered_and_no_more() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    admitted(fleet.charge(0, 19_990, 0, FULL));
+    let outcome = fleet.charge(0, 5_000, 0, FULL);
+    assert!(matches!(outcome, Outcome::Refused { .. }), "{outcome:?}");
+}
+
+#[test]
+fn a_request_beyond_the_whole_burst_is_too_large() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let outcome = fleet.charge(0, BURST, 1, FULL);
+    assert_eq!(outcome, Outcome::TooLarge);
+}
+
+#[test]
+fn an_account_without_a_document_is_unknown() {
+    let mut limiter = Limiter::new(peer(0), REGIONS[0].parse().expect("a valid name"));
+    let outcome = try_charge(&mut limiter, 1, 0, FULL);
+    assert_eq!(outcome, Outcome::UnknownAccount);
+}
+
+#[test]
+fn refill_soon_enough_is_waited_for() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    admitted(fleet.charge(0, 19_990, 0, FULL));
+    // Lenders refill only once they know that what they lent is used.
+    fleet.tick(FULL);
+    let outcome = fleet.charge(0, 1_000, 0, FULL.plus(100));
+    assert!(matches!(outcome, Outcome::Wait { .. }), "{outcome:?}");
+    admitted(fleet.charge(0, 1_000, 0, FULL.plus(1_000)));
+}
+
+#[test_case(1, 1; "one token a second in ticks of a millisecond")]
+#[test_case(1, 7; "one token a second in ticks of seven milliseconds")]
+#[test_case(333, 13; "a rate that no tick divides")]
+fn slow_rates_accrue_exactly(rate: u64, tick_ms: u64) {
+    let elapsed_ms = 91_000;
+    let mut fleet = Fleet::new(&document(rate, 100_000, [1, 1, 1]));
+    let mut now = Millis(0);
+    while now < Millis(elapsed_ms) {
+        now = now.plus(tick_ms);
+        fleet.available(now);
+    }
+    let levels = fleet.limiters.iter_mut();
+    let total: u64 = levels.map(|of| of.available_micro(&account(), now)).sum();
+    // Weights of a third each, cut to whole parts per million, lose less than six of them.
+    let whole = rate * now.0 * 999;
+    let lost = whole * 6 / 1_000_000 + 6;
+    assert!(
+        total <= whole && total + lost >= whole,
+        "{total} of {whole}"
+    );
+}
+
+#[test]
+fn what_was_not_generated_is_refunded() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let charge = admitted(fleet.charge(0, 1_000, 3_000, FULL));
+    let before = fleet.available(FULL);
+    fleet.limiters[0].settle(charge, 500, FULL);
+    assert_eq!(fleet.available(FULL), before + 2_500);
+    fleet.limiters[0].settle(charge, 500, FULL);
+    assert_eq!(fleet.available(FULL), before + 2_500);
+}
+
+#[test]
+fn a_charge_that_is_never_settled_ends_as_fully_used() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let charge = admitted(fleet.charge(0, 0, 3_000, FULL));
+    let end = FULL.plus(CHARGE_LIFE_MS);
+    fleet.tick(end.plus(1));
+    assert_eq!(fleet.limiters[0].take_ended(), [charge]);
+    assert_eq!(fleet.limiters[0].totals().charges, 0);
+}
+
+#[test]
+fn reservations_keep_the_part_from_filling() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let charge = admitted(fleet.charge(0, 0, 4_000, FULL));
+    let later = FULL.plus(60_000);
+    // The shares of the burst are 4,999 and 1,666 tokens, cut to whole parts per million.
+    assert_eq!(
+        fleet.limiters[0].available_micro(&account(), later) / MICRO_PER_TOKEN,
+        999
+    );
+    fleet.limiters[0].settle(charge, 4_000, later);
+    let later = later.plus(60_000);
+    assert_eq!(
+        fleet.limiters[0].available_micro(&account(), later) / MICRO_PER_TOKEN,
+        4_999
+    );
+}
+
+/// Borrows at the first instance and returns the ask, the grant and the lender.
+fn borrowed(fleet: &mut Fleet) -> (LoanMessage, LoanMessage, usize) {
+    let outcome = try_charge(&mut fleet.limiters[0], 6_000, 0, FULL);
+    let Outcome::Borrow { messages, .. } = outcome else {
+        panic!("nothing is borrowed: {outcome:?}");
+    };
+    assert_eq!(messages.len(), 1);
+    let (to, ask) = messages.into_iter().next().expect("a message");
+    let lender = (0..6).find(|at| peer(*at) == to).expect("a known peer");
+    let answers = fleet.limiters[lender].on_message(&peer(0), &ask, FULL);
+    let (_, grant) = answers.into_iter().next().expect("an answer");
+    (ask, grant, lender)
+}
+
+#[test]
+fn a_doubled_ask_gets_the_same_loan() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let (ask, grant, lender) = borrowed(&mut fleet);
+    let level = fleet.limiters[lender].available_micro(&account(), FULL);
+    let again = fleet.limiters[lender].on_message(&peer(0), &ask, FULL);
+    assert_eq!(again, [(peer(0), grant)]);
+    assert_eq!(
+        fleet.limiters[lender].available_micro(&account(), FULL),
+        level
+    );
+}
+
+#[test]
+fn a_doubled_grant_is_credited_once() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let (_, grant, lender) = borrowed(&mut fleet);
+    fleet.limiters[0].on_message(&peer(lender), &grant, FULL);
+    let once = fleet.limiters[0].available_micro(&account(), FULL);
+    fleet.limiters[0].on_message(&peer(lender), &grant, FULL);
+    assert_eq!(fleet.limiters[0].available_micro(&account(), FULL), once);
+}
+
+#[test]
+fn a_late_grant_is_given_back() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let full = fleet.available(FULL);
+    let (_, grant, lender) = borrowed(&mut fleet);
+    let late = FULL.plus(5_000);
+    fleet.limiters[0].tick(late);
+    let answers = fleet.limiters[0].on_message(&peer(lender), &grant, late);
+    assert_eq!(answers.len(), 1);
+    fleet.deliver(0, answers, late);
+    assert_eq!(fleet.available(late), full);
+    assert_eq!(fleet.limiters[lender].totals().loans_given, 0);
+}
+
+#[test]
+fn an_unspent_loan_returns_when_it_is_not_needed() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let full = fleet.available(FULL);
+    let (_, grant, lender) = borrowed(&mut fleet);
+    fleet.limiters[0].on_message(&peer(lender), &grant, FULL);
+    for step in 0..20 {
+        fleet.tick(FULL.plus(step * 1_000));
+    }
+    let totals: Vec<_> = fleet.limiters.iter().map(Limiter::totals).collect();
+    assert!(
+        totals.iter().all(|of| of.loans_given + of.loans_taken == 0),
+        "{totals:?}"
+    );
+    assert_eq!(fleet.available(FULL.plus(19_000)), full);
+}
+
+#[test]
+fn a_loan_that_is_never_reported_counts_as_spent() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let (_, _, lender) = borrowed(&mut fleet);
+    let level = fleet.limiters[lender].available_micro(&account(), FULL);
+    let expiry = FULL.plus(LENT_LIFE_MS);
+    fleet.limiters[lender].tick(expiry);
+    assert_eq!(fleet.limiters[lender].totals().loans_given, 0);
+    assert_eq!(
+        fleet.limiters[lender].available_micro(&account(), expiry),
+        level
+    );
+}
+
+#[test]
+fn void_slots_admit_and_lend_nothing() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let charge = admitted(fleet.charge(2, 10, 100, FULL));
+    assert_eq!(fleet.limiters[2].void(), [charge]);
+    assert_eq!(fleet.limiters[2].available_micro(&account(), FULL), 0);
+    admitted(fleet.charge(0, 14_000, 0, FULL));
+    assert_eq!(fleet.limiters[2].totals().loans_given, 0);
+    fleet.limiters[2].confirm(&[owned(Role::Primary, 1)], FULL);
+    assert!(fleet.limiters[2].available_micro(&account(), FULL) > 0);
+}
+
+#[test]
+fn a_new_owner_gets_the_level_once_all_have_answered() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let charge = admitted(fleet.charge(0, 1_000, 1_000, FULL));
+    let level = fleet.limiters[0].available_micro(&account(), FULL);
+    fleet.limiters[0].suspend(&[(shard_of(&account()), Role::Primary)], FULL);
+    assert_eq!(fleet.limiters[0].available_micro(&account(), FULL), 0);
+    fleet.limiters[0].set_slots(&[], FULL);
+    let both = [owned(Role::Backup, 1), owned(Role::Primary, 2)];
+    fleet.limiters[1].set_slots(&both, FULL);
+    let backup = fleet.limiters[1].available_micro(&account(), FULL);
+    let later = FULL.plus(10_000);
+    assert_eq!(fleet.limiters[1].available_micro(&account(), later), backup);
+    fleet.tick(later);
+    let taken = fleet.limiters[1].available_micro(&account(), later) - backup;
+    assert_eq!(taken, level);
+    // The reservation of the former owner is held back until it has ended.
+    let filled = later.plus(60_000);
+    let held = fleet.limiters[1].available_micro(&account(), filled);
+    fleet.limiters[0].settle(charge, 1_000, filled);
+    fleet.tick(filled);
+    let freed = filled.plus(60_000);
+    let free = fleet.limiters[1].available_micro(&account(), freed);
+    assert_eq!((free - held) / MICRO_PER_TOKEN, 1_000);
+}
+
+#[test]
+fn a_new_owner_that_misses_an_answer_spends_nothing() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    fleet.limiters[1].set_slots(&[owned(Role::Primary, 2)], FULL);
+    fleet.limiters[1].tick(FULL);
+    let later = FULL.plus(60_000);
+    assert_eq!(fleet.limiters[1].available_micro(&account(), later), 0);
+    fleet.limiters[1].set_members(&[peer(1)], later);
+    fleet.limiters[1].tick(later.plus(500));
+    let filled = later.plus(60_000);
+    assert!(fleet.limiters[1].available_micro(&account(), filled) > 0);
+}
+
+#[test]
+fn a_share_grows_only_when_the_fleet_has_settled() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let wider = document(RATE, BURST, [4, 1, 1]);
+    for limiter in &mut fleet.limiters {
+        limiter.apply_document(2, &wider, FULL);
+    }
+    let later = FULL.plus(60_000);
+    let levels = |fleet: &mut Fleet, now| {
+        let levels = fleet.limiters.iter_mut();
+        levels
+            .map(|of| of.available_micro(&account(), now) / MICRO_PER_TOKEN)
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        levels(&mut fleet, later),
+        [4_999, 1_666, 2_499, 833, 2_499, 833]
+    );
+    for limiter in &mut fleet.limiters {
+        assert_eq!(limiter.settled_revision(), 2);
+        limiter.set_fleet_revision(2, later);
+    }
+    let settled = later.plus(60_000);
+    assert_eq!(
+        levels(&mut fleet, settled),
+        [9_999, 3_333, 2_499, 833, 2_499, 833]
+    );
+}
+
+#[test]
+fn a_part_beyond_its_new_share_is_not_settled() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let charge = admitted(fleet.charge(2, 0, 4_000, FULL));
+    fleet.limiters[2].apply_document(2, &document(RATE, BURST, [4, 1, 1]), FULL);
+    assert_eq!(fleet.limiters[2].settled_revision(), 1);
+    fleet.limiters[2].settle(charge, 0, FULL);
+    assert_eq!(fleet.limiters[2].settled_revision(), 2);
+}
