Ask late members and check the document's revision when a slot changes its owner

A new owner that had not yet heard of a member would not have asked it what it may still use, and one with an outdated document could have used a share that the fleet had given up. Members heard of later are asked too, answers carry the sender's revision, and an instance borrows nothing in its first 3 s. The asking of a member that returns also shortens the harm of an owner that ignores the pause rule, so the planted fault now needs silent links to be caught; silence joins the random faults.

--- a/crates/core/src/limit/audit.rs
+++ b/crates/core/src/limit/audit.rs
@@ -33,11 +33,23 @@
     /// Levels that the former owner passes on, until all members have answered.
     passed_on: Vec<(AccountId, u64)>,
     asked: Option<Millis>,
+    /// Highest revision of the document that a member has answered with.
+    least_revision: u64,
 }
 
 impl Slot {
-    /// What an account's part holds back for tokens of earlier owners, in micro-tokens.
-    pub(super) fn held_micro(&self, account: &AccountId, cap_micro: u64, now: Millis) -> u64 {
+    /// What an account's part holds back for tokens of earlier owners, in micro-tokens, when this
+    /// instance applies `revision`.
+    pub(super) fn held_micro(
+        &self,
+        account: &AccountId,
+        cap_micro: u64,
+        revision: u64,
+        now: Millis,
+    ) -> u64 {
+        if self.least_revision > revision {
+            return cap_micro;
+        }
         if self.is_held_over(now) {
             return 0;
         }
@@ -96,6 +108,7 @@
             outstanding: BTreeMap::new(),
             passed_on: Vec::new(),
             asked: None,
+            least_revision: 0,
         };
         self.slots.insert(key, slot);
     }
@@ -159,6 +172,7 @@
             shard: audit.shard,
             role: audit.role,
             epoch: audit.epoch,
+            revision: self.revision(),
             outstanding: self.outstanding(&slot, audit.epoch),
             levels,
         }
@@ -173,6 +187,7 @@
         if slot.epoch != answer.epoch {
             return;
         }
+        slot.least_revision = slot.least_revision.max(answer.revision);
         let is_first = slot.waiting.remove(from);
         let is_known = slot.outstanding.contains_key(from);
         if !is_first && !is_known {
@@ -223,6 +238,7 @@
 
     /// Brings the parts of a slot in line with the answers to its audit.
     fn refresh_held(&mut self, key: (u16, Role), now: Millis) {
+        let revision = self.revision();
         let Some(slot) = self.slots.get_mut(&key) else {
             return;
         };
@@ -238,7 +254,7 @@
             let Some(part) = &mut account.parts[key.1 as usize] else {
                 continue;
             };
-            part.set_held(slot.held_micro(id, part.cap_micro, now), now);
+            part.set_held(slot.held_micro(id, part.cap_micro, revision, now), now);
             let passed = passed_on.iter().find(|(of, _)| of == id);
             if let Some((_, level_micro)) = passed {
                 part.add_level(*level_micro);
@@ -246,18 +262,24 @@
         }
     }
 
-    pub(super) fn forget_gone_members(&mut self, now: Millis) {
-        let members: BTreeSet<Peer> = self.members.iter().chain([&self.me]).cloned().collect();
-        let mut changed = Vec::new();
-        for (key, slot) in &mut self.slots {
-            let before = (slot.waiting.len(), slot.outstanding.len());
-            slot.waiting.retain(|peer| members.contains(peer));
-            slot.outstanding.retain(|peer, _| members.contains(peer));
-            if before != (slot.waiting.len(), slot.outstanding.len()) {
-                changed.push(*key);
+    /// Asks members of whom this instance hears only now as well, and waits no longer for those
+    /// that are gone.
+    pub(super) fn change_members(&mut self, members: &[Peer], now: Millis) {
+        let before: BTreeSet<Peer> = std::mem::take(&mut self.members).into_iter().collect();
+        let after: BTreeSet<Peer> = members.iter().chain([&self.me]).cloned().collect();
+        self.members = members.to_vec();
+        if before == after {
+            return;
+        }
+        for slot in self.slots.values_mut() {
+            slot.waiting.retain(|peer| after.contains(peer));
+            slot.outstanding.retain(|peer, _| after.contains(peer));
+            if slot.epoch > 1 && !slot.is_held_over(now) {
+                slot.waiting.extend(after.difference(&before).cloned());
             }
         }
-        for key in changed {
+        let keys: Vec<(u16, Role)> = self.slots.keys().copied().collect();
+        for key in keys {
             self.refresh_held(key, now);
         }
     }
--- a/crates/core/src/limit/borrow.rs
+++ b/crates/core/src/limit/borrow.rs
@@ -40,12 +40,13 @@
         let pending_micro = self.pending_micro(request.account);
         let rate_per_ms = self.rate_micro_per_ms(request.account);
         let home = self.region.clone();
+        let may_borrow = self.has_joined(now);
         let Some(active) = self.activate(request.account, now) else {
             return Outcome::UnknownAccount;
         };
         let mut within_reach: u64 = pending_micro;
         for remote in &active.remotes {
-            if !remote.is_asked {
+            if may_borrow && !remote.is_asked {
                 within_reach += remote.estimate_micro(now);
             }
         }
@@ -64,7 +65,8 @@
             let is_home = remote.slot.region == home;
             let estimate = remote.estimate_micro(now);
             let is_too_small = estimate < least.min(needed);
-            if needed == 0 || remote.is_asked || is_too_small || !(is_home || may_ask_away) {
+            let is_in_time = may_borrow && (is_home || may_ask_away);
+            if needed == 0 || remote.is_asked || is_too_small || !is_in_time {
                 continue;
             }
             let wanted = needed.min(estimate);
@@ -87,6 +89,9 @@
 
     /// Borrows for accounts whose demand exceeds what accrues here.
     pub(super) fn borrow_ahead(&mut self, now: Millis) {
+        if !self.has_joined(now) {
+            return;
+        }
         let hot: Vec<AccountId> = self
             .accounts
             .iter()
--- a/crates/core/src/limit/lend.rs
+++ b/crates/core/src/limit/lend.rs
@@ -47,6 +47,7 @@
 
     /// Does what is due with time, and returns messages to send.
     pub fn tick(&mut self, now: Millis) -> Vec<Outgoing> {
+        self.first_tick.get_or_insert(now);
         self.end_charges(now);
         self.tend_loans(now);
         self.borrow_ahead(now);
@@ -64,7 +65,7 @@
             loan: ask.loan,
             incarnation: from.incarnation,
             epoch: 0,
-            revision: self.tables.last().map_or(0, |table| table.revision),
+            revision: self.revision(),
             amount_micro: 0,
             level_micro: 0,
         };
--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -7,7 +7,7 @@
 use super::message::LoanMessage;
 use super::part::Part;
 use super::table::{Share, Table};
-use super::{CHARGE_LIFE_MS, MICRO_PER_TOKEN};
+use super::{CHARGE_LIFE_MS, JOIN_MS, MICRO_PER_TOKEN};
 use crate::document::Document;
 use crate::id::{AccountId, RegionId};
 use crate::slot::{shard_of, OwnedSlot, Peer, Role, SlotId};
@@ -62,6 +62,7 @@
     pub(super) outbox: BTreeMap<Peer, LoanMessage>,
     pub(super) is_void: bool,
     pub(super) last_sweep: Millis,
+    pub(super) first_tick: Option<Millis>,
     next_loan: u64,
     next_charge: u64,
 }
@@ -87,6 +88,7 @@
             outbox: BTreeMap::new(),
             is_void: false,
             last_sweep: Millis::default(),
+            first_tick: None,
             next_loan: 0,
             next_charge: 0,
         }
@@ -153,10 +155,11 @@
         })
     }
 
-    /// Sets all members that are not confirmed gone, this instance included.
+    /// Sets all members that are not confirmed gone, this instance included: those on the live
+    /// list and those heard of. To be called right before [`set_slots`](Self::set_slots) too, since
+    /// new slots wait for the answers of these members.
     pub fn set_members(&mut self, members: &[Peer], now: Millis) {
-        self.members = members.to_vec();
-        self.forget_gone_members(now);
+        self.change_members(members, now);
     }
 
     /// Sets the owners of the slots of all regions, as far as they are known.
@@ -362,6 +365,17 @@
         Some(active)
     }
 
+    /// Revision of the document that this instance applies; 0 if there is none.
+    pub(super) fn revision(&self) -> u64 {
+        self.tables.last().map_or(0, |table| table.revision)
+    }
+
+    /// Every member has heard of this instance and will ask it when a slot changes its owner.
+    pub(super) fn has_joined(&self, now: Millis) -> bool {
+        self.first_tick
+            .is_some_and(|first| now.since(first) >= JOIN_MS)
+    }
+
     pub(super) fn next_loan(&mut self) -> u64 {
         self.next_loan += 1;
         self.next_loan
@@ -394,6 +408,7 @@
                 self.accounts.insert(id.clone(), account);
             }
         }
+        let revision = newest.revision;
         let mut accounts = std::mem::take(&mut self.accounts);
         for (id, account) in &mut accounts {
             if let Some(active) = &mut account.active {
@@ -413,7 +428,7 @@
                 part.set_limits(share.cap_micro, share.rate_micro_per_s, now);
                 if let Some(slot) = slot {
                     part.is_suspended = slot.is_suspended;
-                    part.set_held(slot.held_micro(id, share.cap_micro, now), now);
+                    part.set_held(slot.held_micro(id, share.cap_micro, revision, now), now);
                 }
             }
         }
@@ -482,7 +497,7 @@
         let charge = Charge {
             account: request.account.clone(),
             sources,
-            revision: self.tables.last().map_or(0, |table| table.revision),
+            revision: self.revision(),
             ends: now.plus(CHARGE_LIFE_MS),
         };
         self.charges.insert(self.next_charge, charge);
--- a/crates/core/src/limit/message.rs
+++ b/crates/core/src/limit/message.rs
@@ -90,6 +90,8 @@
     pub role: Role,
     /// Epoch of the new owner.
     pub epoch: u64,
+    /// Revision of the configuration document that the sender applies.
+    pub revision: u64,
     /// Reservations of earlier epochs by account, in micro-tokens.
     pub outstanding: Vec<(AccountId, u64)>,
     /// Levels that the sender, as the former owner, passes on by account, in micro-tokens.
--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -35,6 +35,9 @@
 pub const CHARGE_LIFE_MS: u64 = 600_000;
 /// Allowed difference between two clocks, in parts per million.
 pub const DRIFT_PPM: u64 = 1_000;
+/// Time after its start in which an instance borrows nothing, in milliseconds. Until then a new
+/// owner of a slot might not know of it and would not ask it what it has borrowed.
+pub const JOIN_MS: u64 = 3_000;
 /// Time for which a lender counts a loan that is not reported, in milliseconds.
 pub const LENT_LIFE_MS: u64 = with_drift(with_drift(LOAN_LIFE_MS + CHARGE_LIFE_MS));
 /// Time after which nobody can still spend tokens of a slot's former owner, in milliseconds.
--- a/crates/core/tests/limit_limiter.rs
+++ b/crates/core/tests/limit_limiter.rs
@@ -3,8 +3,8 @@
 use carobwheel_core::document::{Account, Document, Objective, Policy, Region};
 use carobwheel_core::id::AccountId;
 use carobwheel_core::limit::{
-    ChargeId, ChargeRequest, Limiter, LoanMessage, Outcome, Outgoing, CHARGE_LIFE_MS, LENT_LIFE_MS,
-    MICRO_PER_TOKEN,
+    ChargeId, ChargeRequest, Limiter, LoanMessage, Outcome, Outgoing, CHARGE_LIFE_MS, JOIN_MS,
+    LENT_LIFE_MS, MICRO_PER_TOKEN,
 };
 use carobwheel_core::slot::{shard_of, OwnedSlot, Peer, Role, SlotId};
 use carobwheel_core::time::Millis;
@@ -81,6 +81,7 @@
             limiter.set_fleet_revision(1, Millis(0));
             limiter.set_owners(owners.clone());
             limiter.set_slots(&[owned(slot(at).role, 1)], Millis(0));
+            limiter.tick(Millis(0));
             limiter
         });
         Self {
@@ -423,3 +424,34 @@
     fleet.limiters[2].settle(charge, 0, FULL);
     assert_eq!(fleet.limiters[2].settled_revision(), 2);
 }
+
+#[test]
+fn an_instance_that_has_just_started_borrows_nothing() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    let mut fresh = Limiter::new(peer(0), slot(0).region);
+    fresh.apply_document(1, &document(RATE, BURST, [1, 1, 1]), FULL);
+    fresh.set_owners((1..6).map(|at| (slot(at), peer(at))));
+    fresh.tick(FULL);
+    let early = FULL.plus(JOIN_MS - 1);
+    let outcome = try_charge(&mut fresh, 100, 0, early);
+    assert!(!matches!(outcome, Outcome::Borrow { .. }), "{outcome:?}");
+    fleet.limiters[0] = fresh;
+    admitted(fleet.charge(0, 100, 0, FULL.plus(JOIN_MS)));
+}
+
+#[test]
+fn a_new_owner_with_an_outdated_document_spends_nothing() {
+    let mut fleet = Fleet::new(&document(RATE, BURST, [1, 1, 1]));
+    for limiter in &mut fleet.limiters[2..] {
+        limiter.apply_document(2, &document(RATE, BURST, [1, 4, 1]), FULL);
+    }
+    fleet.limiters[0].set_slots(&[], FULL);
+    fleet.limiters[1].set_slots(&[owned(Role::Primary, 2)], FULL);
+    fleet.tick(FULL);
+    let later = FULL.plus(60_000);
+    assert_eq!(fleet.limiters[1].available_micro(&account(), later), 0);
+    fleet.limiters[1].apply_document(2, &document(RATE, BURST, [1, 4, 1]), later);
+    fleet.tick(later);
+    let filled = later.plus(60_000);
+    assert!(fleet.limiters[1].available_micro(&account(), filled) > 0);
+}
--- a/crates/core/tests/limit_random.rs
+++ b/crates/core/tests/limit_random.rs
@@ -95,7 +95,7 @@
         let at_ms = rng.random_range(5_000..FAULTS_UNTIL_MS);
         let node = rng.random_range(0..NODES);
         let length_ms = rng.random_range(1_000..60_000);
-        match rng.random_range(0..6) {
+        match rng.random_range(0..7) {
             0 => {
                 faults.push((at_ms, Fault::Kill(node)));
                 faults.push((at_ms + length_ms, Fault::Start(node)));
@@ -113,6 +113,7 @@
                 faults.push((at_ms, Fault::Isolate(rng.random_range(0..REGIONS))));
                 faults.push((at_ms + length_ms, Fault::Heal));
             }
+            5 => faults.push((at_ms, Fault::Silence(node, length_ms))),
             _ => faults.push((at_ms, Fault::Publish(rng.random_range(2..5)))),
         }
     }
@@ -220,11 +221,13 @@
     (22_000, Fault::Start(0)),
     (22_000, Fault::Start(4)),
 ];
-const PAUSE_AND_OUTAGE: [(u64, Fault); 5] = [
+const PAUSE_AND_OUTAGE: [(u64, Fault); 7] = [
     (0, Fault::Publish(1)),
-    (20_000, Fault::Pause(0, 80_000)),
-    (20_000, Fault::Pause(1, 80_000)),
+    (20_000, Fault::Pause(3, 80_000)),
+    (20_000, Fault::Pause(4, 80_000)),
     (99_000, Fault::StoreDown),
+    (99_000, Fault::Silence(3, 20_000)),
+    (99_000, Fault::Silence(4, 20_000)),
     (120_000, Fault::StoreUp),
 ];
 const GROWTH_DURING_PARTITION: [(u64, Fault); 4] = [
@@ -248,6 +251,10 @@
             steady_flow("fast", 6_000, on_ms),
             steady_flow("slow", 60, on_ms),
         ];
+        if on_ms > 0 {
+            // The load after the break spends a full bucket at once.
+            setup.flows[0].tokens_per_s = 60_000;
+        }
         setup
     };
     assert_eq!(find_violation(scenario(Plant::Nothing)), None);
--- a/crates/ctl/src/experiment/limits/world/fault.rs
+++ b/crates/ctl/src/experiment/limits/world/fault.rs
@@ -15,6 +15,8 @@
     Start(usize),
     /// An instance is paused for some milliseconds.
     Pause(usize, u64),
+    /// Messages from and to an instance are lost for some milliseconds; callers still reach it.
+    Silence(usize, u64),
     /// The store goes down.
     StoreDown,
     /// The store comes back.
@@ -90,6 +92,7 @@
                 shard: slot.shard,
                 role: slot.role,
                 epoch: slot.epoch,
+                revision: 0,
                 outstanding: Vec::new(),
                 levels: levels.clone(),
             };
--- a/crates/ctl/src/experiment/limits/world/mod.rs
+++ b/crates/ctl/src/experiment/limits/world/mod.rs
@@ -117,6 +117,7 @@
     /// The store.
     pub store: Store,
     cut_off: Vec<bool>,
+    silent_until_ms: Vec<u64>,
     listed: Vec<Peer>,
     /// Charges by account.
     pub ledgers: BTreeMap<AccountId, Ledger>,
@@ -150,6 +151,7 @@
             incarnations: vec![0; setup.nodes],
             store: Store::default(),
             cut_off: vec![false; setup.regions.len()],
+            silent_until_ms: vec![0; setup.nodes],
             listed: Vec::new(),
             ledgers: BTreeMap::new(),
             shadows: shadows.collect(),
@@ -501,7 +503,8 @@
             let (Some(a), Some(b)) = (self.region_of(from), self.region_of(to)) else {
                 return;
             };
-            if a != b && (self.cut_off[a] || self.cut_off[b]) {
+            let is_cut_off = a != b && (self.cut_off[a] || self.cut_off[b]);
+            if is_cut_off || self.is_silent(from) || self.is_silent(to) {
                 return;
             }
             let base_ms = if a == b { HOME_DELAY_MS } else { AWAY_DELAY_MS };
@@ -519,9 +522,19 @@
         loss_pct > 0 && self.rng.random_ratio(loss_pct, 100)
     }
 
+    fn number_of(&self, peer: &Peer) -> Option<usize> {
+        peer.instance.as_str().get(1..)?.parse().ok()
+    }
+
     fn region_of(&self, peer: &Peer) -> Option<usize> {
-        let at: usize = peer.instance.as_str().get(1..)?.parse().ok()?;
-        Some(at % self.setup.regions.len())
+        Some(self.number_of(peer)? % self.setup.regions.len())
+    }
+
+    fn is_silent(&self, peer: &Peer) -> bool {
+        let until_ms = self
+            .number_of(peer)
+            .map_or(0, |at| self.silent_until_ms[at]);
+        until_ms > self.now_ms
     }
 
     fn on_deliver(&mut self, from: &Peer, to: &Peer, payload: Payload) {
@@ -594,7 +607,7 @@
             self.apply(at, published);
             return;
         }
-        if process.awaits_store_until_ms > now_ms {
+        if process.awaits_store_until_ms > now_ms || !process.node.has_joined() {
             return;
         }
         let now = process.node.clock(now_ms);
@@ -734,6 +747,9 @@
                     process.paused_until = now_ms + pause_ms;
                 }
             }
+            Fault::Silence(at, silence_ms) => {
+                self.silent_until_ms[at] = self.now_ms + silence_ms;
+            }
             Fault::StoreDown => self.store.is_down = true,
             Fault::StoreUp => self.store.is_down = false,
             Fault::Isolate(region) => self.cut_off[region] = true,
--- a/crates/ctl/src/experiment/limits/world/node.rs
+++ b/crates/ctl/src/experiment/limits/world/node.rs
@@ -117,6 +117,11 @@
         (heartbeat.document > self.document).then_some(heartbeat.document)
     }
 
+    /// The live list has been read, so that this instance knows whom to ask about slots.
+    pub fn has_joined(&self) -> bool {
+        !self.listed.is_empty()
+    }
+
     /// Takes the live list.
     pub fn on_live_list(&mut self, listed: &[Peer], read_began: Millis, now: Millis) {
         self.presence.note_live_list(listed, read_began, now);
