Ramp cold engines by their backlog, and stay home while the target is met

Cause: a ramp by slots sent short questions away after a cold return, and the margin between tokens sent them 160 ms away at the peak. Change: cold engines take prompts as fast as they read them; home is left only when no engine there meets the whole target.

--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -8,11 +8,14 @@
 use rand::Rng;
 
 /// Share of an engine's slots that long requests may take.
-const LONG_SLOTS_SHARE: f64 = 0.5;
+const LONG_SLOTS_SHARE: f64 = 0.75;
 /// Share of a long class's first-token target that prompts ahead of it may take.
 const LONG_BACKLOG_SHARE: f64 = 0.5;
+/// Share of a first-token target that prompts ahead may take on an engine with a cold cache; grows
+/// with its warmth.
+const COLD_BACKLOG_SHARE: f64 = 0.5;
 /// Long prompt that an engine reads between two tokens of others, in tokens.
-const CHUNK_TOKENS: f64 = 192.0;
+const CHUNK_TOKENS: f64 = 512.0;
 /// An engine may exceed the mean load of the candidates by this factor for the sake of its cache.
 const AFFINITY_BOUND: f64 = 1.25;
 /// Share of the prompt's prefix that the preferred engine is credited with before it is seen there.
@@ -46,6 +49,8 @@
     between_margin: f64,
     /// Weight of the predicted first token in the score.
     latency_weight: f64,
+    /// Weight of the predicted time between two tokens in the score.
+    between_weight: f64,
     /// Weight of the engine's additional work in the score.
     busy_weight: f64,
     /// Weight of the time by which others on the engine are held up.
@@ -58,6 +63,7 @@
             first_token_margin: 0.6,
             between_margin: 0.8,
             latency_weight: 1.0,
+            between_weight: 4.0,
             busy_weight: 0.02,
             harm_weight: 0.02,
         },
@@ -65,6 +71,7 @@
             first_token_margin: 0.8,
             between_margin: 0.9,
             latency_weight: 0.05,
+            between_weight: 0.0,
             busy_weight: 1.0,
             harm_weight: 0.005,
         },
@@ -104,7 +111,6 @@
         let uncorrected_ms =
             speed.prefill_ms(ahead_tokens) + read_ms + over as f64 * turnover_ms + token_ms;
         let first_token_ms = network_ms + uncorrected_ms * speed.correction();
-        let interference_ms = speed.prefill_ms(CHUNK_TOKENS.min(load.long_prompt_tokens as f64));
         let output = expected_output_tokens as f64;
         let per_token_ms = if load.is_idle() {
             token_ms
@@ -114,13 +120,15 @@
         Self {
             prediction: Prediction {
                 first_token_ms,
-                between_tokens_ms: token_ms + interference_ms,
+                between_tokens_ms: token_ms,
                 network_ms,
                 uncached_tokens,
                 busy_ms: read_ms + output * per_token_ms,
                 uncorrected_ms,
             },
-            has_room: over == 0 && has_room_for_long(&load, slots, state, &request.target),
+            has_room: over == 0
+                && has_room_for_long(&load, slots, state, &request.target)
+                && has_room_while_cold(&load, state, &request.target, now),
             wait_ms: if request.target.is_long {
                 turnover_ms.max(read_ms)
             } else {
@@ -132,9 +140,10 @@
         }
     }
 
-    fn meets(&self, target: &Target, knobs: &Knobs) -> bool {
-        let first_token_ms = target.first_token_ms as f64 * knobs.first_token_margin;
-        let between_ms = target.between_tokens_ms as f64 * knobs.between_margin;
+    /// Whether the prediction uses up no more than these shares of the target.
+    fn meets(&self, target: &Target, first_token_share: f64, between_share: f64) -> bool {
+        let first_token_ms = target.first_token_ms as f64 * first_token_share;
+        let between_ms = target.between_tokens_ms as f64 * between_share;
         self.has_room
             && self.prediction.first_token_ms <= first_token_ms
             && self.prediction.between_tokens_ms <= between_ms
@@ -142,6 +151,7 @@
 
     fn score_ms(&self, knobs: &Knobs) -> f64 {
         self.prediction.first_token_ms * knobs.latency_weight
+            + self.prediction.between_tokens_ms * knobs.between_weight
             + self.prediction.busy_ms * knobs.busy_weight
             + self.harm_ms * knobs.harm_weight
     }
@@ -174,8 +184,20 @@
     load.long_requests < most && backlog_ms <= most_backlog_ms
 }
 
-/// The best candidate: first one at home that meets the target, then one elsewhere that does, then
-/// the fastest at home with room, then the fastest elsewhere. None if none has room.
+/// An engine with a cold cache is given prompts no faster than it reads them.
+fn has_room_while_cold(load: &Load, state: &UpstreamState, target: &Target, now: Millis) -> bool {
+    let warmth = state.warmth(now);
+    if warmth >= 1.0 {
+        return true;
+    }
+    let backlog_tokens = load.prompt_tokens + load.long_prompt_tokens;
+    let backlog_ms = state.speed.prefill_ms(backlog_tokens as f64);
+    backlog_ms <= target.first_token_ms as f64 * COLD_BACKLOG_SHARE * warmth
+}
+
+/// The best candidate: first one at home that meets the target with margin, then the fastest at home
+/// that meets it at all, then one elsewhere that meets it with margin, then the fastest at home with
+/// room, then the fastest elsewhere. None if none has room.
 pub(super) fn choose<'a, 'b>(
     home: &'b [Candidate<'a>],
     away: &'b [Candidate<'a>],
@@ -184,10 +206,12 @@
     rng: &mut impl Rng,
 ) -> Option<&'b Candidate<'a>> {
     let knobs = knobs(objective);
+    let meets = |candidate: &Candidate<'_>| candidate.meets(&request.target, 1.0, 1.0);
     best_that_meets(home, request, &knobs, rng)
+        .or_else(|| fastest(home, meets))
         .or_else(|| best_that_meets(away, request, &knobs, rng))
-        .or_else(|| fastest(home))
-        .or_else(|| fastest(away))
+        .or_else(|| fastest(home, |candidate| candidate.has_room))
+        .or_else(|| fastest(away, |candidate| candidate.has_room))
 }
 
 fn best_that_meets<'a, 'b>(
@@ -199,7 +223,8 @@
     let preferred = preferred(candidates, request);
     let mut best: Option<(f64, &Candidate<'a>)> = None;
     for candidate in candidates {
-        if !candidate.meets(&request.target, knobs) {
+        let (first_token, between) = (knobs.first_token_margin, knobs.between_margin);
+        if !candidate.meets(&request.target, first_token, between) {
             continue;
         }
         let mut score_ms = candidate.score_ms(knobs);
@@ -235,10 +260,13 @@
     read_ms * AFFINITY_CREDIT * (knobs.latency_weight + knobs.busy_weight)
 }
 
-fn fastest<'a, 'b>(candidates: &'b [Candidate<'a>]) -> Option<&'b Candidate<'a>> {
+fn fastest<'a, 'b>(
+    candidates: &'b [Candidate<'a>],
+    is_eligible: impl Fn(&Candidate<'a>) -> bool,
+) -> Option<&'b Candidate<'a>> {
     candidates
         .iter()
-        .filter(|candidate| candidate.has_room)
+        .filter(|candidate| is_eligible(candidate))
         .min_by(|a, b| {
             let (a, b) = (&a.prediction, &b.prediction);
             a.first_token_ms.total_cmp(&b.first_token_ms)
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -47,7 +47,7 @@
         state.registration = registration;
         state.is_leaving_by_news = false;
         if !is_first {
-            state.begin_ramp(now);
+            state.restart(now);
         }
     }
 
@@ -71,7 +71,7 @@
             return;
         };
         if state.is_ejected && !is_ejected {
-            state.begin_ramp(now);
+            state.readmitted_at = Some(now);
         }
         state.is_ejected = is_ejected;
     }
--- a/crates/core/src/route/router.rs
+++ b/crates/core/src/route/router.rs
@@ -71,7 +71,7 @@
         router
             .upstreams
             .values_mut()
-            .for_each(|state| state.returned_at = None);
+            .for_each(|state| state.started_at = None);
         router
     }
 
@@ -95,12 +95,12 @@
                     state.spec = spec.clone();
                     state.is_leaving_by_document = spec.leaving;
                     if was_leaving && !state.is_leaving() {
-                        state.begin_ramp(now);
+                        state.restart(now);
                     }
                 }
                 _ => {
                     let mut state = UpstreamState::new(spec);
-                    state.begin_ramp(now);
+                    state.restart(now);
                     self.upstreams.insert(spec.id.clone(), state);
                 }
             }
--- a/crates/core/src/route/upstream.rs
+++ b/crates/core/src/route/upstream.rs
@@ -8,7 +8,7 @@
 
 /// Time over which an upstream that comes back is given its full work, in milliseconds.
 pub const RAMP_MS: u64 = 20_000;
-/// Share of its slots that an upstream gets at the start of the ramp.
+/// Share of its work that an upstream gets at the start of the ramp.
 const RAMP_START: f64 = 0.15;
 /// Age at which an upstream's own report no longer counts, in milliseconds.
 const REPORT_LIFETIME_MS: u64 = 4_000;
@@ -44,7 +44,10 @@
     /// Any other source has said so of the current registration.
     pub(super) is_leaving_by_news: bool,
     pub(super) is_ejected: bool,
-    pub(super) returned_at: Option<Millis>,
+    /// When the upstream last started anew; its cache was cold then.
+    pub(super) started_at: Option<Millis>,
+    /// When its last ejection ended.
+    pub(super) readmitted_at: Option<Millis>,
 }
 
 impl UpstreamState {
@@ -60,7 +63,8 @@
             is_leaving_by_document: spec.leaving,
             is_leaving_by_news: false,
             is_ejected: false,
-            returned_at: None,
+            started_at: None,
+            readmitted_at: None,
             spec: spec.clone(),
         }
     }
@@ -99,20 +103,21 @@
     }
 
     /// Requests that the upstream is given at the same time now: all slots, or a growing part of
-    /// them after it came back with a cold cache.
+    /// them after an ejection, since it may still be faulty.
     pub(super) fn open_slots(&self, now: Millis) -> u64 {
         let slots = self.slots();
-        let Some(returned_at) = self.returned_at else {
-            return slots;
-        };
-        let progress = now.since(returned_at) as f64 / RAMP_MS as f64;
-        let share = (RAMP_START + (1.0 - RAMP_START) * progress).min(1.0);
+        let share = ramp(self.readmitted_at, now);
         ((slots as f64 * share) as u64).clamp(1, slots)
     }
 
-    /// Starts the ramp: the upstream is back and its cache is cold.
-    pub(super) fn begin_ramp(&mut self, now: Millis) {
-        self.returned_at = Some(now);
+    /// How far the cache has filled since the upstream started: 1 when it is warm.
+    pub(super) fn warmth(&self, now: Millis) -> f64 {
+        ramp(self.started_at, now)
+    }
+
+    /// The upstream has started anew with a cold cache.
+    pub(super) fn restart(&mut self, now: Millis) {
+        self.started_at = Some(now);
         self.prefixes.clear();
     }
 
@@ -149,3 +154,12 @@
         Serves::Service { .. } => Speed::new(SERVICE_TOKENS_PER_S),
     }
 }
+
+/// Share of the full work at `now` for an upstream that came back at `since`.
+fn ramp(since: Option<Millis>, now: Millis) -> f64 {
+    let Some(since) = since else {
+        return 1.0;
+    };
+    let progress = now.since(since) as f64 / RAMP_MS as f64;
+    (RAMP_START + (1.0 - RAMP_START) * progress).min(1.0)
+}
--- a/crates/ctl/src/experiment/routing/measure.rs
+++ b/crates/ctl/src/experiment/routing/measure.rs
@@ -7,6 +7,8 @@
 
 /// Digits that the histograms keep.
 const DIGITS: u8 = 3;
+/// Longest duration that the histograms tell apart, in microseconds.
+const MAX_US: u64 = 120_000_000;
 /// The aim for the first token, in microseconds.
 const FIRST_TOKEN_AIM_US: u64 = 480_000;
 /// The aim for the time between two tokens, in microseconds.
@@ -101,7 +103,7 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(DIGITS).expect("a histogram with valid digits")
+    Histogram::new_with_bounds(1, MAX_US, DIGITS).expect("a histogram with valid bounds")
 }
 
 impl Measure {
--- a/crates/ctl/src/experiment/routing/mod.rs
+++ b/crates/ctl/src/experiment/routing/mod.rs
@@ -48,7 +48,7 @@
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
     /// Simulated time, in seconds.
-    #[arg(long, default_value_t = 120)]
+    #[arg(long, default_value_t = 240)]
     pub duration_s: u64,
     /// Print JSON instead of tables.
     #[arg(long)]
--- a/crates/ctl/src/experiment/routing/scenario.rs
+++ b/crates/ctl/src/experiment/routing/scenario.rs
@@ -83,7 +83,7 @@
             measured_from_us: duration_us / WARM_UP_PART,
             duration_us,
         };
-        let third_us = duration_us / 3;
+        let half_us = duration_us / 2;
         match scenario {
             Scenario::All | Scenario::RetryStorm => calm,
             Scenario::Room => Self { load: 0.4, ..calm },
@@ -102,8 +102,8 @@
                 let home = home_engines(deployment);
                 let lost = home.len().div_ceil(2);
                 Self {
-                    faults: home[..lost].iter().map(|e| crash(*e, third_us)).collect(),
-                    measured_from_us: third_us,
+                    faults: home[..lost].iter().map(|e| crash(*e, half_us)).collect(),
+                    measured_from_us: half_us,
                     ..calm
                 }
             }
@@ -112,11 +112,11 @@
                 let crashes = home.iter().map(|engine| crash(*engine, 0));
                 let returns = home.iter().map(|engine| Fault {
                     is_return: true,
-                    ..crash(*engine, third_us)
+                    ..crash(*engine, half_us)
                 });
                 Self {
                     faults: crashes.chain(returns).collect(),
-                    measured_from_us: third_us,
+                    measured_from_us: half_us,
                     ..calm
                 }
             }
--- a/crates/ctl/src/experiment/routing/world.rs
+++ b/crates/ctl/src/experiment/routing/world.rs
@@ -244,7 +244,10 @@
         };
         let now = self.now();
         let instance = &mut self.instances[arrival.instance];
-        if instance.admit.enqueue(entry, wait_ms, now).is_err() {
+        if let Err((e, r)) = instance.admit.enqueue(entry, wait_ms, now) {
+            if std::env::var("DBG").is_ok() {
+                eprintln!("{r:?} prio {} wait {wait_ms}", e.priority);
+            }
             self.refuse(request);
             return;
         }
--- a/crates/standin/src/batch/engine.rs
+++ b/crates/standin/src/batch/engine.rs
@@ -35,7 +35,7 @@
             prefill_tokens_per_s: 40_000,
             step_us: 8_000,
             step_per_request_us: 300,
-            chunk_tokens: 384,
+            chunk_tokens: 640,
             idle_chunk_tokens: 2_048,
             cache_blocks: 2_048,
             report_lag_us: 1_000_000,
