--- a/crates/core/src/admit/mod.rs
+++ b/crates/core/src/admit/mod.rs
@@ -10,6 +10,9 @@
 mod round;
 mod settings;
 
+#[cfg(test)]
+mod tests;
+
 pub use queue::Entry;
 pub use queues::{Admit, Next};
 pub use settings::{AdmitSettings, Rejected};
--- a/crates/core/src/admit/queue.rs
+++ b/crates/core/src/admit/queue.rs
@@ -47,6 +47,13 @@
         Some(self.entries.front()?.cost_tokens)
     }
 
+    /// Rounds until the deficit covers the first request.
+    pub(super) fn rounds_missing(&self, quantum_tokens: u64) -> u64 {
+        let head_tokens = self.head_tokens().unwrap_or(0);
+        let missing_tokens = head_tokens.saturating_sub(self.deficit_tokens);
+        missing_tokens.div_ceil(quantum_tokens * u64::from(self.weight))
+    }
+
     /// Keeps the deficit below the first request's cost and one round's share.
     pub(super) fn limit_deficit(&mut self, quantum_tokens: u64) {
         let most = self.most_deficit_tokens(quantum_tokens);
--- a/crates/core/src/admit/queues.rs
+++ b/crates/core/src/admit/queues.rs
@@ -20,8 +20,8 @@
 #[derive(Debug)]
 pub struct Admit<T> {
     settings: AdmitSettings,
-    classes: BTreeMap<u8, Round<T>>,
-    len: usize,
+    pub(super) classes: BTreeMap<u8, Round<T>>,
+    pub(super) len: usize,
     picks: u64,
 }
 
@@ -60,11 +60,15 @@
         let class = self.classes.entry(entry.priority).or_default();
         class.push(entry, self.settings.quantum_tokens);
         self.len += 1;
+        self.assert_bounded(queued + 1);
+        Ok(())
+    }
+
+    pub(super) fn assert_bounded(&self, queued: usize) {
         assert!(
-            queued < self.settings.max_queue_requests && self.len <= self.settings.max_requests,
+            queued <= self.settings.max_queue_requests && self.len <= self.settings.max_requests,
             "a queue exceeds its bound"
         );
-        Ok(())
     }
 
     /// Time that `entry` would wait: a slot for each request that goes before it.
--- a/crates/core/src/admit/round.rs
+++ b/crates/core/src/admit/round.rs
@@ -19,7 +19,7 @@
 /// time never drift further apart than that.
 #[derive(Debug)]
 pub(super) struct Round<T> {
-    queues: BTreeMap<AccountKey, Queue<T>>,
+    pub(super) queues: BTreeMap<AccountKey, Queue<T>>,
     turn: VecDeque<AccountKey>,
 }
 
@@ -71,6 +71,9 @@
     }
 
     /// The next request that is withdrawn or finds a place.
+    ///
+    /// Rounds are given to all accounts, those without a place too, and only once a request is
+    /// placed: a pick in vain changes no account's share.
     pub(super) fn next<P>(
         &mut self,
         quantum_tokens: u64,
@@ -78,12 +81,13 @@
         can_place: &mut impl FnMut(&Entry<T>) -> Option<P>,
     ) -> Option<Next<T, P>> {
         let mut blocked = HashSet::new();
+        let mut rounds = 0;
         loop {
             for _ in 0..self.turn.len() {
                 let key = self.turn.front()?.clone();
                 let queue = self.queues.get(&key)?;
                 let entry = queue.entries.front()?;
-                if queue.deficit_tokens < entry.cost_tokens || blocked.contains(&key) {
+                if queue.rounds_missing(quantum_tokens) > rounds || blocked.contains(&key) {
                     self.turn.rotate_left(1);
                     continue;
                 }
@@ -92,6 +96,7 @@
                     return Some(Next::Withdrawn(entry));
                 }
                 if let Some(place) = can_place(entry) {
+                    self.grow(quantum_tokens, rounds);
                     self.charge(&key, quantum_tokens);
                     let entry = self.pop(&key, quantum_tokens)?;
                     return Some(Next::Placed(entry, place));
@@ -102,32 +107,29 @@
                     return None;
                 }
             }
-            self.grow(quantum_tokens, &blocked)?;
+            rounds = self.next_rounds(quantum_tokens, &blocked)?;
         }
     }
 
-    /// Gives every account that is not blocked the rounds that the nearest one needs.
-    fn grow(&mut self, quantum_tokens: u64, blocked: &HashSet<AccountKey>) -> Option<()> {
-        let is_open = |key: &AccountKey| !blocked.contains(key);
-        let rounds = self
-            .queues
-            .iter()
-            .filter(|(key, _)| is_open(key))
-            .filter_map(|(_, queue)| {
-                let missing = queue.head_tokens()?.saturating_sub(queue.deficit_tokens);
-                Some(missing.div_ceil(quantum_tokens * u64::from(queue.weight)))
-            })
-            .min()?;
-        for (key, queue) in &mut self.queues {
-            if is_open(key) {
-                queue.deficit_tokens += rounds * quantum_tokens * u64::from(queue.weight);
-                queue.assert_bounded(quantum_tokens);
-            }
+    /// Rounds that the nearest of the accounts that are not blocked needs.
+    fn next_rounds(&self, quantum_tokens: u64, blocked: &HashSet<AccountKey>) -> Option<u64> {
+        let queues = self.queues.iter();
+        queues
+            .filter(|(key, _)| !blocked.contains(*key))
+            .map(|(_, queue)| queue.rounds_missing(quantum_tokens))
+            .min()
+    }
+
+    /// Gives every account its share of `rounds` rounds.
+    fn grow(&mut self, quantum_tokens: u64, rounds: u64) {
+        for queue in self.queues.values_mut() {
+            queue.assert_bounded(quantum_tokens);
+            queue.deficit_tokens += rounds * quantum_tokens * u64::from(queue.weight);
+            queue.limit_deficit(quantum_tokens);
         }
-        Some(())
     }
 
-    fn charge(&mut self, key: &AccountKey, quantum_tokens: u64) {
+    pub(super) fn charge(&mut self, key: &AccountKey, quantum_tokens: u64) {
         let Some(queue) = self.queues.get_mut(key) else {
             return;
         };
--- /dev/null
+++ b/crates/core/src/admit/tests.rs
@@ -0,0 +1,50 @@
+//! Planted faults: each assertion of the module stops a program that breaks its promise.
+
+use super::{Admit, AdmitSettings, Entry};
+use crate::time::Millis;
+
+fn admit() -> Admit<u32> {
+    let mut admit = Admit::new(AdmitSettings::default());
+    for item in 0..2 {
+        let entry = Entry {
+            account: None,
+            weight: 1,
+            priority: 0,
+            cost_tokens: 5_000,
+            deadline: Millis(1_000),
+            item,
+        };
+        admit.enqueue(entry, 0, Millis(0)).expect("room");
+    }
+    admit
+}
+
+fn plant_deficit(admit: &mut Admit<u32>, deficit_tokens: u64) {
+    let class = admit.classes.get_mut(&0).expect("a class");
+    class.queues.get_mut(&None).expect("a queue").deficit_tokens = deficit_tokens;
+}
+
+#[test]
+#[should_panic(expected = "exceeds")]
+fn an_account_that_saves_up_more_than_a_round_is_noticed() {
+    let mut admit = admit();
+    plant_deficit(&mut admit, 1_000_000);
+    admit.next(|_| true, |_| Some(()));
+}
+
+#[test]
+#[should_panic(expected = "placed more tokens than the account's share")]
+fn a_request_that_is_placed_without_its_share_is_noticed() {
+    let mut admit = admit();
+    plant_deficit(&mut admit, 4_999);
+    let class = admit.classes.get_mut(&0).expect("a class");
+    class.charge(&None, 1_024);
+}
+
+#[test]
+#[should_panic(expected = "a queue exceeds its bound")]
+fn a_queue_beyond_its_bound_is_noticed() {
+    let mut admit = admit();
+    admit.len = AdmitSettings::default().max_requests + 1;
+    admit.assert_bounded(1);
+}
--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     share_pct: u32,
-    parts: u64,
+    pub(super) parts: u64,
     paid_in_parts: u64,
     retries: u64,
 }
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -13,6 +13,9 @@
 mod policy;
 mod resume;
 
+#[cfg(test)]
+mod tests;
+
 pub use budget::{Budget, BUDGET_CAP};
 pub use outlier::{Ejection, Group, Outliers, EJECTED_SHARE_MAX};
 pub use policy::{Decision, Failure, GiveUp, Retrier, RetrySettings};
--- a/crates/core/src/retry/outlier.rs
+++ b/crates/core/src/retry/outlier.rs
@@ -45,14 +45,14 @@
 }
 
 #[derive(Clone, Debug)]
-struct Record {
+pub(super) struct Record {
     group: Group,
     consecutive_errors: u32,
     answers: f64,
     errors: f64,
     ejections: u32,
     last_ejected_at: Millis,
-    out_until: Option<Millis>,
+    pub(super) out_until: Option<Millis>,
 }
 
 impl Record {
@@ -107,7 +107,7 @@
 /// Errors of all upstreams as one instance sees them.
 #[derive(Clone, Debug, Default)]
 pub struct Outliers {
-    records: BTreeMap<UpstreamId, Record>,
+    pub(super) records: BTreeMap<UpstreamId, Record>,
 }
 
 impl Outliers {
@@ -208,7 +208,7 @@
         back
     }
 
-    fn assert_floor(&self, group: &Group) {
+    pub(super) fn assert_floor(&self, group: &Group) {
         let (members, out) = self.count_group(group);
         let most = (members as f64 * EJECTED_SHARE_MAX).floor() as usize;
         assert!(out <= most, "{out} of {members} upstreams ejected");
--- a/crates/core/src/retry/resume.rs
+++ b/crates/core/src/retry/resume.rs
@@ -76,7 +76,10 @@
 pub struct ResumePoint {
     is_idempotent: bool,
     max_output_tokens: u64,
+    /// End of what the caller has, as a position in the whole answer.
     relayed_tokens: u64,
+    /// Tokens passed on, counted one piece at a time.
+    pub(super) passed_tokens: u64,
     is_ended: bool,
 }
 
@@ -87,6 +90,7 @@
             is_idempotent,
             max_output_tokens,
             relayed_tokens: 0,
+            passed_tokens: 0,
             is_ended: false,
         }
     }
@@ -115,9 +119,12 @@
             return Ok(Relay::Drop);
         }
         let skip_tokens = self.relayed_tokens - position_tokens;
-        let first_passed = position_tokens + skip_tokens;
-        assert_eq!(first_passed, self.relayed_tokens, "token doubled or lost");
         self.relayed_tokens = end_tokens;
+        self.passed_tokens += tokens - skip_tokens;
+        assert_eq!(
+            self.passed_tokens, self.relayed_tokens,
+            "a token was doubled or lost"
+        );
         Ok(Relay::Pass { skip_tokens })
     }
 
--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -55,6 +55,9 @@
     busy_weight: f64,
     /// Weight of the time by which others on the engine are held up.
     harm_weight: f64,
+    /// Requests that may wait on the upstream, as a share of its slots. They bridge the time until
+    /// news of a free slot arrives, but cannot be placed elsewhere any more.
+    overcommit: f64,
 }
 
 const fn knobs(objective: Objective) -> Knobs {
@@ -66,6 +69,7 @@
             between_weight: 4.0,
             busy_weight: 0.02,
             harm_weight: 0.02,
+            overcommit: 0.0,
         },
         Objective::Cost => Knobs {
             first_token_margin: 0.8,
@@ -74,6 +78,7 @@
             between_weight: 0.0,
             busy_weight: 1.0,
             harm_weight: 0.005,
+            overcommit: 0.125,
         },
     }
 }
@@ -96,6 +101,8 @@
         request: &Request<'_>,
         expected_output_tokens: u64,
         network_ms: f64,
+        is_home: bool,
+        objective: Objective,
         now: Millis,
     ) -> Self {
         let load = state.load(now);
@@ -105,7 +112,8 @@
         let batch = (load.requests + 1).min(slots) as f64;
         let token_ms = speed.token_ms(batch);
         let ahead_tokens = ahead_tokens(&load, &request.target);
-        let turnover_ms = expected_output_tokens as f64 * token_ms / slots as f64;
+        let remaining_tokens = load.output_tokens as f64 / load.requests.max(1) as f64;
+        let turnover_ms = remaining_tokens * token_ms / slots as f64;
         let over = (load.requests + 1).saturating_sub(slots);
         let read_ms = speed.prefill_ms(uncached_tokens as f64);
         let uncorrected_ms =
@@ -126,7 +134,7 @@
                 busy_ms: read_ms + output * per_token_ms,
                 uncorrected_ms,
             },
-            has_room: over == 0
+            has_room: has_slot(state, &load, slots, is_home, &knobs(objective))
                 && has_room_for_long(&load, slots, state, &request.target)
                 && has_room_while_cold(&load, state, &request.target, now),
             wait_ms: if request.target.is_long {
@@ -184,6 +192,15 @@
     load.long_requests < most && backlog_ms <= most_backlog_ms
 }
 
+/// Whether the upstream takes one more request. Instances of the upstream's region may each have an equal part of its slots
+/// on it even while it is full: otherwise the instance whose requests end would always be the one
+/// that fills the slot again, and its peers would starve.
+fn has_slot(state: &UpstreamState, load: &Load, slots: u64, is_home: bool, knobs: &Knobs) -> bool {
+    let part = slots / (1 + state.busy_peers);
+    let is_below_part = is_home && state.own.requests < part;
+    is_below_part || load.requests < slots + (slots as f64 * knobs.overcommit) as u64
+}
+
 /// An engine with a cold cache is given prompts no faster than it reads them.
 fn has_room_while_cold(load: &Load, state: &UpstreamState, target: &Target, now: Millis) -> bool {
     let warmth = state.warmth(now);
@@ -195,9 +212,9 @@
     backlog_ms <= target.first_token_ms as f64 * COLD_BACKLOG_SHARE * warmth
 }
 
-/// The best candidate: first one at home that meets the target with margin, then the fastest at home
-/// that meets it at all, then one elsewhere that meets it with margin, then the fastest at home with
-/// room, then the fastest elsewhere. None if none has room.
+/// The best candidate: first one at home that meets the target with margin, then the faster of one at
+/// home that meets it at all and one elsewhere that meets it with margin, then the fastest at home
+/// with room, then the fastest elsewhere. None if none has room.
 pub(super) fn choose<'a, 'b>(
     home: &'b [Candidate<'a>],
     away: &'b [Candidate<'a>],
@@ -208,12 +225,26 @@
     let knobs = knobs(objective);
     let meets = |candidate: &Candidate<'_>| candidate.meets(&request.target, 1.0, 1.0);
     best_that_meets(home, request, &knobs, rng)
-        .or_else(|| fastest(home, meets))
-        .or_else(|| best_that_meets(away, request, &knobs, rng))
+        .or_else(|| {
+            let home = fastest(home, meets);
+            let away = best_that_meets(away, request, &knobs, rng);
+            faster(home, away)
+        })
         .or_else(|| fastest(home, |candidate| candidate.has_room))
         .or_else(|| fastest(away, |candidate| candidate.has_room))
 }
 
+fn faster<'a, 'b>(
+    home: Option<&'b Candidate<'a>>,
+    away: Option<&'b Candidate<'a>>,
+) -> Option<&'b Candidate<'a>> {
+    let (Some(near), Some(far)) = (home, away) else {
+        return home.or(away);
+    };
+    let is_near_faster = near.prediction.first_token_ms <= far.prediction.first_token_ms;
+    Some(if is_near_faster { near } else { far })
+}
+
 fn best_that_meets<'a, 'b>(
     candidates: &'b [Candidate<'a>],
     request: &Request<'_>,
--- a/crates/core/src/route/hops.rs
+++ b/crates/core/src/route/hops.rs
@@ -42,9 +42,9 @@
 /// Forwards and visited instances of a request; travels with it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hops {
-    within: u8,
-    across: u8,
-    visited: Vec<InstanceId>,
+    pub(super) within: u8,
+    pub(super) across: u8,
+    pub(super) visited: Vec<InstanceId>,
 }
 
 impl Hops {
@@ -111,7 +111,7 @@
         Ok(hops)
     }
 
-    fn assert_bounded(&self) {
+    pub(super) fn assert_bounded(&self) {
         assert!(self.within <= MAX_WITHIN, "forwards inside a region");
         assert!(self.across <= MAX_ACROSS, "forwards across regions");
         let most = usize::from(MAX_WITHIN + MAX_ACROSS) + 1;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -23,6 +23,9 @@
 mod speed;
 mod upstream;
 
+#[cfg(test)]
+mod tests;
+
 pub use affinity::{prefix_hashes, PREFIX_BLOCK_TOKENS};
 pub use choice::Prediction;
 pub use digest::{DigestEntry, LeavingNotice, LoadDigest, DIGEST_LIFETIME_MS};
--- a/crates/core/src/route/news.rs
+++ b/crates/core/src/route/news.rs
@@ -136,6 +136,7 @@
         for (id, load) in &peer.loads {
             if let Some(state) = self.upstreams.get_mut(id) {
                 state.peers -= *load;
+                state.busy_peers -= 1;
             }
         }
     }
--- a/crates/core/src/route/router.rs
+++ b/crates/core/src/route/router.rs
@@ -116,6 +116,7 @@
             .collect();
         for state in self.upstreams.values_mut() {
             state.peers = Load::default();
+            state.busy_peers = 0;
         }
         for peer in self.peers.values_mut() {
             peer.loads.retain(|(id, _)| self.upstreams.contains_key(id));
@@ -156,7 +157,7 @@
         Ok(self.placement(chosen, request))
     }
 
-    fn candidates<'a>(
+    pub(super) fn candidates<'a>(
         &'a self,
         request: &Request<'_>,
         now: Millis,
@@ -176,7 +177,15 @@
                 continue;
             }
             let network_ms = self.network_ms(state);
-            let candidate = Candidate::new(state, request, expected, network_ms, now);
+            let candidate = Candidate::new(
+                state,
+                request,
+                expected,
+                network_ms,
+                is_home,
+                self.objective,
+                now,
+            );
             if is_home {
                 home.push(candidate);
             } else {
@@ -204,7 +213,7 @@
         (request.max_output_tokens as f64 * share) as u64
     }
 
-    fn placement(&self, chosen: &Candidate<'_>, request: &Request<'_>) -> Placement {
+    pub(super) fn placement(&self, chosen: &Candidate<'_>, request: &Request<'_>) -> Placement {
         let spec = &chosen.state.spec;
         let is_away = spec.region != self.settings.region;
         let hop = is_away.then_some(Hop::Across);
@@ -267,6 +276,7 @@
     for (id, load) in loads {
         if let Some(state) = upstreams.get_mut(id) {
             state.peers += *load;
+            state.busy_peers += 1;
         }
     }
 }
--- a/crates/core/src/route/upstream.rs
+++ b/crates/core/src/route/upstream.rs
@@ -35,6 +35,8 @@
     pub(super) hash: u64,
     pub(super) own: Load,
     pub(super) peers: Load,
+    /// Peers that have work on the upstream.
+    pub(super) busy_peers: u64,
     pub(super) report: Option<Report>,
     pub(super) speed: Speed,
     pub(super) prefixes: PrefixView,
@@ -56,6 +58,7 @@
             hash: affinity::hash(0, spec.id.as_str().as_bytes()),
             own: Load::default(),
             peers: Load::default(),
+            busy_peers: 0,
             report: None,
             speed: speed_of(&spec.serves),
             prefixes: PrefixView::default(),
--- a/crates/ctl/src/experiment/routing/mod.rs
+++ b/crates/ctl/src/experiment/routing/mod.rs
@@ -17,6 +17,9 @@
 mod workload;
 mod world;
 
+#[cfg(test)]
+mod tests;
+
 use anyhow::Context;
 use clap::ValueEnum;
 use deployment::Deployment;
--- a/crates/ctl/src/experiment/routing/world.rs
+++ b/crates/ctl/src/experiment/routing/world.rs
@@ -244,10 +244,7 @@
         };
         let now = self.now();
         let instance = &mut self.instances[arrival.instance];
-        if let Err((e, r)) = instance.admit.enqueue(entry, wait_ms, now) {
-            if std::env::var("DBG").is_ok() {
-                eprintln!("{r:?} prio {} wait {wait_ms}", e.priority);
-            }
+        if instance.admit.enqueue(entry, wait_ms, now).is_err() {
             self.refuse(request);
             return;
         }
