--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Seeded measurements of decisions against baselines.
 
+pub mod limits;
+pub mod gossip;
 pub mod routing;
 
 use clap::Subcommand;
@@ -15,6 +17,8 @@
 /// What is measured.
 #[derive(Debug, Subcommand)]
 pub enum Topic {
+    /// Traffic, processor time and memory of membership, and the spread of a revision.
+    Gossip(gossip::Args),
     /// Routing, admission and retries under load, against the usual baselines.
     Routing(routing::Args),
 }
@@ -26,6 +30,7 @@
 /// Fails if the experiment cannot be set up or a report cannot be written.
 pub fn run(args: Args) -> anyhow::Result<()> {
     match args.topic {
+        Topic::Gossip(args) => gossip::run(args),
         Topic::Routing(args) => routing::run(args),
     }
 }
--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -14,7 +14,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     thread,
 };
 use tokio::{
@@ -44,10 +44,8 @@
         self.lock_connections().clone()
     }
 
-    fn lock_connections(&self) -> std::sync::MutexGuard<'_, CancellationToken> {
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock_connections(&self) -> MutexGuard<'_, CancellationToken> {
+        crate::lock(&self.connections)
     }
 }
 
@@ -67,7 +65,17 @@
         handler: Handler,
     ) -> io::Result<Self> {
         let runtime = build_runtime(name, workers)?;
-        let listener = runtime.block_on(async { listen(addr) })?;
+        let bound = {
+            let _entered = runtime.enter();
+            listen(addr)
+        };
+        let listener = match bound {
+            Ok(listener) => listener,
+            Err(err) => {
+                runtime.shutdown_background();
+                return Err(err);
+            }
+        };
         let addr = listener.local_addr()?;
         let control = Arc::new(Control {
             stop: CancellationToken::new(),
