--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -1,7 +1,7 @@
 //! Seeded measurements of decisions against baselines.
 
-pub mod limits;
 pub mod gossip;
+pub mod limits;
 pub mod routing;
 
 use clap::Subcommand;
