--- a/crates/ctl/src/experiment/routing/mod.rs
+++ b/crates/ctl/src/experiment/routing/mod.rs
@@ -17,6 +17,9 @@
 mod workload;
 mod world;
 
+#[cfg(test)]
+mod tests;
+
 use anyhow::Context;
 use clap::ValueEnum;
 use deployment::Deployment;
@@ -48,7 +51,7 @@
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
     /// Simulated time, in seconds.
-    #[arg(long, default_value_t = 120)]
+    #[arg(long, default_value_t = 240)]
     pub duration_s: u64,
     /// Print JSON instead of tables.
     #[arg(long)]
