--- a/crates/core/src/evidence/gathered.rs
+++ b/crates/core/src/evidence/gathered.rs
@@ -90,7 +90,7 @@
         counts.requests += 1;
         counts.failures += u64::from(sample.failed);
         let first = slowness(&mut references.first_token, side, sample.first_token_ms);
-        if let Some(is_slow) = first {
+        if let (Some(is_slow), false) = (first, sample.was_overdue) {
             counts.timed_first += 1;
             counts.slow_first += u64::from(is_slow);
         }
@@ -112,6 +112,26 @@
         }
     }
 
+    /// Counts one request of the own process as slow while it still waits for its first token,
+    /// once it has waited for [`Self::first_token_reference_ms`].
+    ///
+    /// A version that hangs shows this way long before its requests time out.
+    pub fn record_overdue(&mut self, rollout: RolloutTag, route: RouteTag, side: Side) -> Change {
+        let stratum = Stratum::Origin(self.origin);
+        let cell = self.cells.entry((stratum.clone(), (rollout, route)));
+        let cell = cell.or_default();
+        let counts = cell.sides.side_mut(side);
+        counts.timed_first += 1;
+        counts.slow_first += 1;
+        cell.sends_left = SENDS_OF_A_CHANGE;
+        Change {
+            rollout,
+            route,
+            stratum,
+            sides: cell.sides,
+        }
+    }
+
     /// Latency to the first token above which a request is slow, in milliseconds.
     pub fn first_token_reference_ms(&self, rollout: RolloutTag, route: RouteTag) -> Option<u64> {
         let references = self.references.get(&(rollout, route))?;
--- a/crates/core/src/rollout/baseline.rs
+++ b/crates/core/src/rollout/baseline.rs
@@ -4,10 +4,9 @@
 use crate::evidence::Kind;
 use crate::time::Millis;
 
-// The past loses weight with this time constant.
-const MEMORY_MS: f64 = 120_000.0;
-// Weight of the assumed ratio, in requests, against what is counted.
-const PRIOR_TRIALS: f64 = 100.0;
+// The past loses weight with these time constants. Latency follows the load; failures hardly do.
+const FAILURE_MEMORY_MS: f64 = 600_000.0;
+const LATENCY_MEMORY_MS: f64 = 20_000.0;
 
 /// Decaying ratio of bad requests among those to the old version.
 #[derive(Clone, Debug)]
@@ -15,26 +14,31 @@
     trials: f64,
     faults: f64,
     updated_at: Millis,
-    prior: f64,
+    memory_ms: f64,
+    // Ratio assumed before anything is counted, and its weight in requests.
+    prior_ratio: f64,
+    prior_trials: f64,
 }
 
 impl Baseline {
     pub(super) fn new(kind: Kind, now: Millis) -> Self {
-        let prior = match kind {
-            Kind::Failure => 0.002,
-            Kind::SlowFirstToken | Kind::SlowTokens => 0.1,
+        let (memory_ms, prior_ratio, prior_trials) = match kind {
+            Kind::Failure => (FAILURE_MEMORY_MS, 0.002, 100.0),
+            Kind::SlowFirstToken | Kind::SlowTokens => (LATENCY_MEMORY_MS, 0.1, 20.0),
         };
         Self {
             trials: 0.0,
             faults: 0.0,
             updated_at: now,
-            prior,
+            memory_ms,
+            prior_ratio,
+            prior_trials,
         }
     }
 
     pub(super) fn record(&mut self, old: Trials, now: Millis) {
         let elapsed_ms = now.since(self.updated_at) as f64;
-        let kept = (-elapsed_ms / MEMORY_MS).exp();
+        let kept = (-elapsed_ms / self.memory_ms).exp();
         self.trials = self.trials * kept + old.trials as f64;
         self.faults = self.faults * kept + old.faults as f64;
         self.updated_at = now;
@@ -42,14 +46,14 @@
 
     /// Expected ratio of bad requests.
     pub(super) fn ratio(&self) -> f64 {
-        let faults = self.faults + PRIOR_TRIALS * self.prior;
-        faults / (self.trials + PRIOR_TRIALS)
+        let faults = self.faults + self.prior_trials * self.prior_ratio;
+        faults / (self.trials + self.prior_trials)
     }
 
     /// Ratio that the true one hardly exceeds: the expected one and two standard errors.
     pub(super) fn upper_ratio(&self) -> f64 {
         let ratio = self.ratio();
-        let variance = ratio * (1.0 - ratio) / (self.trials + PRIOR_TRIALS);
+        let variance = ratio * (1.0 - ratio) / (self.trials + self.prior_trials);
         (ratio + 2.0 * variance.sqrt()).min(0.95)
     }
 }
--- a/crates/core/src/rollout/comparison.rs
+++ b/crates/core/src/rollout/comparison.rs
@@ -7,8 +7,9 @@
 //! at any share; it only lowers the share to a probe. Both are cumulative sums that stop at zero,
 //! so a fault that begins late is found as fast as an early one.
 //!
-//! A fault that shows under load only vanishes while probing. The second alarm after a cleared one
-//! therefore decides as well, unless the old version was in trouble at the same time.
+//! A fault that shows under load only vanishes while probing, and the new version gets its share
+//! back. What the block score had reached before is carried over, so that evidence from several
+//! bursts adds up.
 
 use super::baseline::Baseline;
 use super::score::{block_score, log_likelihood_ratio, with_odds_times};
@@ -20,22 +21,24 @@
 // Factors on the odds of a bad request, from the smallest fault that matters to a total one.
 const FAILURE_FACTORS: [f64; ALTERNATIVES] = [4.0, 20.0, 200.0];
 const SLOWNESS_FACTORS: [f64; ALTERNATIVES] = [2.5, 6.0, 20.0];
-// The alarm leaves the smallest faults to the block score.
-const FIRST_ALARM_ALTERNATIVE: usize = 1;
+// The smallest excess of slow requests is left to a decision at the full share, since load swings
+// look alike for a moment.
+const FIRST_SLOWNESS_ALARM: usize = 1;
 // Ratios below this are alike.
 const LEAST_RATIO: f64 = 0.001;
 /// Score at which the new version is surely worse.
 const DECISION_SCORE: f64 = 16.0;
 /// Scores at which the new version falls back to the probe share.
 const CAUTION_SCORE: f64 = 8.0;
-const ALARM_SCORE: f64 = 10.0;
+const ALARM_SCORE: f64 = 12.0;
+/// Block score that has to support an alarm about latency, which load swings raise too.
+const SUPPORT_SCORE: f64 = 3.0;
 /// Score gathered while probing at which the versions count as alike.
 const CLEAR_SCORE: f64 = -3.0;
+/// Part of a block score that is not carried over when the versions count as alike.
+const FORGOTTEN_SCORE: f64 = 2.0;
 /// Requests to the new version while probing before it may be cleared.
 const MIN_PROBES: u64 = 10;
-/// The old version counts as in trouble at this multiple of its ratio.
-const TROUBLE_FACTOR: f64 = 2.0;
-const MIN_TROUBLE_FAULTS: u64 = 5;
 
 /// Requests, and those among them that went badly.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -75,10 +78,12 @@
 
 #[derive(Clone, Debug)]
 struct Caution {
+    // Index of the fault that is feared.
+    alternative: usize,
     score: f64,
     probes: u64,
-    old_ratio: f64,
-    old: Trials,
+    // Highest block score since the caution began.
+    peak: f64,
 }
 
 /// Comparison of both versions on one route, for one kind of fault.
@@ -91,7 +96,8 @@
     block_scores: [f64; ALTERNATIVES],
     alarm_scores: [f64; ALTERNATIVES],
     caution: Option<Caution>,
-    has_cleared: bool,
+    // Block scores of earlier cautions.
+    carried: f64,
     is_worse: bool,
 }
 
@@ -110,7 +116,7 @@
             block_scores: [0.0; ALTERNATIVES],
             alarm_scores: [0.0; ALTERNATIVES],
             caution: None,
-            has_cleared: false,
+            carried: 0.0,
             is_worse: false,
         }
     }
@@ -136,7 +142,7 @@
 
     fn score_alarm(&mut self, new: Trials) {
         let reference = self.baseline.upper_ratio().max(LEAST_RATIO);
-        for index in FIRST_ALARM_ALTERNATIVE..ALTERNATIVES {
+        for index in self.first_alarm()..ALTERNATIVES {
             let ratio = with_odds_times(reference, self.factors[index]);
             let score = &mut self.alarm_scores[index];
             *score = (*score + log_likelihood_ratio(new, ratio, reference)).max(0.0);
@@ -160,48 +166,62 @@
             let growth = block_score(new, old, new_ratio, old_ratio);
             let score = &mut self.block_scores[index];
             *score = (*score + growth).max(0.0);
-            if let (0, Some(caution)) = (index, &mut self.caution) {
-                caution.score += growth;
-                caution.probes += new.trials;
-                caution.old.add(old);
+            if let Some(caution) = &mut self.caution {
+                if caution.alternative == index {
+                    caution.score += growth;
+                }
             }
         }
+        if let Some(caution) = &mut self.caution {
+            caution.probes += new.trials;
+        }
+    }
+
+    fn first_alarm(&self) -> usize {
+        match self.kind {
+            Kind::Failure => 0,
+            Kind::SlowFirstToken | Kind::SlowTokens => FIRST_SLOWNESS_ALARM,
+        }
+    }
+
+    fn is_alarming(&self, alternative: usize) -> bool {
+        let block_score = self.block_scores[alternative];
+        let is_supported = self.kind == Kind::Failure || block_score >= SUPPORT_SCORE;
+        let is_alarm = self.alarm_scores[alternative] >= ALARM_SCORE && is_supported;
+        is_alarm || block_score >= CAUTION_SCORE
     }
 
     fn conclude(&mut self) -> Finding {
         let block_score = self.block_scores.iter().copied().fold(0.0, f64::max);
-        let alarm_score = self.alarm_scores.iter().copied().fold(0.0, f64::max);
-        if block_score >= DECISION_SCORE {
+        if self.carried + block_score >= DECISION_SCORE {
             self.is_worse = true;
         }
-        let is_clear = self.caution.as_ref().is_some_and(Caution::is_clear);
-        if is_clear && block_score < CAUTION_SCORE {
-            self.clear();
-        } else if self.caution.is_none()
-            && (block_score >= CAUTION_SCORE || alarm_score >= ALARM_SCORE)
-        {
-            self.enter_caution();
+        let feared = (self.first_alarm()..ALTERNATIVES).find(|index| self.is_alarming(*index));
+        match (feared, &mut self.caution) {
+            (Some(alternative), None) => {
+                self.caution = Some(Caution {
+                    alternative,
+                    score: 0.0,
+                    probes: 0,
+                    peak: block_score,
+                });
+            }
+            (_, Some(caution)) => {
+                caution.peak = caution.peak.max(block_score);
+                if caution.is_clear() {
+                    self.clear();
+                }
+            }
+            (None, None) => {}
         }
         self.finding()
     }
 
-    fn enter_caution(&mut self) {
-        if self.has_cleared {
-            self.is_worse = true;
-        }
-        self.caution = Some(Caution {
-            score: 0.0,
-            probes: 0,
-            old_ratio: self.baseline.ratio(),
-            old: Trials::default(),
-        });
-    }
-
     fn clear(&mut self) {
-        let caution = self.caution.take();
-        let was_common = caution.is_some_and(|caution| caution.is_old_in_trouble());
-        self.has_cleared |= !was_common;
+        let peak = self.caution.take().map_or(0.0, |caution| caution.peak);
+        self.carried += (peak - FORGOTTEN_SCORE).max(0.0);
         self.alarm_scores = [0.0; ALTERNATIVES];
+        self.block_scores = [0.0; ALTERNATIVES];
     }
 }
 
@@ -209,9 +229,4 @@
     fn is_clear(&self) -> bool {
         self.probes >= MIN_PROBES && self.score <= CLEAR_SCORE
     }
-
-    fn is_old_in_trouble(&self) -> bool {
-        let ratio = self.old.faults as f64 / self.old.trials.max(1) as f64;
-        self.old.faults >= MIN_TROUBLE_FAULTS && ratio >= TROUBLE_FACTOR * self.old_ratio
-    }
 }
--- a/crates/core/src/rollout/state.rs
+++ b/crates/core/src/rollout/state.rs
@@ -9,7 +9,7 @@
 pub const PROBE_SHARE_PPM: u32 = 10_000;
 /// Share that the old version keeps until the verdict, out of 1,000,000. It keeps the old version
 /// warm and both versions comparable.
-pub const CONTROL_SHARE_PPM: u32 = 20_000;
+pub const CONTROL_SHARE_PPM: u32 = 50_000;
 /// Time after the deadline before a rollout is declared done, in milliseconds, in which
 /// suspicions of others arrive.
 pub const DONE_SETTLE_MS: u64 = 5_000;
--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -1,5 +1,7 @@
 //! Seeded measurements of decisions against baselines.
 
+pub mod rollout;
+
 use clap::Subcommand;
 
 /// Arguments of `carobctl experiment`.
--- /dev/null
+++ b/crates/ctl/src/experiment/rollout/report.rs
@@ -0,0 +1,119 @@
+//! The report of all runs of one case.
+
+use super::case::Case;
+use super::world::Outcome;
+use carobwheel_core::rollout::Verdict;
+use serde::Serialize;
+use std::fmt;
+
+/// Heading of the table.
+pub(super) const HEADER: &str = "\
+case                                  right  wrong  none  before  after p50/p99/max  share p99/max %  suspicion s p50/p99  verdict s p50/p99";
+
+/// One line of the table.
+#[derive(Debug, Serialize)]
+pub(super) struct Row {
+    case: &'static str,
+    runs: usize,
+    right: usize,
+    wrong: usize,
+    no_verdict: usize,
+    new_before_p50: u64,
+    new_after_p50: u64,
+    new_after_p99: u64,
+    new_after_max: u64,
+    share_after_p99_pct: f64,
+    share_after_max_pct: f64,
+    suspicion_p50_s: f64,
+    suspicion_p99_s: f64,
+    verdict_after_deadline_p50_s: f64,
+    verdict_after_deadline_p99_s: f64,
+    new_after_stop: u64,
+}
+
+impl Row {
+    pub(super) fn new(case: &Case, outcomes: &[Outcome]) -> Self {
+        let wanted = if case.is_bad() {
+            Verdict::RolledBack
+        } else {
+            Verdict::Done
+        };
+        let right = outcomes
+            .iter()
+            .filter(|o| o.verdict == Some(wanted))
+            .count();
+        let none = outcomes.iter().filter(|o| o.verdict.is_none()).count();
+        let before = sorted(outcomes.iter().map(|o| o.new_before as f64));
+        let after = sorted(outcomes.iter().map(|o| o.new_after as f64));
+        let share = sorted(outcomes.iter().map(share_pct));
+        let suspicion = sorted(outcomes.iter().filter_map(|o| o.suspicion_ms).map(seconds));
+        let verdict = sorted(
+            outcomes
+                .iter()
+                .map(|o| o.verdict_after_deadline_ms as f64 / 1_000.0),
+        );
+        Self {
+            case: case.name,
+            runs: outcomes.len(),
+            right,
+            wrong: outcomes.len() - right - none,
+            no_verdict: none,
+            new_before_p50: quantile(&before, 0.5) as u64,
+            new_after_p50: quantile(&after, 0.5) as u64,
+            new_after_p99: quantile(&after, 0.99) as u64,
+            new_after_max: quantile(&after, 1.0) as u64,
+            share_after_p99_pct: quantile(&share, 0.99),
+            share_after_max_pct: quantile(&share, 1.0),
+            suspicion_p50_s: quantile(&suspicion, 0.5),
+            suspicion_p99_s: quantile(&suspicion, 0.99),
+            verdict_after_deadline_p50_s: quantile(&verdict, 0.5),
+            verdict_after_deadline_p99_s: quantile(&verdict, 0.99),
+            new_after_stop: outcomes.iter().map(|o| o.new_after_stop).sum(),
+        }
+    }
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let after = format!(
+            "{}/{}/{}",
+            self.new_after_p50, self.new_after_p99, self.new_after_max
+        );
+        let share = format!(
+            "{:.2}/{:.2}",
+            self.share_after_p99_pct, self.share_after_max_pct
+        );
+        let suspicion = format!("{:.1}/{:.1}", self.suspicion_p50_s, self.suspicion_p99_s);
+        let verdict = format!(
+            "{:.1}/{:.1}",
+            self.verdict_after_deadline_p50_s, self.verdict_after_deadline_p99_s
+        );
+        write!(
+            f,
+            "{:<37} {:>5}  {:>5}  {:>4}  {:>6}  {after:>17}  {share:>15}  {suspicion:>19}  {verdict:>17}",
+            self.case, self.right, self.wrong, self.no_verdict, self.new_before_p50
+        )
+    }
+}
+
+fn share_pct(outcome: &Outcome) -> f64 {
+    100.0 * outcome.new_after as f64 / outcome.all_after.max(1) as f64
+}
+
+fn seconds(ms: u64) -> f64 {
+    ms as f64 / 1_000.0
+}
+
+fn sorted(values: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values
+}
+
+fn quantile(sorted: &[f64], quantile: f64) -> f64 {
+    let rank = (sorted.len() as f64 * quantile).ceil() as usize;
+    sorted
+        .get(rank.clamp(1, sorted.len().max(1)) - 1)
+        .copied()
+        .unwrap_or(f64::NAN)
+}
--- /dev/null
+++ b/crates/ctl/src/experiment/rollout/world.rs
@@ -0,0 +1,539 @@
+//! Six instances in three regions, two versions, and one store, in simulated time.
+
+use super::case::{Case, Fault, Onset};
+use carobwheel_core::document::{Rollout, Step};
+use carobwheel_core::evidence::{
+    Change, Digest, Evidence, OriginTag, RouteTag, Sample, Side, Suspicion,
+};
+use carobwheel_core::rollout::{
+    RolloutState, Verdict, VerdictAnswer, VerdictEffect, VerdictWriter,
+};
+use carobwheel_core::time::{Millis, UnixMillis};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+const REGIONS: [&str; 3] = ["north", "south", "central"];
+const INSTANCES: usize = 6;
+const ROUTE_WEIGHTS: [f64; 3] = [0.7, 0.25, 0.05];
+const FIRST_TOKEN_MS: [f64; 3] = [150.0, 200.0, 400.0];
+const BETWEEN_TOKENS_MS: f64 = 25.0;
+const FAILURE_RATIO: f64 = 0.002;
+const TIMEOUT_MS: u64 = 5_000;
+const UNIX_START_MS: u64 = 1_800_000_000_000;
+// Time and share in parts per million of each step.
+const STEPS: [(u64, u32); 5] = [
+    (60_000, 10_000),
+    (180_000, 50_000),
+    (360_000, 200_000),
+    (600_000, 500_000),
+    (840_000, 1_000_000),
+];
+const DEADLINE_MS: u64 = 1_200_000;
+const OUTAGE_END_MS: u64 = DEADLINE_MS + 60_000;
+const END_MS: u64 = DEADLINE_MS + 300_000;
+const REGION_GOSSIP_MS: u64 = 200;
+const WIDE_GOSSIP_MS: u64 = 500;
+const WIDE_DELAY_MS: u64 = 80;
+const CELLS_IN_NEWS: usize = 32;
+const VERDICT_SPREAD_MS: u64 = 2_000;
+
+/// What came of one run.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Outcome {
+    /// The verdict in the store, if all instances follow it at the end.
+    pub(super) verdict: Option<Verdict>,
+    /// Requests to the new version before its fault showed.
+    pub(super) new_before: u64,
+    /// Requests to the new version from the first one that met the fault on.
+    pub(super) new_after: u64,
+    /// Requests of all versions from then to the deadline.
+    pub(super) all_after: u64,
+    /// Time from then to the first suspicion, in milliseconds.
+    pub(super) suspicion_ms: Option<u64>,
+    /// Time at which all instances followed the verdict, after the deadline if positive, in
+    /// milliseconds.
+    pub(super) verdict_after_deadline_ms: i64,
+    /// Requests to a new version that the instance itself had stopped.
+    pub(super) new_after_stop: u64,
+}
+
+enum Event {
+    Arrival,
+    Overdue(usize, usize, Side),
+    Ended(usize, usize, Side, Sample),
+    RegionGossip(usize),
+    WideGossip(usize),
+    Deliver(usize, Box<Digest>),
+    Tick(usize),
+    StoreCall(usize, VerdictEffect),
+    StoreAnswer(usize, u32, VerdictAnswer),
+}
+
+struct Instance {
+    region: usize,
+    evidence: Evidence,
+    state: RolloutState,
+    writer: VerdictWriter,
+}
+
+struct Scheduled {
+    at_ms: u64,
+    sequence: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at_ms, self.sequence) == (other.at_ms, other.sequence)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_ms, self.sequence).cmp(&(other.at_ms, other.sequence))
+    }
+}
+
+struct World<'a> {
+    case: &'a Case,
+    rng: SmallRng,
+    now_ms: u64,
+    sequence: u64,
+    events: BinaryHeap<Reverse<Scheduled>>,
+    instances: Vec<Instance>,
+    stored: Option<Verdict>,
+    requests: u64,
+    onset_ms: u64,
+    swing_phase: f64,
+    jump_ms: u64,
+    common_ms: u64,
+    // Second, and requests to the new version in it and in the one before.
+    new_rate: (u64, u64, u64),
+    shown_at_ms: Option<u64>,
+    outcome: Outcome,
+}
+
+/// Runs one case with one seed.
+pub(super) fn run(case: &Case, seed: u64) -> Outcome {
+    let mut world = World::new(case, seed);
+    while let Some(Reverse(scheduled)) = world.events.pop() {
+        world.now_ms = scheduled.at_ms;
+        if world.now_ms > END_MS || world.is_settled() {
+            break;
+        }
+        world.handle(scheduled.event);
+    }
+    world.finish()
+}
+
+fn rollout() -> Rollout {
+    let id = |text: &str| text.to_owned();
+    let step = |(at_ms, share_ppm): (u64, u32)| Step {
+        at_unix_ms: UnixMillis(UNIX_START_MS + at_ms),
+        share_ppm,
+    };
+    Rollout {
+        id: id("appraiser-7").try_into().expect("a valid identifier"),
+        model: id("appraiser").try_into().expect("a valid identifier"),
+        old_version: id("6").try_into().expect("a valid identifier"),
+        new_version: id("7").try_into().expect("a valid identifier"),
+        steps: STEPS.into_iter().map(step).collect(),
+        deadline_unix_ms: UnixMillis(UNIX_START_MS + DEADLINE_MS),
+    }
+}
+
+fn instance(index: usize, rng: &mut SmallRng) -> Instance {
+    let name = format!("instance-{index}");
+    let origin = OriginTag::new(&name.try_into().expect("a valid identifier"), 1);
+    let region = index % REGIONS.len();
+    let region_id = REGIONS[region].parse().expect("a valid identifier");
+    Instance {
+        region,
+        evidence: Evidence::new(origin, region_id),
+        state: RolloutState::new(rollout(), origin),
+        writer: VerdictWriter::new(rng.random_range(0..1_000)),
+    }
+}
+
+impl<'a> World<'a> {
+    fn new(case: &'a Case, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let instances = (0..INSTANCES).map(|i| instance(i, &mut rng)).collect();
+        let first_ms = STEPS[0].0;
+        let onset_ms = match case.onset {
+            Onset::Later => rng.random_range(first_ms..DEADLINE_MS - 120_000),
+            Onset::AtOnce | Onset::UnderLoad(_) => 0,
+        };
+        let mut world = Self {
+            case,
+            now_ms: 0,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            instances,
+            stored: None,
+            requests: 0,
+            onset_ms,
+            swing_phase: rng.random_range(0.0..std::f64::consts::TAU),
+            jump_ms: rng.random_range(first_ms..DEADLINE_MS),
+            common_ms: rng.random_range(first_ms..DEADLINE_MS - 60_000),
+            new_rate: (0, 0, 0),
+            shown_at_ms: None,
+            outcome: Outcome::default(),
+            rng,
+        };
+        world.after(1, Event::Arrival);
+        for index in 0..INSTANCES {
+            let phase_ms = world.rng.random_range(1..REGION_GOSSIP_MS);
+            world.after(phase_ms, Event::RegionGossip(index));
+            world.after(phase_ms * 2, Event::WideGossip(index));
+            world.after(phase_ms * 3, Event::Tick(index));
+        }
+        world
+    }
+
+    fn after(&mut self, delay_ms: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse(Scheduled {
+            at_ms: self.now_ms + delay_ms,
+            sequence: self.sequence,
+            event,
+        }));
+    }
+
+    fn is_settled(&self) -> bool {
+        self.instances.iter().all(|i| i.state.verdict().is_some())
+    }
+
+    fn unix_now(&self) -> UnixMillis {
+        UnixMillis(UNIX_START_MS + self.now_ms)
+    }
+
+    fn load(&self) -> f64 {
+        let swing = self.case.trouble.swing;
+        let angle = self.now_ms as f64 / 180_000.0 * std::f64::consts::TAU;
+        let is_jump = (self.jump_ms..self.jump_ms + 60_000).contains(&self.now_ms);
+        let jump = if is_jump { 1.0 + swing } else { 1.0 };
+        (1.0 + swing * (angle + self.swing_phase).sin()) * jump
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrival(),
+            Event::Overdue(index, route, side) => {
+                let instance = &mut self.instances[index];
+                let tag = instance.state.tag();
+                let change = instance
+                    .evidence
+                    .record_overdue(tag, route_tag(route), side);
+                self.assess(index, &change);
+            }
+            Event::Ended(index, route, side, sample) => {
+                let instance = &mut self.instances[index];
+                let tag = instance.state.tag();
+                let change = instance
+                    .evidence
+                    .record(tag, route_tag(route), side, &sample);
+                self.assess(index, &change);
+            }
+            Event::RegionGossip(index) => self.region_gossip(index),
+            Event::WideGossip(index) => self.wide_gossip(index),
+            Event::Deliver(index, digest) => self.deliver(index, &digest),
+            Event::Tick(index) => self.tick(index),
+            Event::StoreCall(index, effect) => self.store_call(index, effect),
+            Event::StoreAnswer(index, call, answer) => {
+                let effects = self.instances[index]
+                    .writer
+                    .step(call, answer, Millis(self.now_ms));
+                self.verdict_effects(index, &effects);
+            }
+        }
+    }
+
+    fn arrival(&mut self) {
+        let rate_per_ms = self.case.requests_per_s * self.load() / 1_000.0;
+        let gap_ms = -(1.0 - self.rng.random::<f64>()).ln() / rate_per_ms;
+        self.after(gap_ms.round() as u64, Event::Arrival);
+        self.requests += 1;
+        let index = self.rng.random_range(0..INSTANCES);
+        let route = self.pick_route();
+        let request_id = format!("request-{}", self.requests);
+        let unix_now = self.unix_now();
+        let side = self.instances[index].state.choose(&request_id, unix_now);
+        let is_faulty = side == Side::New && self.is_fault_active(route);
+        self.count(index, side, is_faulty);
+        self.serve(index, route, side, is_faulty);
+    }
+
+    fn pick_route(&mut self) -> usize {
+        let mut rest = self.rng.random::<f64>();
+        for (route, weight) in ROUTE_WEIGHTS.iter().enumerate() {
+            rest -= weight;
+            if rest < 0.0 {
+                return route;
+            }
+        }
+        ROUTE_WEIGHTS.len() - 1
+    }
+
+    fn is_fault_active(&mut self, route: usize) -> bool {
+        let second = self.now_ms / 1_000;
+        if self.new_rate.0 != second {
+            self.new_rate = (second, 0, self.new_rate.1);
+        }
+        self.new_rate.1 += 1;
+        if !self.case.is_bad() || self.case.route.is_some_and(|only| only != route) {
+            return false;
+        }
+        match self.case.onset {
+            Onset::AtOnce | Onset::Later => self.now_ms >= self.onset_ms,
+            Onset::UnderLoad(limit) => self.new_rate.1.max(self.new_rate.2) > limit,
+        }
+    }
+
+    fn count(&mut self, index: usize, side: Side, is_faulty: bool) {
+        if is_faulty && self.shown_at_ms.is_none() {
+            self.shown_at_ms = Some(self.now_ms);
+        }
+        let has_shown = self.shown_at_ms.is_some();
+        self.outcome.all_after += u64::from(has_shown);
+        if side == Side::Old {
+            return;
+        }
+        if has_shown {
+            self.outcome.new_after += 1;
+        } else {
+            self.outcome.new_before += 1;
+        }
+        let state = &self.instances[index].state;
+        let is_stopped = state.suspicion().is_some() && state.verdict() != Some(Verdict::Done);
+        self.outcome.new_after_stop += u64::from(is_stopped);
+    }
+
+    fn serve(&mut self, index: usize, route: usize, side: Side, is_faulty: bool) {
+        let load = self.load();
+        let fault = if is_faulty {
+            self.case.fault
+        } else {
+            Fault::None
+        };
+        let first_factor = match fault {
+            Fault::SlowFirstToken(factor) => factor,
+            _ => 1.0,
+        };
+        let between_factor = match fault {
+            Fault::SlowTokens(factor) => factor,
+            _ => 1.0,
+        };
+        let first_ms = lognormal(
+            &mut self.rng,
+            FIRST_TOKEN_MS[route] * load * first_factor,
+            0.5,
+        );
+        let between_ms = lognormal(
+            &mut self.rng,
+            BETWEEN_TOKENS_MS * load * between_factor,
+            0.2,
+        );
+        let failed = self.rng.random_bool(self.failure_ratio(fault));
+        let is_hanging = fault == Fault::Hangs;
+        let wait_ms = if is_hanging { TIMEOUT_MS } else { first_ms };
+        let instance = &self.instances[index];
+        let reference_ms = instance
+            .evidence
+            .first_token_reference_ms(instance.state.tag(), route_tag(route));
+        let overdue_ms = reference_ms.filter(|limit_ms| wait_ms > *limit_ms && !failed);
+        if let Some(limit_ms) = overdue_ms {
+            self.after(limit_ms + 1, Event::Overdue(index, route, side));
+        }
+        let sample = Sample {
+            failed: failed || is_hanging,
+            first_token_ms: (!failed && !is_hanging).then_some(first_ms),
+            was_overdue: overdue_ms.is_some(),
+            between_tokens_ms: (!failed && !is_hanging).then_some(between_ms),
+        };
+        let ended_ms = if failed { wait_ms / 4 } else { wait_ms };
+        self.after(ended_ms, Event::Ended(index, route, side, sample));
+    }
+
+    fn failure_ratio(&self, fault: Fault) -> f64 {
+        let common = &self.case.trouble.common_failure;
+        let is_common = (self.common_ms..self.common_ms + 20_000).contains(&self.now_ms);
+        let common = if is_common { *common } else { 0.0 };
+        match fault {
+            Fault::Fails(ratio) => ratio.max(common),
+            _ => FAILURE_RATIO.max(common),
+        }
+    }
+
+    fn assess(&mut self, index: usize, change: &Change) {
+        let now = Millis(self.now_ms);
+        let raised = self.instances[index].state.add_evidence(change, now);
+        if let Some(suspicion) = raised {
+            self.raise(index, suspicion);
+        }
+    }
+
+    // A suspicion is sent to all at once; the gossip repeats it.
+    fn raise(&mut self, index: usize, suspicion: Suspicion) {
+        if self.outcome.suspicion_ms.is_none() {
+            let shown_at_ms = self.shown_at_ms.unwrap_or(self.now_ms);
+            self.outcome.suspicion_ms = Some(self.now_ms - shown_at_ms);
+        }
+        self.instances[index].evidence.suspect(suspicion);
+        for other in 0..INSTANCES {
+            let digest = Digest {
+                suspicions: vec![suspicion],
+                ..Digest::default()
+            };
+            self.send(index, other, digest);
+        }
+        self.propose(index);
+    }
+
+    fn is_cut_off(&self, region: usize) -> bool {
+        let is_outage = self.now_ms < OUTAGE_END_MS;
+        self.case.trouble.is_partitioned && is_outage && region == REGIONS.len() - 1
+    }
+
+    fn send(&mut self, from: usize, to: usize, digest: Digest) {
+        let (from_region, to_region) = (self.instances[from].region, self.instances[to].region);
+        let is_wide = from_region != to_region;
+        let is_cut = is_wide && (self.is_cut_off(from_region) || self.is_cut_off(to_region));
+        if from == to || is_cut || self.rng.random_bool(0.01) {
+            return;
+        }
+        let delay_ms = if is_wide { WIDE_DELAY_MS } else { 1 };
+        let jitter_ms = self.rng.random_range(0..=delay_ms / 4);
+        self.after(delay_ms + jitter_ms, Event::Deliver(to, Box::new(digest)));
+    }
+
+    fn region_gossip(&mut self, index: usize) {
+        self.after(REGION_GOSSIP_MS, Event::RegionGossip(index));
+        let peer = (index + REGIONS.len()) % INSTANCES;
+        let digest = self.instances[index]
+            .evidence
+            .news_for_region(CELLS_IN_NEWS);
+        self.send(index, peer, digest);
+    }
+
+    fn wide_gossip(&mut self, index: usize) {
+        self.after(WIDE_GOSSIP_MS, Event::WideGossip(index));
+        let region = self.instances[index].region;
+        for other_region in (0..REGIONS.len()).filter(|other| *other != region) {
+            let peers = INSTANCES / REGIONS.len();
+            let peer = other_region + REGIONS.len() * self.rng.random_range(0..peers);
+            let digest = self.instances[index].evidence.news_for_other_region();
+            self.send(index, peer, digest);
+        }
+    }
+
+    fn deliver(&mut self, index: usize, digest: &Digest) {
+        let instance = &mut self.instances[index];
+        let changes = instance.evidence.merge(digest);
+        let tag = instance.state.tag();
+        if let Some(suspicion) = instance.evidence.suspicion(tag) {
+            instance.state.suspect(*suspicion);
+        }
+        if let Some(verdict) = instance.evidence.verdict(tag) {
+            let effects = instance.writer.settle(verdict);
+            self.verdict_effects(index, &effects);
+        }
+        for change in &changes {
+            self.assess(index, change);
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.after(1_000, Event::Tick(index));
+        self.propose(index);
+    }
+
+    fn propose(&mut self, index: usize) {
+        let unix_now = self.unix_now();
+        let instance = &mut self.instances[index];
+        if let Some(verdict) = instance.state.proposal(unix_now) {
+            let now = Millis(self.now_ms);
+            let effects = instance.writer.propose(verdict, VERDICT_SPREAD_MS, now);
+            self.verdict_effects(index, &effects);
+        }
+    }
+
+    fn verdict_effects(&mut self, index: usize, effects: &[VerdictEffect]) {
+        for effect in effects {
+            match effect {
+                VerdictEffect::Adopt(verdict) => {
+                    let instance = &mut self.instances[index];
+                    instance.state.adopt(*verdict);
+                    let tag = instance.state.tag();
+                    instance.evidence.note_verdict(tag, *verdict);
+                    let after_ms = self.now_ms as i64 - DEADLINE_MS as i64;
+                    self.outcome.verdict_after_deadline_ms = after_ms;
+                }
+                VerdictEffect::Create { not_before, .. }
+                | VerdictEffect::Read { not_before, .. } => {
+                    let wait_ms = not_before.since(Millis(self.now_ms));
+                    self.after(wait_ms + 40, Event::StoreCall(index, *effect));
+                }
+            }
+        }
+    }
+
+    fn store_call(&mut self, index: usize, effect: VerdictEffect) {
+        let (call, proposed) = match effect {
+            VerdictEffect::Create { call, verdict, .. } => (call, Some(verdict)),
+            VerdictEffect::Read { call, .. } => (call, None),
+            VerdictEffect::Adopt(_) => return,
+        };
+        if !self.instances[index].writer.is_wanted(call) {
+            return;
+        }
+        let is_down = self.case.trouble.is_store_down && self.now_ms < OUTAGE_END_MS;
+        let answer = if is_down || self.is_cut_off(self.instances[index].region) {
+            VerdictAnswer::NotSent
+        } else if let Some(verdict) = self.stored {
+            VerdictAnswer::Found(verdict)
+        } else if let Some(verdict) = proposed {
+            self.stored = Some(verdict);
+            VerdictAnswer::Written
+        } else {
+            VerdictAnswer::Absent
+        };
+        // One answer in ten is lost after the call took effect.
+        let is_lost = self.rng.random_bool(0.1);
+        let answer = if is_lost { VerdictAnswer::Lost } else { answer };
+        self.after(40, Event::StoreAnswer(index, call, answer));
+    }
+
+    fn finish(mut self) -> Outcome {
+        if self.is_settled() {
+            self.outcome.verdict = self.stored;
+        }
+        // The rest of the time to the deadline would have brought this many more requests.
+        let rest_ms = DEADLINE_MS.saturating_sub(self.now_ms);
+        if self.shown_at_ms.is_some() {
+            let rest = self.case.requests_per_s * rest_ms as f64 / 1_000.0;
+            self.outcome.all_after += rest as u64;
+        }
+        self.outcome
+    }
+}
+
+fn route_tag(route: usize) -> RouteTag {
+    RouteTag(route as u16)
+}
+
+fn lognormal(rng: &mut SmallRng, median_ms: f64, sigma: f64) -> u64 {
+    let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
+    let normal = radius * (rng.random::<f64>() * std::f64::consts::TAU).cos();
+    (median_ms * (sigma * normal).exp()).round() as u64
+}
