--- a/crates/core/src/evidence/reference.rs
+++ b/crates/core/src/evidence/reference.rs
@@ -1,16 +1,16 @@
 //! The latency of the old version, against which requests count as slow.
 
 /// Quantile of the old version's latency above which a request counts as slow.
-pub const REFERENCE_QUANTILE: f64 = 0.9;
+pub const REFERENCE_QUANTILE: f64 = 0.8;
 
 const BUCKETS: usize = 128;
 // Buckets grow by this factor, from 1 ms to about three minutes.
 const GROWTH: f64 = 1.1;
 // Samples before there is a reference, and between two updates of it.
 const MIN_SAMPLES: f64 = 100.0;
-const UPDATE_SAMPLES: u32 = 50;
+const UPDATE_SAMPLES: u32 = 20;
 // With each update the past loses this part of its weight.
-const KEPT_WEIGHT: f64 = 0.95;
+const KEPT_WEIGHT: f64 = 0.9;
 
 /// A decaying histogram of the old version's latency on one route.
 ///
--- a/crates/core/src/rollout/assessment.rs
+++ b/crates/core/src/rollout/assessment.rs
@@ -48,8 +48,27 @@
 
     /// Whether the new version looks worse on any route.
     pub fn is_cautious(&self) -> bool {
-        let mut findings = self.comparisons.values().map(Comparison::finding);
-        findings.any(|finding| finding != Finding::Alike)
+        self.totals.keys().any(|route| self.is_cautious_on(*route))
+    }
+
+    /// Whether the new version looks worse on `route`.
+    pub fn is_cautious_on(&self, route: RouteTag) -> bool {
+        KINDS.iter().any(|kind| {
+            let comparison = self.comparisons.get(&(route, *kind));
+            comparison.is_some_and(|comparison| comparison.finding() != Finding::Alike)
+        })
+    }
+
+    /// Share of the requests of `route` that probe the new version, out of 1,000,000, such that
+    /// all probes together are `probe_ppm` of all requests.
+    pub fn probe_share_ppm(&self, route: RouteTag, probe_ppm: u32) -> u32 {
+        let requests = |sides: &Sides| sides.old.requests + sides.new.requests;
+        let all: u64 = self.totals.values().map(requests).sum();
+        let on_route = self.totals.get(&route).map_or(0, requests).max(1);
+        let is_cautious = |route: &&RouteTag| self.is_cautious_on(**route);
+        let routes = self.totals.keys().filter(is_cautious).count().max(1) as u64;
+        let share_ppm = u64::from(probe_ppm) * all / on_route / routes;
+        u32::try_from(share_ppm).unwrap_or(WHOLE_PPM).min(WHOLE_PPM)
     }
 
     /// Whether the new version has had enough requests, on every route that counts, to be
--- a/crates/core/src/rollout/baseline.rs
+++ b/crates/core/src/rollout/baseline.rs
@@ -24,7 +24,7 @@
     pub(super) fn new(kind: Kind, now: Millis) -> Self {
         let (memory_ms, prior_ratio, prior_trials) = match kind {
             Kind::Failure => (FAILURE_MEMORY_MS, 0.002, 100.0),
-            Kind::SlowFirstToken | Kind::SlowTokens => (LATENCY_MEMORY_MS, 0.1, 20.0),
+            Kind::SlowFirstToken | Kind::SlowTokens => (LATENCY_MEMORY_MS, 0.2, 20.0),
         };
         Self {
             trials: 0.0,
--- a/crates/core/src/rollout/comparison.rs
+++ b/crates/core/src/rollout/comparison.rs
@@ -21,9 +21,6 @@
 // Factors on the odds of a bad request, from the smallest fault that matters to a total one.
 const FAILURE_FACTORS: [f64; ALTERNATIVES] = [4.0, 20.0, 200.0];
 const SLOWNESS_FACTORS: [f64; ALTERNATIVES] = [2.5, 6.0, 20.0];
-// The smallest excess of slow requests is left to a decision at the full share, since load swings
-// look alike for a moment.
-const FIRST_SLOWNESS_ALARM: usize = 1;
 // Ratios below this are alike.
 const LEAST_RATIO: f64 = 0.001;
 /// Score at which the new version is surely worse.
@@ -32,11 +29,13 @@
 const CAUTION_SCORE: f64 = 8.0;
 const ALARM_SCORE: f64 = 12.0;
 /// Block score that has to support an alarm about latency, which load swings raise too.
-const SUPPORT_SCORE: f64 = 3.0;
+const SUPPORT_SCORE: f64 = 4.0;
 /// Score gathered while probing at which the versions count as alike.
 const CLEAR_SCORE: f64 = -3.0;
-/// Part of a block score that is not carried over when the versions count as alike.
-const FORGOTTEN_SCORE: f64 = 2.0;
+/// Parts of a block score that are not carried over when the versions count as alike. Load swings
+/// raise many alarms about latency, and the highest of many scores is high by chance.
+const FORGOTTEN_FAILURE_SCORE: f64 = 2.0;
+const FORGOTTEN_SLOWNESS_SCORE: f64 = 7.0;
 /// Requests to the new version while probing before it may be cleared.
 const MIN_PROBES: u64 = 10;
 
@@ -142,7 +141,7 @@
 
     fn score_alarm(&mut self, new: Trials) {
         let reference = self.baseline.upper_ratio().max(LEAST_RATIO);
-        for index in self.first_alarm()..ALTERNATIVES {
+        for index in 0..ALTERNATIVES {
             let ratio = with_odds_times(reference, self.factors[index]);
             let score = &mut self.alarm_scores[index];
             *score = (*score + log_likelihood_ratio(new, ratio, reference)).max(0.0);
@@ -177,13 +176,6 @@
         }
     }
 
-    fn first_alarm(&self) -> usize {
-        match self.kind {
-            Kind::Failure => 0,
-            Kind::SlowFirstToken | Kind::SlowTokens => FIRST_SLOWNESS_ALARM,
-        }
-    }
-
     fn is_alarming(&self, alternative: usize) -> bool {
         let block_score = self.block_scores[alternative];
         let is_supported = self.kind == Kind::Failure || block_score >= SUPPORT_SCORE;
@@ -191,12 +183,19 @@
         is_alarm || block_score >= CAUTION_SCORE
     }
 
+    // How well a fault of this size fits what was seen of late.
+    fn fit(&self, alternative: usize) -> f64 {
+        self.block_scores[alternative].max(self.alarm_scores[alternative])
+    }
+
     fn conclude(&mut self) -> Finding {
         let block_score = self.block_scores.iter().copied().fold(0.0, f64::max);
         if self.carried + block_score >= DECISION_SCORE {
             self.is_worse = true;
         }
-        let feared = (self.first_alarm()..ALTERNATIVES).find(|index| self.is_alarming(*index));
+        let feared = (0..ALTERNATIVES)
+            .filter(|index| self.is_alarming(*index))
+            .max_by(|a, b| self.fit(*a).total_cmp(&self.fit(*b)));
         match (feared, &mut self.caution) {
             (Some(alternative), None) => {
                 self.caution = Some(Caution {
@@ -219,7 +218,11 @@
 
     fn clear(&mut self) {
         let peak = self.caution.take().map_or(0.0, |caution| caution.peak);
-        self.carried += (peak - FORGOTTEN_SCORE).max(0.0);
+        let forgotten = match self.kind {
+            Kind::Failure => FORGOTTEN_FAILURE_SCORE,
+            Kind::SlowFirstToken | Kind::SlowTokens => FORGOTTEN_SLOWNESS_SCORE,
+        };
+        self.carried += (peak - forgotten).max(0.0);
         self.alarm_scores = [0.0; ALTERNATIVES];
         self.block_scores = [0.0; ALTERNATIVES];
     }
--- a/crates/core/src/rollout/state.rs
+++ b/crates/core/src/rollout/state.rs
@@ -2,10 +2,11 @@
 
 use super::{share_of_new, side_of_request, Assessment, Verdict};
 use crate::document::{Rollout, WHOLE_PPM};
-use crate::evidence::{Change, OriginTag, RolloutTag, Side, Suspicion};
+use crate::evidence::{Change, OriginTag, RolloutTag, RouteTag, Side, Suspicion};
 use crate::time::{Millis, UnixMillis};
 
-/// Share of a new version that looks worse, out of 1,000,000.
+/// Share of all requests that go to a new version on the routes where it looks worse, out of
+/// 1,000,000.
 pub const PROBE_SHARE_PPM: u32 = 10_000;
 /// Share that the old version keeps until the verdict, out of 1,000,000. It keeps the old version
 /// warm and both versions comparable.
@@ -76,25 +77,27 @@
         self.rollout = rollout;
     }
 
-    /// Share of requests that go to the new version now, out of 1,000,000.
-    pub fn share_ppm(&self, unix_now: UnixMillis) -> u32 {
+    /// Share of the requests of `route` that go to the new version now, out of 1,000,000.
+    pub fn share_ppm(&self, route: RouteTag, unix_now: UnixMillis) -> u32 {
         match self.verdict {
             Some(Verdict::Done) => return WHOLE_PPM,
             Some(Verdict::RolledBack) => return 0,
             None if self.suspicion.is_some() => return 0,
             None => {}
         }
-        let most_ppm = if self.assessment.is_cautious() {
-            PROBE_SHARE_PPM
+        let most_ppm = WHOLE_PPM - CONTROL_SHARE_PPM;
+        let most_ppm = if self.assessment.is_cautious_on(route) {
+            let probe_ppm = self.assessment.probe_share_ppm(route, PROBE_SHARE_PPM);
+            probe_ppm.min(most_ppm)
         } else {
-            WHOLE_PPM - CONTROL_SHARE_PPM
+            most_ppm
         };
         share_of_new(&self.rollout, unix_now).min(most_ppm)
     }
 
-    /// The version that a request goes to.
-    pub fn choose(&self, request_id: &str, unix_now: UnixMillis) -> Side {
-        let share_ppm = self.share_ppm(unix_now);
+    /// The version that a request of `route` goes to.
+    pub fn choose(&self, route: RouteTag, request_id: &str, unix_now: UnixMillis) -> Side {
+        let share_ppm = self.share_ppm(route, unix_now);
         self.assert_share(share_ppm, unix_now);
         let side = side_of_request(&self.rollout, request_id, share_ppm);
         let is_stopped = match self.verdict {
--- a/crates/ctl/src/experiment/rollout/world.rs
+++ b/crates/ctl/src/experiment/rollout/world.rs
@@ -268,7 +268,9 @@
         let route = self.pick_route();
         let request_id = format!("request-{}", self.requests);
         let unix_now = self.unix_now();
-        let side = self.instances[index].state.choose(&request_id, unix_now);
+        let side = self.instances[index]
+            .state
+            .choose(route_tag(route), &request_id, unix_now);
         let is_faulty = side == Side::New && self.is_fault_active(route);
         self.count(index, side, is_faulty);
         self.serve(index, route, side, is_faulty);
