--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -3,6 +3,7 @@
 pub mod gossip;
 pub mod limits;
 pub mod routing;
+pub mod rollout;
 
 use clap::Subcommand;
 
