Tell a cut long answer apart, and wake rings only when something came

Cause: the server ends a chunked body in the same way whether it was whole or cut, so an answer of over 1 MB that broke off looked whole; the dispatching ring set a timer of 50 ms for each wait. Change: long answers carry their length; those of unknown length are gathered up to 16 MiB and refused beyond; a ring's receiver waits without a timer. Left: an upstream that sends over 16 MiB has to name the length.

--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -2,8 +2,8 @@
 
 pub mod gossip;
 pub mod limits;
-pub mod routing;
 pub mod rollout;
+pub mod routing;
 
 use clap::Subcommand;
 
@@ -22,6 +22,8 @@
     Gossip(gossip::Args),
     /// Wrongful refusals of the fleet's limits, against a static split and a central counter.
     Limits(limits::Args),
+    /// Right and wrong verdicts on bad and good versions, and the traffic that bad ones got.
+    Rollout(rollout::Args),
     /// Routing, admission and retries under load, against the usual baselines.
     Routing(routing::Args),
 }
@@ -35,6 +37,7 @@
     match args.topic {
         Topic::Gossip(args) => gossip::run(args),
         Topic::Limits(args) => limits::run(args),
+        Topic::Rollout(args) => rollout::run(args),
         Topic::Routing(args) => routing::run(args),
     }
 }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -40,10 +40,7 @@
                 loop {
                     let job = tokio::select! {
                         job = receiver.recv() => job,
-                        () = cancel.cancelled() => None,
-                    };
-                    let Some(job) = job else {
-                        return;
+                        () = cancel.cancelled() => return,
                     };
                     task::spawn_local(exchange::run(clients.clone(), job));
                 }
--- a/crates/gateway/src/intake/answer.rs
+++ b/crates/gateway/src/intake/answer.rs
@@ -20,8 +20,11 @@
 pub(super) enum AnswerBody {
     /// A body in hand.
     Whole(Bytes),
-    /// A body that is relayed as it arrives.
+    /// A stream of events, whose last event tells that it is whole.
     Stream(Box<RelayBody>),
+    /// A body of this many bytes that is relayed as it arrives. The length tells the caller
+    /// whether it is whole.
+    Long(Box<RelayBody>, u64),
 }
 
 /// An answer to a caller.
@@ -89,6 +92,11 @@
             AnswerBody::Whole(bytes) => {
                 response.sized_body(bytes.len(), Cursor::new(bytes));
             }
+            AnswerBody::Long(body, length_bytes) => {
+                response.raw_header("content-length", length_bytes.to_string());
+                response.max_chunk_size(CHUNK_BYTES);
+                response.streamed_body(*body);
+            }
             AnswerBody::Stream(body) => {
                 response.max_chunk_size(CHUNK_BYTES);
                 response.streamed_body(*body);
--- a/crates/gateway/src/intake/gather.rs
+++ b/crates/gateway/src/intake/gather.rs
@@ -14,21 +14,30 @@
 use serde::Deserialize;
 use tokio::sync::mpsc;
 
-/// Largest answer that is gathered before it is passed on, in bytes.
-const MAX_GATHERED_BYTES: usize = 1_024 * 1_024;
+/// Longest answer of a known length that is gathered before it is passed on, in bytes.
+const MAX_GATHERED_BYTES: u64 = 1_024 * 1_024;
+/// Longest answer of an unknown length, in bytes. The server ends a chunked body in the same way
+/// whether it is whole or cut, so an answer has to be in hand or its length has to be known.
+const MAX_UNKNOWN_LENGTH_BYTES: usize = 16 * 1_024 * 1_024;
 
 #[derive(Deserialize)]
 struct Answered {
     usage: Option<Usage>,
 }
 
-/// Gathers an answer. One that is too long is relayed as it arrives.
+/// Gathers an answer. One that is long is relayed as it arrives.
 pub(super) async fn gather(
     mut chunks: mpsc::Receiver<Result<Bytes, ExchangeError>>,
     framing: Framing,
     mut settling: Settling,
     running: Running,
 ) -> Result<AnswerBody, Refusal> {
+    if let Framing::Length(length_bytes) = framing {
+        if length_bytes > MAX_GATHERED_BYTES {
+            let relayed = RelayBody::new(chunks, framing, settling, running);
+            return Ok(AnswerBody::Long(Box::new(relayed), length_bytes));
+        }
+    }
     let mut body = BytesMut::new();
     while let Some(chunk) = chunks.recv().await {
         match chunk {
@@ -38,10 +47,9 @@
             }
             Err(err) => return Err(cut(settling, err.failure(), &err.to_string())),
         }
-        if body.len() > MAX_GATHERED_BYTES {
-            let relayed = RelayBody::new(chunks, framing, settling, running);
-            let relayed = relayed.beginning_with(body.freeze());
-            return Ok(AnswerBody::Stream(Box::new(relayed)));
+        if body.len() > MAX_UNKNOWN_LENGTH_BYTES {
+            let detail = "an answer of over 16 MiB needs a content-length";
+            return Err(cut(settling, Failure::WrongAnswer, detail));
         }
     }
     if matches!(framing, Framing::Length(length_bytes) if length_bytes != body.len() as u64) {
--- a/crates/gateway/src/intake/pass.rs
+++ b/crates/gateway/src/intake/pass.rs
@@ -204,7 +204,7 @@
     }
     match text("content-length").and_then(|value| value.parse().ok()) {
         Some(length_bytes) => Framing::Length(length_bytes),
-        None => Framing::Chunked,
+        None => Framing::Unknown,
     }
 }
 
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -131,8 +131,8 @@
 
     async fn obey(&self, mut commands: AsyncReceiver<Command>, leave: &CancellationToken) {
         let region: &RegionId = &self.settings.instance.region;
-        while let Some(command) = commands.recv().await {
-            match command {
+        loop {
+            match commands.recv().await {
                 Command::ReadSlots => {
                     slots::read(&self.store, self.clock, region, &self.decide).await;
                 }
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -26,8 +26,8 @@
     Events,
     /// A body of this many bytes.
     Length(u64),
-    /// A body that ends with its connection or its last chunk.
-    Chunked,
+    /// A body of unknown length.
+    Unknown,
 }
 
 /// The body of a relayed answer.
@@ -64,13 +64,6 @@
         }
     }
 
-    /// The same body, beginning with bytes that have been received before.
-    #[must_use]
-    pub fn beginning_with(mut self, received: Bytes) -> Self {
-        self.receive(received);
-        self
-    }
-
     fn receive(&mut self, chunk: Bytes) {
         self.settling.byte_arrived();
         self.received_bytes += chunk.len() as u64;
@@ -109,7 +102,7 @@
         match self.framing {
             Framing::Events => self.scan.is_done(),
             Framing::Length(length_bytes) => self.received_bytes == length_bytes,
-            Framing::Chunked => true,
+            Framing::Unknown => true,
         }
     }
 
--- a/crates/gateway/src/ring/mod.rs
+++ b/crates/gateway/src/ring/mod.rs
@@ -91,21 +91,13 @@
 }
 
 impl<T> AsyncReceiver<T> {
-    /// Waits for the oldest value; `None` when the ring is empty and all senders are gone.
-    pub async fn recv(&mut self) -> Option<T> {
+    /// Waits for the oldest value.
+    pub async fn recv(&mut self) -> T {
         loop {
             if let Ok(value) = self.consumer.pop() {
-                return Some(value);
-            }
-            if self.consumer.is_abandoned() {
-                return self.consumer.pop().ok();
-            }
-            // A sender that goes away does not notify, so the wait has an end.
-            let pause = tokio::time::sleep(Duration::from_millis(50));
-            tokio::select! {
-                () = self.notify.notified() => {}
-                () = pause => {}
+                return value;
             }
+            self.notify.notified().await;
         }
     }
 }
