Report histograms by account and class, metrics and a status page

Cause: nobody could see what an instance does. Change: a reporting thread with histograms for each account and class, statsd metrics by cadence, and GET /status on an address for operators with members, slots, upstreams, waiting requests, loans and refusals by cause.

--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -9,7 +9,8 @@
     in_force::Current,
     intake::{self, Claims, Entries, Server, Shared, BODY_UNIT_BYTES},
     peers::{self, TlsMaterial},
-    platform,
+    platform, report,
+    report::StatusBoard,
     ring::{self, Sender},
     settings::{Settings, Shutdown},
 };
@@ -32,6 +33,7 @@
 pub struct Daemon {
     shared: Arc<Shared>,
     server: Server,
+    operators: Option<Server>,
     peers: Option<peers::Handle>,
     decide: Sender<decide::Event>,
     clock: Clock,
@@ -72,9 +74,14 @@
         platform_commands,
         cancel.child_token(),
     )?);
+    let board = StatusBoard::default();
+    let metrics = settings.metrics.as_ref();
+    let (report, report_thread) = report::start(metrics, board.clone(), cancel.child_token())?;
+    threads.push(report_thread);
     let outlets = Outlets {
         current: current.clone(),
         entries: entries.clone(),
+        board: board.clone(),
         is_ready: Arc::clone(&is_ready),
         peers: peers.clone(),
         platform: commands,
@@ -98,6 +105,7 @@
         current,
         decide: decide.clone(),
         dispatch,
+        report,
         claims: Claims::new(store),
         credentials: settings.upstream_credentials.clone(),
         entries,
@@ -110,10 +118,18 @@
         incarnation,
     });
     let server = intake::start(settings, Arc::clone(&shared))?;
+    let operators = settings
+        .operators_address
+        .map(|address| {
+            let in_flight = Arc::clone(&shared.in_flight);
+            report::start_operators(settings, address, board, in_flight)
+        })
+        .transpose()?;
     log::info!(address:% = server.address; "listening for callers");
     Ok(Daemon {
         shared,
         server,
+        operators,
         peers,
         decide,
         clock,
@@ -161,6 +177,9 @@
         }
         let cut = self.shared.in_flight.count();
         self.server.stop();
+        if let Some(operators) = self.operators {
+            operators.stop();
+        }
         self.cancel.cancel();
         for thread in self.threads {
             if thread.join().is_err() {
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -13,6 +13,7 @@
 mod settle;
 mod slots;
 mod state;
+mod status;
 
 pub use event::{
     Ask, Ending, Event, LiveListRead, Placed, RetryQuestion, Settlement, SlotsRead, Target,
--- a/crates/gateway/src/decide/outlets.rs
+++ b/crates/gateway/src/decide/outlets.rs
@@ -1,6 +1,8 @@
 //! Where the deciding thread's decisions go.
 
-use crate::{in_force::Current, intake::Entries, peers, platform, ring::Sender};
+use crate::{
+    in_force::Current, intake::Entries, peers, platform, report::StatusBoard, ring::Sender,
+};
 use carobwheel_core::{id::InstanceId, member};
 use carobwheel_wire::peer::Message;
 use std::{
@@ -14,6 +16,8 @@
     pub current: Current,
     /// Instances that callers may use.
     pub entries: Entries,
+    /// The status page.
+    pub board: StatusBoard,
     /// The instance can serve requests.
     pub is_ready: Arc<AtomicBool>,
     /// Links to other instances; none for an instance that stands alone.
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -151,6 +151,7 @@
         if is_due(&mut self.due.gossip, GOSSIP_PERIOD_MS, now) {
             self.gossip(now);
             self.publish_entries();
+            self.publish_status(now);
         }
         if is_due(&mut self.due.expiry, EXPIRY_PERIOD_MS, now) {
             self.expire_waiting(now);
--- /dev/null
+++ b/crates/gateway/src/decide/status.rs
@@ -0,0 +1,64 @@
+//! What the deciding thread shows on the status page.
+
+use super::{slots::peer_of, state::State};
+use crate::report::{Decisions, MemberStatus, UpstreamStatus};
+use carobwheel_core::time::Millis;
+use std::{collections::BTreeMap, sync::Arc};
+
+impl State {
+    /// Publishes the state for the status page.
+    pub(super) fn publish_status(&self, now: Millis) {
+        let totals = self.charging.limiter.totals();
+        let configured = self.configured.as_ref();
+        self.outlets.board.decisions.store(Arc::new(Decisions {
+            revision: self.revision(),
+            members: self.member_status(),
+            upstreams: self.upstream_status(now),
+            waiting: self.admit.len(),
+            placed: self.open.len(),
+            charges: totals.charges,
+            loans_taken: totals.loans_taken,
+            loans_given: totals.loans_given,
+            retries: configured.map_or(0, |configured| configured.retrier.retries()),
+            rollouts: BTreeMap::new(),
+        }));
+    }
+
+    fn member_status(&self) -> Vec<MemberStatus> {
+        let mut slots: BTreeMap<_, usize> = BTreeMap::new();
+        for owner in self.slots.owners.values() {
+            *slots.entry(owner).or_default() += 1;
+        }
+        let status = |member: carobwheel_core::member::MemberView| {
+            let peer = peer_of(&member);
+            MemberStatus {
+                slots: slots.get(&peer).copied().unwrap_or(0),
+                instance: peer.instance,
+                incarnation: peer.incarnation,
+                region: member.identity.region,
+                data_centre: member.identity.data_centre,
+                state: format!("{:?}", member.state),
+                is_reachable: member.is_reachable,
+                revision: member.revision,
+            }
+        };
+        self.members.snapshot().into_iter().map(status).collect()
+    }
+
+    fn upstream_status(&self, now: Millis) -> Vec<UpstreamStatus> {
+        let Some(configured) = &self.configured else {
+            return Vec::new();
+        };
+        let status = |upstream: &carobwheel_core::document::Upstream| {
+            let load = configured.router.load(&upstream.id, now);
+            UpstreamStatus {
+                upstream: upstream.id.to_string(),
+                requests: load.map_or(0, |load| load.requests),
+                is_leaving: configured.router.is_leaving(&upstream.id),
+                is_ejected: configured.outliers.is_out(&upstream.id),
+            }
+        };
+        let document = &configured.in_force.document;
+        document.upstreams.iter().map(status).collect()
+    }
+}
--- a/crates/gateway/src/in_flight/mod.rs
+++ b/crates/gateway/src/in_flight/mod.rs
@@ -1,5 +1,6 @@
 //! Requests in flight on this instance, counted until their answers have ended.
 
+use crate::report::Trace;
 use std::sync::{
     atomic::{AtomicUsize, Ordering},
     Arc,
@@ -27,19 +28,27 @@
     }
 
     /// Counts one more request, or `None` if there is no room.
-    pub fn begin(self: &Arc<Self>) -> Option<Running> {
+    pub fn begin(self: &Arc<Self>, trace: Trace) -> Option<Running> {
         let before = self.count.fetch_add(1, Ordering::AcqRel);
         let running = Running {
             in_flight: Arc::clone(self),
+            trace,
         };
         (before < self.max).then_some(running)
     }
 }
 
 /// One request in flight, until it is dropped.
-#[derive(Debug)]
 pub struct Running {
     in_flight: Arc<InFlight>,
+    trace: Trace,
+}
+
+impl Running {
+    /// The trace of the request.
+    pub fn trace(&self) -> &Trace {
+        &self.trace
+    }
 }
 
 impl Drop for Running {
--- a/crates/gateway/src/intake/gather.rs
+++ b/crates/gateway/src/intake/gather.rs
@@ -43,6 +43,7 @@
         match chunk {
             Ok(chunk) => {
                 settling.byte_arrived();
+                running.trace().byte_arrived();
                 body.extend_from_slice(&chunk);
             }
             Err(err) => return Err(cut(settling, err.failure(), &err.to_string())),
--- a/crates/gateway/src/intake/handler.rs
+++ b/crates/gateway/src/intake/handler.rs
@@ -4,7 +4,10 @@
     answer::{Answer, AnswerBody},
     head, pass, Shared,
 };
-use crate::refusal::{Cause, Refusal, Run};
+use crate::{
+    refusal::{Cause, Refusal, Run},
+    report::Trace,
+};
 use carobwheel_core::{id::RequestId, identity::Caller};
 use rocket::{
     catcher::{self, BoxFuture},
@@ -62,9 +65,11 @@
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let shared = &self.0;
         let request_id = shared.next_request_id();
-        let answer = answer(shared, &request_id, request, data)
+        let trace = Trace::begin(shared.clock, shared.report.clone());
+        let answer = answer(shared, &request_id, request, data, &trace)
             .await
             .unwrap_or_else(|refusal| {
+                trace.refused(refusal.cause);
                 log::debug!(request = request_id.as_str(); "refused: {refusal}");
                 Answer::refusal(&refusal)
             });
@@ -78,6 +83,7 @@
     request_id: &RequestId,
     request: &Request<'_>,
     data: Data<'_>,
+    trace: &Trace,
 ) -> Result<Answer, Refusal> {
     let head = head::read(request)?;
     match (head.method, head.path.as_str()) {
@@ -86,7 +92,7 @@
         (Method::Get, "/v1/entry") => entry(shared, head.key.as_deref()),
         (Method::Get, "/v1/models") => models(shared, head.key.as_deref()),
         _ => {
-            let running = shared.in_flight.begin().ok_or_else(too_many)?;
+            let running = shared.in_flight.begin(trace.clone()).ok_or_else(too_many)?;
             pass::relay(shared, request_id, request, head, data, running).await
         }
     }
--- a/crates/gateway/src/intake/mod.rs
+++ b/crates/gateway/src/intake/mod.rs
@@ -20,7 +20,8 @@
 pub use entry::{Entries, Entry, EntryList, LIFETIME_S};
 
 use crate::{
-    decide, dispatch, in_flight::InFlight, in_force::Current, ring::Sender, settings::Settings,
+    decide, dispatch, in_flight::InFlight, in_force::Current, report, ring::Sender,
+    settings::Settings,
 };
 use anyhow::Context as _;
 use carobwheel_core::{
@@ -63,6 +64,8 @@
     pub decide: Sender<decide::Event>,
     /// Ring to the dispatching thread.
     pub dispatch: Sender<dispatch::Job>,
+    /// Ring to the reporting thread.
+    pub report: Sender<report::Observation>,
     /// Records of actions that may not be repeated.
     pub(crate) claims: Claims,
     /// Credential of each upstream.
--- a/crates/gateway/src/intake/pass.rs
+++ b/crates/gateway/src/intake/pass.rs
@@ -11,12 +11,13 @@
     Shared,
 };
 use crate::{
-    decide::Ending,
+    decide::{Ending, Target},
     dispatch::{ExchangeError, Head},
     in_flight::Running,
     in_force::InForce,
     refusal::{run_of_status, Cause, Refusal},
     relay::{Framing, RelayBody, Settling},
+    report::Label,
 };
 use carobwheel_core::{
     id::RequestId,
@@ -73,12 +74,26 @@
     running: Running,
 ) -> Result<Answer, Refusal> {
     let work = read(shared, request_id, request, head, data).await?;
+    running.trace().label(label(&work));
     if work.call.idempotent {
         return try_upstreams(shared, &work, running).await;
     }
     action::run(shared, work, running).await
 }
 
+fn label(work: &Work) -> Label {
+    Label {
+        account: match &work.caller {
+            Caller::Account(credential) => Some(credential.account.clone()),
+            Caller::Open => None,
+        },
+        class: match &work.call.target {
+            Target::Model { class, .. } => Some(class.clone()),
+            Target::Service { .. } => None,
+        },
+    }
+}
+
 /// The filters identify and classify.
 async fn read(
     shared: &Arc<Shared>,
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -1,7 +1,7 @@
 //! The body of a relayed answer as a byte stream.
 
 use super::{Settling, SseScan};
-use crate::{decide::Ending, dispatch::ExchangeError, in_flight::Running};
+use crate::{decide::Ending, dispatch::ExchangeError, in_flight::Running, refusal::Cause};
 use bytes::{Buf as _, Bytes};
 use carobwheel_core::retry::Failure;
 use std::{
@@ -40,7 +40,7 @@
     is_over: bool,
     heartbeat: Interval,
     settling: Settling,
-    _running: Running,
+    running: Running,
 }
 
 impl RelayBody {
@@ -60,12 +60,13 @@
             is_over: false,
             heartbeat: interval_at(Instant::now() + HEARTBEAT_PERIOD, HEARTBEAT_PERIOD),
             settling,
-            _running: running,
+            running,
         }
     }
 
     fn receive(&mut self, chunk: Bytes) {
         self.settling.byte_arrived();
+        self.running.trace().byte_arrived();
         self.received_bytes += chunk.len() as u64;
         if self.framing == Framing::Events {
             self.scan.feed(&chunk);
@@ -86,6 +87,7 @@
             .as_ref()
             .map_or(Failure::ConnectionLost, ExchangeError::failure);
         self.settling.settle(Ending::Failed(failure));
+        self.running.trace().refused(Cause::UpstreamFailed);
         let detail = broken.map_or_else(
             || "the upstream ended its answer early".to_owned(),
             |err| err.to_string(),
--- a/crates/gateway/src/report/mod.rs
+++ b/crates/gateway/src/report/mod.rs
@@ -1,5 +1,74 @@
 //! Metrics, histograms, logs and the status page.
+//!
+//! One thread takes what requests report about themselves, keeps histograms for each client
+//! account and class, and sends metrics.
 
 mod logs;
+mod metrics;
+mod operators;
+mod status;
+mod tally;
+mod trace;
 
 pub use logs::start as start_logs;
+pub use operators::start as start_operators;
+pub use status::{Decisions, MemberStatus, Requests, StatusBoard, UpstreamStatus};
+pub use tally::{LabelStatus, Quantiles};
+pub use trace::{Label, Observation, Trace};
+
+use crate::{
+    ring::{ring, Sender},
+    settings::Metrics,
+};
+use anyhow::Context as _;
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+use tally::Tally;
+use tokio_util::sync::CancellationToken;
+
+/// Observations that wait for the reporting thread at most.
+pub const RING_OBSERVATIONS: usize = 16_384;
+const PUBLISH_PERIOD: Duration = Duration::from_secs(1);
+
+/// Starts the reporting thread, which ends when `cancel` is cancelled.
+///
+/// # Errors
+///
+/// Fails if the thread or the socket for metrics cannot be set up.
+pub fn start(
+    metrics: Option<&Metrics>,
+    board: StatusBoard,
+    cancel: CancellationToken,
+) -> anyhow::Result<(Sender<Observation>, thread::JoinHandle<()>)> {
+    let client = metrics.map(metrics::client).transpose()?;
+    let (sender, mut receiver) = ring::<Observation>(RING_OBSERVATIONS);
+    let thread = thread::Builder::new()
+        .name("report".to_owned())
+        .spawn(move || {
+            receiver.attach();
+            let mut tally = Tally::default();
+            let mut published = Instant::now();
+            while !cancel.is_cancelled() {
+                while let Some(observation) = receiver.try_recv() {
+                    tally.add(&observation);
+                    if let Some(client) = &client {
+                        metrics::send(client, &observation);
+                    }
+                }
+                if published.elapsed() >= PUBLISH_PERIOD {
+                    published = Instant::now();
+                    board.requests.store(Arc::new(Requests {
+                        labels: tally.labels(),
+                        refusals: tally.causes(),
+                    }));
+                }
+                // Observations may wait: nobody needs them sooner.
+                thread::sleep(PUBLISH_PERIOD / 10);
+            }
+        })
+        .context("cannot start the reporting thread")?;
+    Ok((sender, thread))
+}
