--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -181,6 +181,12 @@
         })
     }
 
+    /// Kills the instance at `place`, and takes it off the live list.
+    pub(crate) fn remove_instance(&mut self, place: usize) {
+        let instance = self.instances.remove(place);
+        self.live_list.remove(&instance.id);
+    }
+
     /// Publishes the document as it stands.
     pub(crate) fn publish(&self) {
         self.store
