--- a/crates/gateway/tests/promise_answers.rs
+++ b/crates/gateway/tests/promise_answers.rs
@@ -6,7 +6,7 @@
 
 use carobwheel_standin::{
     engine::{EngineOptions, Fault, FaultRule},
-    service::ServiceFault,
+    service::{ServiceFault, ServiceOptions},
     store::Availability,
 };
 use futures::future::join_all;
@@ -123,6 +123,40 @@
     );
 }
 
+/// The same for an answer of a plain service, with its length announced and without.
+#[test_case(false; "with its length")]
+#[test_case(true; "in chunks")]
+#[tokio::test]
+async fn a_long_answer_of_a_service_that_breaks_off_is_never_taken_for_a_whole_one(
+    is_chunked: bool,
+) {
+    const PADDING_BYTES: usize = 4_000_000;
+    let service = ServiceOptions {
+        padding_bytes: PADDING_BYTES,
+        is_chunked,
+        ..ServiceOptions::default()
+    };
+    let fleet = Fleet::start(FleetOptions {
+        service,
+        ..FleetOptions::default()
+    })
+    .await;
+    let caller = Caller::of("insurers");
+    let url = format!("{}/rounds/today", fleet.instance("north").url);
+    let whole = send(caller.request("GET", &url)).await.unwrap();
+    assert!(whole.body.unwrap().len() > PADDING_BYTES);
+    for service in fleet.services.values() {
+        service.fail_next(&[ServiceFault::DieInAnswer; 8]);
+    }
+    let cut = send(caller.request("GET", &url)).await.unwrap();
+    let length = cut.body.as_ref().map(String::len);
+    assert!(
+        cut.is_failure(),
+        "status {} with a body of {length:?} bytes",
+        cut.status
+    );
+}
+
 /// What a service does to a request, and whether the store answers.
 #[test_case(&[ServiceFault::Status(503)], Availability::Up; "refused by the service")]
 #[test_case(&[ServiceFault::DieBeforeRunning], Availability::Up; "service dies before running")]
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -17,6 +17,8 @@
 /// Header that names an action.
 pub const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 
+const JSON: &str = "application/json";
+
 /// How to start a service.
 #[derive(Clone, Debug)]
 pub struct ServiceOptions {
@@ -30,6 +32,10 @@
     pub latency_ms: u64,
     /// An action whose key has run already is answered without running again.
     pub deduplicates: bool,
+    /// Length of the padding in each answer, in bytes.
+    pub padding_bytes: usize,
+    /// Answers come in chunks, without their length.
+    pub is_chunked: bool,
     /// Most requests to record; later ones are only counted.
     pub max_records: usize,
 }
@@ -42,6 +48,8 @@
             credential: None,
             latency_ms: 0,
             deduplicates: false,
+            padding_bytes: 0,
+            is_chunked: false,
             max_records: 100_000,
         }
     }
@@ -71,6 +79,9 @@
     pub number: u64,
     /// The body of the request, as text.
     pub body: String,
+    /// Spaces that make the answer longer.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub padding: String,
 }
 
 #[derive(Default)]
@@ -208,9 +219,21 @@
         Some(ServiceFault::DieInAnswer) => body.len() / 2,
         _ => body.len(),
     };
-    responder
-        .cut_off(200, "application/json", &body, sent)
-        .await
+    if shared.options.is_chunked {
+        return send_chunked(responder, &body, sent).await;
+    }
+    responder.cut_off(200, JSON, &body, sent).await
+}
+
+/// Sends the first `sent` bytes of a body in one chunk, and its end if that is all.
+async fn send_chunked(responder: Responder, body: &[u8], sent: usize) -> Ending {
+    let Ok(mut writer) = responder.stream(JSON).await else {
+        return Ending::Closed;
+    };
+    match writer.send(&body[..sent]).await {
+        Ok(()) if sent == body.len() => writer.finish().await,
+        _ => Ending::Closed,
+    }
 }
 
 /// Counts a request and chooses its fault.
@@ -253,5 +276,6 @@
         key,
         number: state.total_runs,
         body: String::from_utf8_lossy(&request.body).into_owned(),
+        padding: " ".repeat(shared.options.padding_bytes),
     }
 }
