Let the engine's stand-in take its tokens from the model of a batch

With `batch` set, the time of each token, the queue by priority, the prefix cache and the lagging load report come from the pure model in place of fixed times. The engine is split by job: reading, pace, generating and the forms of answers.

--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -5,17 +5,24 @@
 //! records what it saw and can be made to fail in the ways that engines do.
 
 mod api;
+mod batching;
 mod fault;
+mod form;
+mod generate;
+mod job;
 mod load;
 mod output;
+mod pace;
 
 pub use fault::{Fault, FaultRule};
 pub use output::{answer_text, prompt_hash, token};
 
 use crate::{
+    batch::EngineSettings,
     http::{SeenRequest, Server},
     lock,
 };
+use batching::Batching;
 use carobwheel_core::time::Clock;
 use carobwheel_wire::platform::LoadReport;
 use fault::Faults;
@@ -53,6 +60,9 @@
     pub batch_slots: u32,
     /// Longest answer, in tokens. A request's own bound may make it shorter.
     pub answer_tokens: u64,
+    /// Model of a batch that decides when tokens come, in place of the times above; its slots are
+    /// set to `batch_slots`.
+    pub batch: Option<EngineSettings>,
     /// Age of load reports, in milliseconds.
     pub load_lag_ms: u64,
     /// Most requests to record; later ones are only counted.
@@ -73,6 +83,7 @@
             token_ms: 0,
             prefill_tokens_per_s: 0,
             batch_slots: 64,
+            batch: None,
             answer_tokens: 16,
             load_lag_ms: 0,
             max_records: 100_000,
@@ -104,6 +115,7 @@
     options: EngineOptions,
     clock: Clock,
     slots: Semaphore,
+    batching: Option<Arc<Batching>>,
     counts: Mutex<EngineCounts>,
     records: Mutex<Vec<SeenRequest>>,
     faults: Mutex<Faults>,
@@ -123,8 +135,16 @@
 /// Fails when the address cannot be bound.
 pub fn start(options: EngineOptions) -> io::Result<Engine> {
     let (addr, workers) = (options.addr, options.workers);
+    let batching = options.batch.map(|settings| {
+        Arc::new(Batching::new(EngineSettings {
+            slots: options.batch_slots as usize,
+            report_lag_us: options.load_lag_ms * 1_000,
+            ..settings
+        }))
+    });
     let shared = Arc::new(Shared {
         clock: Clock::default(),
+        batching,
         slots: Semaphore::new(options.batch_slots as usize),
         counts: Mutex::default(),
         records: Mutex::default(),
@@ -165,11 +185,15 @@
     /// Takes all faults back, the slowdown too.
     pub fn clear_faults(&self) {
         lock(&self.shared.faults).clear();
+        self.set_slowdown_pct(100);
     }
 
-    /// Makes all waits longer, in percent; 100 is the usual speed.
+    /// Makes all waits or steps longer, in percent; 100 is the usual speed.
     pub fn set_slowdown_pct(&self, pct: u64) {
         lock(&self.shared.faults).slowdown_pct = pct;
+        if let Some(batching) = &self.shared.batching {
+            batching.set_slowdown_pct(pct);
+        }
     }
 
     /// Refuses new connections, or accepts them again.
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -5,7 +5,10 @@
 #[allow(dead_code)]
 mod support;
 
-use carobwheel_standin::engine::{self, answer_text, EngineOptions, Fault, FaultRule};
+use carobwheel_standin::{
+    batch::EngineSettings,
+    engine::{self, answer_text, EngineOptions, Fault, FaultRule},
+};
 use carobwheel_wire::{
     openai::{ChatAnswer, ChatChunk, RequestView, CHAT_PATH, DONE},
     platform::{LoadReport, LOAD_PATH},
@@ -244,3 +247,52 @@
         "{refused} of {REQUESTS} refused"
     );
 }
+
+fn batched(batch: EngineSettings) -> engine::Engine {
+    start(EngineOptions {
+        batch: Some(batch),
+        batch_slots: 4,
+        ..EngineOptions::default()
+    })
+}
+
+#[test_case(false; "whole")]
+#[test_case(true; "streamed")]
+#[tokio::test]
+async fn batched_answers_are_whole_and_their_own(stream: bool) {
+    const REQUESTS: usize = 12;
+    let engine = batched(EngineSettings {
+        step_us: 1_000,
+        ..EngineSettings::default()
+    });
+    let asked = (0..REQUESTS).map(|_| ask(&engine, stream));
+    for answer in futures::future::join_all(asked).await {
+        let (_, body) = answer.unwrap();
+        if stream {
+            assert_eq!(streamed_text(&body), (expected(), true));
+        } else {
+            let answer: ChatAnswer = serde_json::from_str(&body).unwrap();
+            let text = answer.choices[0].message.content.as_deref();
+            assert_eq!(text, Some(expected().as_str()));
+        }
+    }
+    assert_eq!(engine.counts().completed, REQUESTS as u64);
+}
+
+#[tokio::test]
+async fn caller_that_leaves_a_batch_makes_room_for_the_next() {
+    let engine = batched(EngineSettings {
+        step_us: 500_000,
+        ..EngineSettings::default()
+    });
+    let url = format!("{}{CHAT_PATH}", engine.url());
+    let http = client();
+    let sends = (0..4).map(|_| http.post(&url).body(request_body(true)).send());
+    let left: Vec<_> = futures::future::join_all(sends).await;
+    assert!(left.iter().all(Result::is_ok));
+    drop(left);
+    engine.set_slowdown_pct(1);
+    let (_, body) = ask(&engine, true).await.unwrap();
+    assert_eq!(streamed_text(&body), (expected(), true));
+    eventually("four are cancelled", || engine.counts().cancelled == 4).await;
+}
