--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -121,7 +121,7 @@
         200,
         "only one request fails"
     );
-    assert_eq!(engine.counts().failed, 1);
+    eventually("the fault is counted", || engine.counts().failed == 1).await;
 }
 
 #[tokio::test]
@@ -276,7 +276,11 @@
             assert_eq!(text, Some(expected().as_str()));
         }
     }
-    assert_eq!(engine.counts().completed, REQUESTS as u64);
+    // The caller has the last byte before the engine counts the answer.
+    eventually("all are counted", || {
+        engine.counts().completed == REQUESTS as u64
+    })
+    .await;
 }
 
 #[tokio::test]
