--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -295,8 +295,8 @@
     let left: Vec<_> = futures::future::join_all(sends).await;
     assert!(left.iter().all(Result::is_ok));
     drop(left);
+    eventually("four are cancelled", || engine.counts().cancelled == 4).await;
     engine.set_slowdown_pct(1);
     let (_, body) = ask(&engine, true).await.unwrap();
     assert_eq!(streamed_text(&body), (expected(), true));
-    eventually("four are cancelled", || engine.counts().cancelled == 4).await;
 }
