--- /dev/null
+++ b/crates/core/src/limit/charging.rs
@@ -0,0 +1,183 @@
+//! Charging requests and settling them.
+
+use super::charge::{Charge, ChargeId, ChargeRequest, Origin, Outcome, Source};
+use super::limiter::Limiter;
+use super::{CHARGE_LIFE_MS, MICRO_PER_TOKEN};
+use crate::id::AccountId;
+use crate::slot::Role;
+use crate::time::Millis;
+
+impl Limiter {
+    /// Charges a request, or says what to do first.
+    pub fn try_charge(&mut self, request: &ChargeRequest<'_>, now: Millis) -> Outcome {
+        let Some(limits) = self
+            .tables
+            .last()
+            .and_then(|table| table.accounts.get(request.account))
+        else {
+            return Outcome::UnknownAccount;
+        };
+        let total_tokens = request
+            .prompt_tokens
+            .saturating_add(request.max_output_tokens);
+        if total_tokens > limits.burst_tokens {
+            return Outcome::TooLarge;
+        }
+        let total_micro = total_tokens.saturating_mul(MICRO_PER_TOKEN);
+        let available = self.available_micro(request.account, now);
+        if available >= total_micro {
+            let charge = self.admit(request, now);
+            self.note_demand(request.account, total_micro, now);
+            return Outcome::Admitted { charge };
+        }
+        let outcome = self.gather(request, total_micro - available, now);
+        if matches!(outcome, Outcome::Refused { .. }) {
+            self.note_demand(request.account, total_micro, now);
+        }
+        outcome
+    }
+
+    /// Settles a charge whose request generated `used_output_tokens`. A charge that has ended is
+    /// ignored.
+    pub fn settle(&mut self, charge: ChargeId, used_output_tokens: u64, now: Millis) {
+        let Some(charge) = self.charges.remove(&charge.0) else {
+            return;
+        };
+        let mut used_left = used_output_tokens.saturating_mul(MICRO_PER_TOKEN);
+        for source in &charge.sources {
+            let used = used_left.min(source.reserved_micro);
+            used_left -= used;
+            self.settle_source(&charge.account, *source, used, now);
+        }
+    }
+
+    /// Charges that reached the longest time without being settled since the last call, and are
+    /// counted as fully used. Their requests have to be ended.
+    pub fn take_ended(&mut self) -> Vec<ChargeId> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// What an account could be charged here right now, in micro-tokens.
+    pub fn available_micro(&mut self, account: &AccountId, now: Millis) -> u64 {
+        let Some(state) = self.accounts.get_mut(account) else {
+            return 0;
+        };
+        let own = if self.is_void {
+            0
+        } else {
+            state.level_micro(now)
+        };
+        let borrowed: u64 = state
+            .active
+            .iter()
+            .flat_map(|active| &active.loans)
+            .filter_map(|number| self.loans.get(number))
+            .filter(|loan| !loan.is_expired(now))
+            .map(|loan| loan.unspent_micro)
+            .sum();
+        own + borrowed
+    }
+
+    pub(super) fn note_demand(&mut self, account: &AccountId, amount_micro: u64, now: Millis) {
+        if let Some(active) = self.activate(account, now) {
+            active.demand.add(amount_micro, now);
+        }
+    }
+
+    pub(super) fn admit(&mut self, request: &ChargeRequest<'_>, now: Millis) -> ChargeId {
+        let mut used_left = request.prompt_tokens * MICRO_PER_TOKEN;
+        let mut reserved_left = request.max_output_tokens * MICRO_PER_TOKEN;
+        let mut sources = Vec::new();
+        let mut split = |available: u64| {
+            let used = used_left.min(available);
+            let reserved = reserved_left.min(available - used);
+            used_left -= used;
+            reserved_left -= reserved;
+            (used, reserved)
+        };
+        let account = self
+            .accounts
+            .get_mut(request.account)
+            .expect("an account with tokens exists");
+        let numbers = account.active.iter().flat_map(|active| &active.loans);
+        for number in numbers {
+            let Some(loan) = self.loans.get_mut(number) else {
+                continue;
+            };
+            if loan.is_expired(now) || loan.unspent_micro == 0 {
+                continue;
+            }
+            let (used, reserved) = split(loan.unspent_micro);
+            loan.unspent_micro -= used + reserved;
+            loan.used_micro += used;
+            loan.reserved_micro += reserved;
+            if reserved > 0 {
+                let origin = Origin::Loan(*number);
+                sources.push(Source {
+                    origin,
+                    reserved_micro: reserved,
+                });
+            }
+        }
+        for (part, role) in account.parts.iter_mut().zip(Role::ALL) {
+            let Some(part) = part else { continue };
+            if self.is_void || part.is_suspended {
+                continue;
+            }
+            let (used, reserved) = split(part.level_micro);
+            part.charge(used, reserved);
+            if reserved > 0 {
+                let epoch = part.epoch;
+                let origin = Origin::Part { role, epoch };
+                sources.push(Source {
+                    origin,
+                    reserved_micro: reserved,
+                });
+            }
+        }
+        assert!(
+            used_left == 0 && reserved_left == 0,
+            "a charge without cover"
+        );
+        self.next_charge += 1;
+        let charge = Charge {
+            account: request.account.clone(),
+            sources,
+            revision: self.revision(),
+            ends: now.plus(CHARGE_LIFE_MS),
+        };
+        self.charges.insert(self.next_charge, charge);
+        ChargeId(self.next_charge)
+    }
+
+    pub(super) fn settle_source(
+        &mut self,
+        account: &AccountId,
+        source: Source,
+        used_micro: u64,
+        now: Millis,
+    ) {
+        let reserved = source.reserved_micro;
+        match source.origin {
+            Origin::Loan(number) => {
+                let Some(loan) = self.loans.get_mut(&number) else {
+                    return;
+                };
+                loan.reserved_micro -= reserved;
+                loan.used_micro += used_micro;
+                loan.returned_micro += reserved - used_micro;
+            }
+            Origin::Part { role, epoch } => {
+                let Some(account) = self.accounts.get_mut(account) else {
+                    return;
+                };
+                let Some(part) = &mut account.parts[role as usize] else {
+                    return;
+                };
+                if part.epoch == epoch {
+                    part.settle(reserved, used_micro, now);
+                }
+            }
+        }
+    }
+}
--- a/crates/core/src/limit/mod.rs
+++ b/crates/core/src/limit/mod.rs
@@ -12,12 +12,14 @@
 mod audit;
 mod borrow;
 mod charge;
+mod charging;
 mod lend;
 mod limiter;
 mod loan;
 mod message;
 mod part;
 mod table;
+mod tend;
 
 pub use charge::{ChargeId, ChargeRequest, Outcome};
 pub use limiter::{Limiter, Totals};
--- /dev/null
+++ b/crates/core/src/limit/tend.rs
@@ -0,0 +1,138 @@
+//! What is due with time on the borrower's side: reports, returns and ends.
+
+use super::charge::ChargeId;
+use super::limiter::Limiter;
+use super::message::LoanAck;
+use crate::id::AccountId;
+use crate::time::Millis;
+use std::collections::BTreeMap;
+
+/// Demand that an instance keeps of what it has borrowed, in milliseconds.
+const KEPT_MS: u64 = 3_000;
+/// Age at which an unspent loan beyond the demand is given back, in milliseconds.
+const IDLE_LOAN_MS: u64 = 1_500;
+
+impl Limiter {
+    pub(super) fn on_ack(&mut self, ack: &LoanAck) {
+        if let Some(loan) = self.loans.get_mut(&ack.loan) {
+            loan.ack(ack.used_micro.saturating_add(ack.returned_micro));
+        }
+    }
+
+    /// Gives back what is not needed, sends due reports and forgets loans that are over.
+    pub(super) fn tend_loans(&mut self, now: Millis) {
+        let mut over = Vec::new();
+        let mut spent = Vec::new();
+        let mut excess: BTreeMap<AccountId, u64> = BTreeMap::new();
+        let numbers: Vec<u64> = self.loans.keys().copied().collect();
+        for number in numbers {
+            self.give_back_idle(number, &mut excess, now);
+            let Some(loan) = self.loans.get_mut(&number) else {
+                continue;
+            };
+            if let Some(report) = loan.due_report(number, now) {
+                let message = self.outbox.entry(loan.lender.clone()).or_default();
+                message.reports.push(report);
+            }
+            if loan.is_over(now) {
+                over.push((number, loan.account.clone()));
+            } else if loan.granted.is_some() && loan.unspent_micro == 0 {
+                spent.push((number, loan.account.clone()));
+            }
+        }
+        for (number, account) in over {
+            self.forget_loan(number, &account);
+        }
+        for (number, account) in spent {
+            self.unlist_loan(number, &account);
+        }
+    }
+
+    pub(super) fn give_back_idle(
+        &mut self,
+        number: u64,
+        excess: &mut BTreeMap<AccountId, u64>,
+        now: Millis,
+    ) {
+        let Some(loan) = self.loans.get(&number) else {
+            return;
+        };
+        if loan.unspent_micro == 0 {
+            return;
+        }
+        let mut is_due = loan.is_expired(now);
+        if !is_due && now.since(loan.asked) >= IDLE_LOAN_MS {
+            let account = loan.account.clone();
+            let unspent = loan.unspent_micro;
+            let spare = match excess.get(&account) {
+                Some(spare) => *spare,
+                None => self.excess_micro(&account, now),
+            };
+            is_due = unspent <= spare;
+            let rest = if is_due { spare - unspent } else { spare };
+            excess.insert(account, rest);
+        }
+        if !is_due {
+            return;
+        }
+        if let Some(loan) = self.loans.get_mut(&number) {
+            loan.give_back();
+        }
+    }
+
+    /// What is available here beyond the demand of the next seconds.
+    pub(super) fn excess_micro(&mut self, id: &AccountId, now: Millis) -> u64 {
+        let available = self.available_micro(id, now);
+        let account = self.accounts.get(id);
+        let active = account.and_then(|account| account.active.as_ref());
+        let demand = active.map_or(0, |active| active.demand.over_ms(KEPT_MS, now));
+        available.saturating_sub(demand)
+    }
+
+    pub(super) fn forget_loan(&mut self, number: u64, account: &AccountId) {
+        let Some(loan) = self.loans.remove(&number) else {
+            return;
+        };
+        let account = self.accounts.get_mut(account);
+        let Some(active) = account.and_then(|account| account.active.as_mut()) else {
+            return;
+        };
+        active.loans.retain(|of| *of != number);
+        if loan.granted.is_none() {
+            for remote in &mut active.remotes {
+                remote.is_asked &= remote.slot != loan.slot;
+            }
+        }
+    }
+
+    /// Takes a loan without unspent tokens off the account's list.
+    pub(super) fn unlist_loan(&mut self, number: u64, account: &AccountId) {
+        let account = self.accounts.get_mut(account);
+        if let Some(active) = account.and_then(|account| account.active.as_mut()) {
+            active.loans.retain(|of| *of != number);
+        }
+    }
+
+    /// Ends charges that were never settled, as fully used.
+    pub(super) fn end_charges(&mut self, now: Millis) {
+        while let Some((&number, charge)) = self.charges.iter().next() {
+            if charge.ends > now {
+                return;
+            }
+            self.settle(ChargeId(number), u64::MAX, now);
+            self.ended.push(ChargeId(number));
+        }
+    }
+
+    /// Drops the state in use of accounts without demand and loans.
+    pub(super) fn forget_idle(&mut self, now: Millis) {
+        for account in self.accounts.values_mut() {
+            let is_idle = account.active.as_ref().is_some_and(|active| {
+                active.loans.is_empty() && active.demand.over_ms(KEPT_MS, now) == 0
+            });
+            if is_idle {
+                account.active = None;
+            }
+        }
+    }
+}
--- a/crates/ctl/src/experiment/limits/mod.rs
+++ b/crates/ctl/src/experiment/limits/mod.rs
@@ -1,11 +1,13 @@
 //! Wrongful refusals of the limits against a perfect central bucket and a static split.
 
 mod baseline;
+mod memory;
 mod scenario;
 pub mod world;
 
 use anyhow::ensure;
 use carobwheel_core::limit::LoanMessage;
+pub use memory::Memory;
 use scenario::{Scenario, NODES};
 use serde::Serialize;
 use world::flow::Placement;
@@ -84,6 +86,12 @@
 ///
 /// Fails if an account exceeded its rate and burst, or if a result cannot be written.
 pub fn run(args: Args) -> anyhow::Result<()> {
+    let memory = memory::measure()?;
+    if args.json {
+        println!("{}", serde_json::to_string(&memory)?);
+    } else {
+        println!("{memory:?}");
+    }
     if !args.json {
         println!("{}", heading());
     }
