Measure the limits' traffic in a fleet of 33 instances and 60 accounts

At the target size an instance serves 5.7 requests/s of many accounts, mostly without a part of its own.

--- a/crates/ctl/src/experiment/limits/mod.rs
+++ b/crates/ctl/src/experiment/limits/mod.rs
@@ -3,6 +3,7 @@
 mod baseline;
 mod memory;
 mod scenario;
+mod wide;
 pub mod world;
 
 use anyhow::ensure;
@@ -10,6 +11,7 @@
 pub use memory::Memory;
 use scenario::{Scenario, NODES};
 use serde::Serialize;
+pub use wide::Wide;
 use world::flow::Placement;
 use world::{Tally, World};
 
@@ -92,6 +94,12 @@
     } else {
         println!("{memory:?}");
     }
+    let wide = wide::measure(args.seed)?;
+    if args.json {
+        println!("{}", serde_json::to_string(&wide)?);
+    } else {
+        println!("{wide:?}");
+    }
     if !args.json {
         println!("{}", heading());
     }
