--- a/crates/ctl/src/experiment/limits/mod.rs
+++ b/crates/ctl/src/experiment/limits/mod.rs
@@ -1,13 +1,17 @@
 //! Wrongful refusals of the limits against a perfect central bucket and a static split.
 
 mod baseline;
+mod memory;
 mod scenario;
+mod wide;
 pub mod world;
 
 use anyhow::ensure;
 use carobwheel_core::limit::LoanMessage;
+pub use memory::Memory;
 use scenario::{Scenario, NODES};
 use serde::Serialize;
+pub use wide::Wide;
 use world::flow::Placement;
 use world::{Tally, World};
 
@@ -84,6 +88,18 @@
 ///
 /// Fails if an account exceeded its rate and burst, or if a result cannot be written.
 pub fn run(args: Args) -> anyhow::Result<()> {
+    let memory = memory::measure()?;
+    if args.json {
+        println!("{}", serde_json::to_string(&memory)?);
+    } else {
+        println!("{memory:?}");
+    }
+    let wide = wide::measure(args.seed)?;
+    if args.json {
+        println!("{}", serde_json::to_string(&wide)?);
+    } else {
+        println!("{wide:?}");
+    }
     if !args.json {
         println!("{}", heading());
     }
