--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -25,6 +25,9 @@
 pub struct RouteTag(pub u16);
 
 impl RouteTag {
+    /// All routes together; the tag of no single route.
+    pub const ALL: Self = Self(u16::MAX);
+
     /// The tag of a route by its names. Routes whose tags collide are judged together.
     pub fn new(endpoint: &str, class: &str) -> Self {
         let hash = fnv1a(endpoint.bytes().chain([0]).chain(class.bytes()));
--- a/crates/core/src/rollout/assessment.rs
+++ b/crates/core/src/rollout/assessment.rs
@@ -17,6 +17,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Assessment {
     seen: BTreeMap<(RouteTag, Stratum), Sides>,
+    // Counters of each route, summed over all sources.
     totals: BTreeMap<RouteTag, Sides>,
     comparisons: BTreeMap<(RouteTag, Kind), Comparison>,
     worse: Option<(RouteTag, Kind)>,
@@ -25,22 +26,35 @@
 impl Assessment {
     /// Takes counters that have grown.
     pub fn add(&mut self, change: &Change, now: Millis) {
-        let seen = self.seen.entry((change.route, change.stratum.clone()));
-        let seen = seen.or_default();
+        let source = (change.route, change.stratum.clone());
+        let seen = self.seen.entry(source.clone()).or_default();
         let growth = change.sides.since(seen);
         *seen = seen.max(&change.sides);
         let total = self.totals.entry(change.route).or_default();
         *total = total.plus(&growth);
-        for kind in KINDS {
-            let comparison = self.comparisons.entry((change.route, kind));
-            let comparison = comparison.or_insert_with(|| Comparison::new(kind, now));
-            let finding = comparison.add(&change.stratum, &growth, now);
-            if finding == Finding::Worse && self.worse.is_none() {
-                self.worse = Some((change.route, kind));
+        for route in [change.route, RouteTag::ALL] {
+            for kind in KINDS {
+                self.compare(route, kind, &source, &growth, now);
             }
         }
     }
 
+    fn compare(
+        &mut self,
+        route: RouteTag,
+        kind: Kind,
+        source: &(RouteTag, Stratum),
+        growth: &Sides,
+        now: Millis,
+    ) {
+        let comparison = self.comparisons.entry((route, kind));
+        let comparison = comparison.or_insert_with(|| Comparison::new(kind, now));
+        let finding = comparison.add(source, growth, now);
+        if finding == Finding::Worse && self.worse.is_none() {
+            self.worse = Some((route, kind));
+        }
+    }
+
     /// Route and kind of the first fault that is sure.
     pub fn worse(&self) -> Option<(RouteTag, Kind)> {
         self.worse
@@ -51,8 +65,12 @@
         self.totals.keys().any(|route| self.is_cautious_on(*route))
     }
 
-    /// Whether the new version looks worse on `route`.
+    /// Whether the new version looks worse on `route`, or on all routes together.
     pub fn is_cautious_on(&self, route: RouteTag) -> bool {
+        self.is_worse_on(RouteTag::ALL) || self.is_worse_on(route)
+    }
+
+    fn is_worse_on(&self, route: RouteTag) -> bool {
         KINDS.iter().any(|kind| {
             let comparison = self.comparisons.get(&(route, *kind));
             comparison.is_some_and(|comparison| comparison.finding() != Finding::Alike)
@@ -60,14 +78,22 @@
     }
 
     /// Share of the requests of `route` that probe the new version, out of 1,000,000, such that
-    /// all probes together are `probe_ppm` of all requests.
+    /// all probes together are about `probe_ppm` of all requests.
+    ///
+    /// Each route that looks worse by itself gets as many probes as the next, so that the rarest
+    /// one is judged in time too.
     pub fn probe_share_ppm(&self, route: RouteTag, probe_ppm: u32) -> u32 {
         let requests = |sides: &Sides| sides.old.requests + sides.new.requests;
-        let all: u64 = self.totals.values().map(requests).sum();
-        let on_route = self.totals.get(&route).map_or(0, requests).max(1);
-        let is_cautious = |route: &&RouteTag| self.is_cautious_on(**route);
-        let routes = self.totals.keys().filter(is_cautious).count().max(1) as u64;
-        let share_ppm = u64::from(probe_ppm) * all / on_route / routes;
+        let is_worse = |route: &&RouteTag| self.is_worse_on(**route);
+        let routes = self.totals.keys().filter(is_worse).count() as u64;
+        let (is_all, is_route) = (self.is_worse_on(RouteTag::ALL), self.is_worse_on(route));
+        let budget_ppm = u64::from(probe_ppm) / if is_all && routes > 0 { 2 } else { 1 };
+        let mut share_ppm = if is_all { budget_ppm } else { 0 };
+        if is_route {
+            let all: u64 = self.totals.values().map(requests).sum();
+            let on_route = self.totals.get(&route).map_or(0, requests).max(1);
+            share_ppm += budget_ppm * all / on_route / routes;
+        }
         u32::try_from(share_ppm).unwrap_or(WHOLE_PPM).min(WHOLE_PPM)
     }
 
--- a/crates/core/src/rollout/baseline.rs
+++ b/crates/core/src/rollout/baseline.rs
@@ -5,8 +5,8 @@
 use crate::time::Millis;
 
 // The past loses weight with these time constants. Latency follows the load; failures hardly do.
+const RECENT_MEMORY_MS: f64 = 20_000.0;
 const FAILURE_MEMORY_MS: f64 = 600_000.0;
-const LATENCY_MEMORY_MS: f64 = 20_000.0;
 
 /// Decaying ratio of bad requests among those to the old version.
 #[derive(Clone, Debug)]
@@ -21,21 +21,34 @@
 }
 
 impl Baseline {
-    pub(super) fn new(kind: Kind, now: Millis) -> Self {
-        let (memory_ms, prior_ratio, prior_trials) = match kind {
-            Kind::Failure => (FAILURE_MEMORY_MS, 0.002, 100.0),
-            Kind::SlowFirstToken | Kind::SlowTokens => (LATENCY_MEMORY_MS, 0.2, 20.0),
+    /// The ratio of the last seconds.
+    pub(super) fn recent(kind: Kind, now: Millis) -> Self {
+        let (prior_ratio, prior_trials) = match kind {
+            Kind::Failure => (0.002, 100.0),
+            Kind::SlowFirstToken | Kind::SlowTokens => (0.2, 10.0),
         };
         Self {
             trials: 0.0,
             faults: 0.0,
             updated_at: now,
-            memory_ms,
+            memory_ms: RECENT_MEMORY_MS,
             prior_ratio,
             prior_trials,
         }
     }
 
+    /// The ratio to be expected when nothing is amiss.
+    pub(super) fn expected(kind: Kind, now: Millis) -> Self {
+        let memory_ms = match kind {
+            Kind::Failure => FAILURE_MEMORY_MS,
+            Kind::SlowFirstToken | Kind::SlowTokens => RECENT_MEMORY_MS,
+        };
+        Self {
+            memory_ms,
+            ..Self::recent(kind, now)
+        }
+    }
+
     pub(super) fn record(&mut self, old: Trials, now: Millis) {
         let elapsed_ms = now.since(self.updated_at) as f64;
         let kept = (-elapsed_ms / self.memory_ms).exp();
@@ -44,13 +57,13 @@
         self.updated_at = now;
     }
 
-    /// Expected ratio of bad requests.
+    /// Ratio of bad requests.
     pub(super) fn ratio(&self) -> f64 {
         let faults = self.faults + self.prior_trials * self.prior_ratio;
         faults / (self.trials + self.prior_trials)
     }
 
-    /// Ratio that the true one hardly exceeds: the expected one and two standard errors.
+    /// Ratio that the true one hardly exceeds: the counted one and two standard errors.
     pub(super) fn upper_ratio(&self) -> f64 {
         let ratio = self.ratio();
         let variance = ratio * (1.0 - ratio) / (self.trials + self.prior_trials);
--- a/crates/core/src/rollout/comparison.rs
+++ b/crates/core/src/rollout/comparison.rs
@@ -1,4 +1,4 @@
-//! Sequential comparison of both versions on one route, for one kind of fault.
+//! Sequential comparison of both versions, on one route or on all, for one kind of fault.
 //!
 //! Two scores run side by side. The *block score* compares requests to both versions made at the
 //! same time at the same source, and so is not misled by load swings or by trouble that strikes
@@ -13,7 +13,7 @@
 
 use super::baseline::Baseline;
 use super::score::{block_score, log_likelihood_ratio, with_odds_times};
-use crate::evidence::{Counts, Kind, Sides, Stratum};
+use crate::evidence::{Counts, Kind, RouteTag, Sides, Stratum};
 use crate::time::Millis;
 use std::collections::BTreeMap;
 
@@ -28,8 +28,10 @@
 /// Scores at which the new version falls back to the probe share.
 const CAUTION_SCORE: f64 = 8.0;
 const ALARM_SCORE: f64 = 12.0;
-/// Block score that has to support an alarm about latency, which load swings raise too.
-const SUPPORT_SCORE: f64 = 4.0;
+/// Block scores that have to support an alarm, since trouble that strikes both versions and load
+/// swings raise alarms too.
+const FAILURE_SUPPORT_SCORE: f64 = 3.0;
+const SLOWNESS_SUPPORT_SCORE: f64 = 4.0;
 /// Score gathered while probing at which the versions count as alike.
 const CLEAR_SCORE: f64 = -3.0;
 /// Parts of a block score that are not carried over when the versions count as alike. Load swings
@@ -85,13 +87,14 @@
     peak: f64,
 }
 
-/// Comparison of both versions on one route, for one kind of fault.
+/// Comparison of both versions, on one route or on all, for one kind of fault.
 #[derive(Clone, Debug)]
 pub struct Comparison {
     kind: Kind,
     factors: [f64; ALTERNATIVES],
-    baseline: Baseline,
-    pending: BTreeMap<Stratum, (Trials, Trials)>,
+    expected: Baseline,
+    recent: Baseline,
+    pending: BTreeMap<(RouteTag, Stratum), (Trials, Trials)>,
     block_scores: [f64; ALTERNATIVES],
     alarm_scores: [f64; ALTERNATIVES],
     caution: Option<Caution>,
@@ -110,7 +113,8 @@
         Self {
             kind,
             factors,
-            baseline: Baseline::new(kind, now),
+            expected: Baseline::expected(kind, now),
+            recent: Baseline::recent(kind, now),
             pending: BTreeMap::new(),
             block_scores: [0.0; ALTERNATIVES],
             alarm_scores: [0.0; ALTERNATIVES],
@@ -120,13 +124,14 @@
         }
     }
 
-    /// Takes requests that ended at `stratum` since the last call for it.
-    pub fn add(&mut self, stratum: &Stratum, growth: &Sides, now: Millis) -> Finding {
+    /// Takes requests that ended at `source` since the last call for it.
+    pub fn add(&mut self, source: &(RouteTag, Stratum), growth: &Sides, now: Millis) -> Finding {
         let new = Trials::of(&growth.new, self.kind);
         let old = Trials::of(&growth.old, self.kind);
         self.score_alarm(new);
-        self.score_block(stratum, new, old);
-        self.baseline.record(old, now);
+        self.score_block(source, new, old);
+        self.expected.record(old, now);
+        self.recent.record(old, now);
         self.conclude()
     }
 
@@ -140,7 +145,7 @@
     }
 
     fn score_alarm(&mut self, new: Trials) {
-        let reference = self.baseline.upper_ratio().max(LEAST_RATIO);
+        let reference = self.expected.upper_ratio().max(LEAST_RATIO);
         for index in 0..ALTERNATIVES {
             let ratio = with_odds_times(reference, self.factors[index]);
             let score = &mut self.alarm_scores[index];
@@ -150,8 +155,8 @@
 
     // A block is complete once it holds requests to both versions; its size does not depend on
     // how they went.
-    fn score_block(&mut self, stratum: &Stratum, new: Trials, old: Trials) {
-        let pending = self.pending.entry(stratum.clone()).or_default();
+    fn score_block(&mut self, source: &(RouteTag, Stratum), new: Trials, old: Trials) {
+        let pending = self.pending.entry(source.clone()).or_default();
         pending.0.add(new);
         pending.1.add(old);
         let (new, old) = *pending;
@@ -159,7 +164,7 @@
             return;
         }
         *pending = (Trials::default(), Trials::default());
-        let old_ratio = self.baseline.ratio().max(LEAST_RATIO);
+        let old_ratio = self.recent.ratio().max(LEAST_RATIO);
         for index in 0..ALTERNATIVES {
             let new_ratio = with_odds_times(old_ratio, self.factors[index]);
             let growth = block_score(new, old, new_ratio, old_ratio);
@@ -178,7 +183,11 @@
 
     fn is_alarming(&self, alternative: usize) -> bool {
         let block_score = self.block_scores[alternative];
-        let is_supported = self.kind == Kind::Failure || block_score >= SUPPORT_SCORE;
+        let support_score = match self.kind {
+            Kind::Failure => FAILURE_SUPPORT_SCORE,
+            Kind::SlowFirstToken | Kind::SlowTokens => SLOWNESS_SUPPORT_SCORE,
+        };
+        let is_supported = block_score >= support_score;
         let is_alarm = self.alarm_scores[alternative] >= ALARM_SCORE && is_supported;
         is_alarm || block_score >= CAUTION_SCORE
     }
