Send only what has changed of a document to a peer with an earlier revision

The bytes in common with the peer's revision at both ends stay out; a digest of the whole guards the result.

--- a/crates/ctl/src/experiment/gossip/fleet.rs
+++ b/crates/ctl/src/experiment/gossip/fleet.rs
@@ -170,7 +170,7 @@
     /// Gives one instance a new document, and returns the time until all have it in force, in
     /// milliseconds.
     pub(super) fn publish(&self, revision: u64, document_bytes: usize) -> anyhow::Result<f64> {
-        let bytes = Bytes::from(vec![b'x'; document_bytes]);
+        let bytes = document(revision, document_bytes);
         let first = &self.nodes[revision as usize % self.nodes.len()];
         let start = Instant::now();
         first
@@ -196,6 +196,17 @@
     }
 }
 
+/// A document in which one stretch differs from each revision to the next.
+fn document(revision: u64, bytes: usize) -> Bytes {
+    let text = format!("revision {revision} changes this account;");
+    let start = (revision as usize * 7_919) % bytes;
+    let mut document = vec![b'x'; bytes];
+    for (byte, new) in document[start..].iter_mut().zip(text.bytes()) {
+        *byte = new;
+    }
+    document.into()
+}
+
 fn start_node(
     args: &Args,
     authority: &Authority,
--- a/crates/gateway/src/peers/handle.rs
+++ b/crates/gateway/src/peers/handle.rs
@@ -1,7 +1,7 @@
 //! What the rest of the program holds of the thread of the links.
 
 use super::counters::Counters;
-use super::document::ServedDocument;
+use super::document::Served;
 use super::forward::{ForwardAnswer, IncomingForward, OutgoingForward, Part};
 use super::run::{run, Command};
 use super::tls::TlsConfigs;
@@ -56,7 +56,7 @@
 #[derive(Clone)]
 pub struct Handle {
     commands: mpsc::Sender<Command>,
-    document: Arc<ArcSwapOption<ServedDocument>>,
+    document: Arc<ArcSwapOption<Served>>,
     counters: Arc<Counters>,
     settings: Arc<PeerSettings>,
     local_addr: SocketAddr,
@@ -144,10 +144,12 @@
         })
     }
 
-    /// Sets the document that peers may fetch from here.
+    /// Sets the document that peers may fetch from here. Only the thread that applies documents
+    /// may call it.
     pub fn serve_document(&self, revision: u64, bytes: Bytes) {
-        let document = ServedDocument { revision, bytes };
-        self.document.store(Some(Arc::new(document)));
+        let before = self.document.load_full();
+        let served = Served::new(revision, bytes, before.as_deref());
+        self.document.store(Some(Arc::new(served)));
     }
 
     /// Forwards a request to a peer and waits for the head of the answer. Dropping the future, the
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -26,7 +26,6 @@
 mod tls;
 
 pub use counters::PeerStats;
-pub use document::ServedDocument;
 pub use error::{ForwardError, PeerError, QueueFull};
 pub use forward::{ForwardAnswer, ForwardReply, IncomingForward, Part, ReplyBody};
 pub use handle::{start, Handle, Inbound, Sinks};
--- a/crates/gateway/src/peers/run.rs
+++ b/crates/gateway/src/peers/run.rs
@@ -1,7 +1,7 @@
 //! The thread of the links: commands, accepted connections and upkeep.
 
 use super::counters::{count, Counters};
-use super::document::{self, ServedDocument};
+use super::document::{self, Served};
 use super::forward::{forward, OutgoingForward};
 use super::handle::Sinks;
 use super::links::Links;
@@ -70,7 +70,7 @@
     socket: UdpSocket,
     queue: mpsc::Receiver<Command>,
     sinks: Sinks,
-    document: Arc<ArcSwapOption<ServedDocument>>,
+    document: Arc<ArcSwapOption<Served>>,
     counters: Arc<Counters>,
     cancel: CancellationToken,
 ) -> io::Result<()> {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -57,9 +57,10 @@
     let read = timeout(HEAD_TIMEOUT, read_head::<Request>(&mut receive)).await;
     link.note_received();
     match read.unwrap_or_default() {
-        Some(Request::Document { above_revision }) => {
-            document::serve(&shared, above_revision, send).await;
-        }
+        Some(Request::Document {
+            above_revision,
+            base_revision,
+        }) => document::serve(&shared, above_revision, base_revision, send).await,
         Some(Request::Forward { head }) => {
             forward::serve(&shared, &link, head, send, receive).await;
         }
--- a/crates/gateway/src/peers/shared.rs
+++ b/crates/gateway/src/peers/shared.rs
@@ -1,7 +1,7 @@
 //! State that the tasks of the thread share. All of them run on one thread.
 
 use super::counters::{count, Counters};
-use super::document::ServedDocument;
+use super::document::Served;
 use super::handle::{Inbound, Sinks};
 use super::link::{LargeMessageGuard, Link};
 use super::links::Links;
@@ -42,7 +42,7 @@
     pub(super) dialler: RefCell<Dialler>,
     pub(super) links: RefCell<Links>,
     pub(super) sinks: RefCell<Sinks>,
-    pub(super) document: Arc<ArcSwapOption<ServedDocument>>,
+    pub(super) document: Arc<ArcSwapOption<Served>>,
     pub(super) counters: Arc<Counters>,
     pub(super) cancel: CancellationToken,
     /// UDP traffic of links that have ended.
--- a/crates/gateway/tests/peers_forward.rs
+++ b/crates/gateway/tests/peers_forward.rs
@@ -208,6 +208,47 @@
     assert_eq!(fetch(7), failed);
 }
 
+/// A document of which one line changes from one revision to the next.
+fn document(line: u8) -> Bytes {
+    let mut bytes = vec![b'x'; 900_000];
+    bytes[500_000..500_100].fill(line);
+    bytes.into()
+}
+
+#[test]
+fn only_what_changed_travels_to_a_peer_that_has_an_earlier_revision() {
+    let (a, b) = pair();
+    a.handle.serve_document(7, document(7));
+    b.handle.serve_document(7, document(7));
+    b.handle.serve_document(8, document(8));
+    a.handle.fetch_document(id("b"), b.addr(), 7).unwrap();
+    let expected = Inbound::Document {
+        from: id("b"),
+        revision: 8,
+        bytes: document(8),
+    };
+    assert_eq!(a.next(), expected);
+    a.wait_stats("traffic is summed", |stats| stats.received_udp_bytes > 0);
+    assert!(a.handle.stats().received_udp_bytes < 20_000);
+}
+
+#[test]
+fn a_base_of_other_content_is_noticed_and_the_document_comes_whole() {
+    let (a, b) = pair();
+    let mut other = document(7).to_vec();
+    other[0] = 0;
+    a.handle.serve_document(7, other.into());
+    b.handle.serve_document(7, document(7));
+    b.handle.serve_document(8, document(8));
+    a.handle.fetch_document(id("b"), b.addr(), 7).unwrap();
+    let expected = Inbound::Document {
+        from: id("b"),
+        revision: 8,
+        bytes: document(8),
+    };
+    assert_eq!(a.next(), expected);
+}
+
 #[test]
 fn links_end_with_the_thread() {
     let (a, b) = pair();
--- a/crates/wire/src/peer/frame.rs
+++ b/crates/wire/src/peer/frame.rs
@@ -3,6 +3,7 @@
 //! The side that opens a stream writes one length-prefixed head first. What follows depends on the
 //! head.
 
+use super::Common;
 use carobwheel_core::id::InstanceId;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
@@ -25,6 +26,8 @@
     Document {
         /// Revision that the asking side has.
         above_revision: u64,
+        /// Revision of the document that the answer may build on, or 0 for none.
+        base_revision: u64,
     },
     /// A request of a caller, forwarded. The request's body follows the head; the answer is a
     /// [`ForwardHead`] and the answer's body.
@@ -57,13 +60,15 @@
     }
 }
 
-/// What answers a [`Request::Document`]; the document's bytes follow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// What answers a [`Request::Document`]; the bytes that are not in common with the base follow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DocumentHead {
-    /// Revision of the document.
+    /// Revision of the document, or 0 if the peer has none above the one asked for.
     pub revision: u64,
-    /// Length of the document, in bytes; 0 if the peer has no higher revision.
-    pub length_bytes: u32,
+    /// SHA-256 digest of the whole document.
+    pub sha256: [u8; 32],
+    /// What the document has in common with the base; nothing if it comes whole.
+    pub common: Common,
 }
 
 /// What answers a [`Request::Forward`]; the answer's body follows.
--- a/crates/wire/src/peer/mod.rs
+++ b/crates/wire/src/peer/mod.rs
@@ -7,12 +7,14 @@
 //! kind.
 
 mod codec;
+mod delta;
 mod frame;
 mod message;
 #[cfg(test)]
 mod tests;
 
 pub use codec::{decode, encode, DecodeError, Decoded};
+pub use delta::{assemble, common, middle, Common};
 pub use frame::{
     decode_head, encode_head, DocumentHead, ForwardHead, Hello, Request, LENGTH_BYTES,
     MAX_HEAD_BYTES,
--- a/crates/wire/src/peer/tests.rs
+++ b/crates/wire/src/peer/tests.rs
@@ -142,6 +142,37 @@
     }
 }
 
+proptest! {
+    #[test]
+    fn a_document_is_put_together_again(
+        older in prop::collection::vec(0..3u8, 0..40),
+        newer in prop::collection::vec(0..3u8, 0..40),
+    ) {
+        let common = common(&older, &newer);
+        let middle = middle(&newer, common).unwrap();
+        prop_assert_eq!(assemble(&older, common, middle), Some(newer.clone()));
+    }
+
+    #[test]
+    fn an_invalid_difference_does_not_panic(
+        older in prop::collection::vec(any::<u8>(), 0..40),
+        prefix_bytes in any::<u32>(),
+        suffix_bytes in any::<u32>(),
+    ) {
+        let common = Common { prefix_bytes, suffix_bytes };
+        let _ = assemble(&older, common, b"x");
+        let _ = middle(&older, common);
+    }
+}
+
+#[test]
+fn a_changed_line_is_all_that_differs() {
+    let older = b"accounts: a, b, c; rates: 1, 2, 3";
+    let newer = b"accounts: a, bb, c; rates: 1, 2, 3";
+    let common = common(older, newer);
+    assert_eq!(middle(newer, common), Some(&b"b"[..]));
+}
+
 #[test_case(&[], DecodeError::TooShort ; "empty")]
 #[test_case(&[1], DecodeError::TooShort ; "version only")]
 #[test_case(&[0, 3, 1], DecodeError::Version(0) ; "version below")]
