Test membership over real links

Six instances in three regions without a store: a document spreads and reaches a replaced instance, a dead one is gone, a leaving one leaves, all restart at once.

--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -2,8 +2,8 @@
 
 pub mod gossip;
 pub mod limits;
-pub mod routing;
 pub mod rollout;
+pub mod routing;
 
 use clap::Subcommand;
 
--- /dev/null
+++ b/crates/gateway/tests/peers_members.rs
@@ -0,0 +1,70 @@
+//! Membership tables over real links: six instances in three regions, without any store.
+
+mod peers_support;
+
+use bytes::Bytes;
+use carobwheel_core::member::State;
+use peers_support::instance::{Fleet, NAMES};
+use peers_support::wait;
+
+#[test]
+fn instances_meet_and_a_document_spreads_without_the_store() {
+    let fleet = Fleet::start();
+    fleet.wait_agreed();
+    fleet.get(4).publish(3, Bytes::from_static(b"third"));
+    fleet.wait_revision(3);
+    fleet.get(0).publish(4, Bytes::from_static(b"fourth"));
+    fleet.wait_revision(4);
+    for instance in fleet.running() {
+        let (_, bytes) = instance.view().document.unwrap();
+        assert_eq!(bytes, "fourth");
+    }
+}
+
+#[test]
+fn a_new_instance_gets_the_document_from_its_peers() {
+    let mut fleet = Fleet::start();
+    fleet.get(0).publish(9, Bytes::from_static(b"ninth"));
+    fleet.wait_revision(9);
+    fleet.instances[5] = None;
+    fleet.start_one(5, 2);
+    fleet.give_live_list();
+    fleet.wait_revision(9);
+    fleet.wait_agreed();
+}
+
+#[test]
+fn a_dead_instance_is_gone_and_a_leaving_one_is_leaving() {
+    let mut fleet = Fleet::start();
+    fleet.wait_agreed();
+    fleet.instances[1] = None;
+    fleet.get(2).leave();
+    let sees = |state: State, name: &str, incarnation: u64| {
+        fleet
+            .running()
+            .all(|instance| instance.seen_as(state) == [(name.to_owned(), incarnation)])
+    };
+    wait("the dead one is gone", || sees(State::Gone, "north-2", 1));
+    wait("the leaving one leaves", || {
+        sees(State::Leaving, "centre-1", 1)
+    });
+}
+
+#[test]
+fn all_instances_restart_at_once() {
+    let mut fleet = Fleet::start();
+    fleet.wait_agreed();
+    fleet.get(3).publish(5, Bytes::from_static(b"fifth"));
+    fleet.wait_revision(5);
+    for instance in &mut fleet.instances {
+        *instance = None;
+    }
+    for at in 0..NAMES.len() {
+        fleet.start_one(at, 2);
+    }
+    fleet.give_live_list();
+    fleet.wait_agreed();
+    // Nobody has the document any more, until the store gives it to one of them.
+    fleet.get(1).publish(5, Bytes::from_static(b"fifth"));
+    fleet.wait_revision(5);
+}
--- /dev/null
+++ b/crates/gateway/tests/peers_support/instance.rs
@@ -0,0 +1,273 @@
+//! A membership table over real links, driven by a thread of its own.
+
+use super::{authority, id, issue, wait};
+use bytes::Bytes;
+use carobwheel_core::member::{Identity, Incarnation, LiveEntry, Members, Outgoing, State};
+use carobwheel_core::time::{Clock, Millis};
+use carobwheel_gateway::peers::{start, Handle, Inbound, PeerSettings, Sinks};
+use carobwheel_standin::tls::Authority;
+use carobwheel_wire::peer::Message;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{mpsc, Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// What an instance shows.
+#[derive(Clone, Default)]
+pub(crate) struct View {
+    pub(crate) states: BTreeMap<String, (u64, State)>,
+    pub(crate) document: Option<(u64, Bytes)>,
+}
+
+/// A running instance.
+pub(crate) struct Instance {
+    pub(crate) identity: Identity,
+    pub(crate) handle: Handle,
+    events: mpsc::SyncSender<Event>,
+    view: Arc<Mutex<View>>,
+    cancel: CancellationToken,
+    threads: Vec<JoinHandle<()>>,
+}
+
+enum Event {
+    Inbound(Inbound),
+    LiveList(Vec<LiveEntry>),
+    Document(u64, Bytes),
+    Leave,
+}
+
+impl Instance {
+    pub(crate) fn start(authority: &Authority, region: &str, name: &str, incarnation: u64) -> Self {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = PeerSettings::new(id(name), loopback, issue(authority, name));
+        let (events, queue) = mpsc::sync_channel(1_024);
+        let inbound = events.clone();
+        let sinks = Sinks {
+            inbound: Box::new(move |message| inbound.try_send(Event::Inbound(message)).is_ok()),
+            forward: Box::new(drop),
+        };
+        let cancel = CancellationToken::new();
+        let (handle, links) = start(settings, sinks, cancel.clone()).expect("links start");
+        let identity = Identity {
+            instance: id(name),
+            incarnation: Incarnation(incarnation),
+            region: region.parse().expect("valid identifier"),
+            data_centre: region.parse().expect("valid identifier"),
+            peer_addr: handle.local_addr(),
+            caller_addr: handle.local_addr(),
+        };
+        let view = Arc::new(Mutex::new(View::default()));
+        let mut table = Table {
+            members: Members::new(identity.clone(), 0, incarnation, Millis(0)),
+            handle: handle.clone(),
+            clock: Clock::default(),
+            view: Arc::clone(&view),
+        };
+        let token = cancel.clone();
+        let decide = thread::spawn(move || {
+            while !token.is_cancelled() {
+                if let Ok(event) = queue.recv_timeout(TICK) {
+                    table.on_event(event);
+                }
+                table.tick();
+            }
+        });
+        Self {
+            identity,
+            handle,
+            events,
+            view,
+            cancel,
+            threads: vec![links, decide],
+        }
+    }
+
+    pub(crate) fn give_live_list(&self, list: &[Identity]) {
+        let line = |identity: &Identity| LiveEntry {
+            identity: identity.clone(),
+            is_leaving: false,
+        };
+        self.event(Event::LiveList(list.iter().map(line).collect()));
+    }
+
+    pub(crate) fn publish(&self, revision: u64, bytes: Bytes) {
+        self.event(Event::Document(revision, bytes));
+    }
+
+    pub(crate) fn leave(&self) {
+        self.event(Event::Leave);
+    }
+
+    pub(crate) fn view(&self) -> View {
+        self.view.lock().expect("not poisoned").clone()
+    }
+
+    /// Names of the instances that this one sees in `state`, with their incarnations.
+    pub(crate) fn seen_as(&self, state: State) -> Vec<(String, u64)> {
+        let states = self.view().states;
+        let in_state = states.into_iter().filter(|(_, seen)| seen.1 == state);
+        in_state.map(|(name, seen)| (name, seen.0)).collect()
+    }
+
+    fn event(&self, event: Event) {
+        self.events.send(event).expect("the instance runs");
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+        for thread in self.threads.drain(..) {
+            thread.join().expect("the thread ends");
+        }
+    }
+}
+
+struct Table {
+    members: Members,
+    handle: Handle,
+    clock: Clock,
+    view: Arc<Mutex<View>>,
+}
+
+impl Table {
+    fn on_event(&mut self, event: Event) {
+        let now = self.clock.now();
+        let out = match event {
+            Event::Inbound(Inbound::Message {
+                from,
+                message: Message::Member(packet),
+            }) => self.members.on_packet(&from, packet, now),
+            Event::Inbound(Inbound::Document {
+                revision, bytes, ..
+            })
+            | Event::Document(revision, bytes) => self.apply(revision, bytes),
+            Event::Inbound(_) => Vec::new(),
+            Event::LiveList(list) => self.members.on_live_list(&list, now),
+            Event::Leave => self.members.leave(now),
+        };
+        self.send(out);
+        self.fetch();
+    }
+
+    fn tick(&mut self) {
+        let out = self.members.tick(self.clock.now());
+        self.send(out);
+        self.fetch();
+        let states = self.members.snapshot().into_iter().map(|member| {
+            let name = member.identity.instance.to_string();
+            (name, (member.identity.incarnation.0, member.state))
+        });
+        self.view.lock().expect("not poisoned").states = states.collect();
+    }
+
+    fn apply(&mut self, revision: u64, bytes: Bytes) -> Vec<Outgoing> {
+        let mut view = self.view.lock().expect("not poisoned");
+        if view
+            .document
+            .as_ref()
+            .is_some_and(|known| known.0 >= revision)
+        {
+            return Vec::new();
+        }
+        view.document = Some((revision, bytes.clone()));
+        self.handle.serve_document(revision, bytes);
+        self.members.set_revision(revision, self.clock.now())
+    }
+
+    fn fetch(&mut self) {
+        let above = self.revision();
+        if let Some((from, addr)) = self.members.fetch_from(self.clock.now()) {
+            // The links may stop before this thread does.
+            let _ = self.handle.fetch_document(from, addr, above);
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        let view = self.view.lock().expect("not poisoned");
+        view.document.as_ref().map_or(0, |known| known.0)
+    }
+
+    fn send(&self, out: Vec<Outgoing>) {
+        for Outgoing { to, addr, packet } in out {
+            // The links may stop before this thread does.
+            let _ = self.handle.send(to, addr, Message::Member(packet));
+        }
+    }
+}
+
+/// Six instances in three regions that know each other from the live list.
+pub(crate) struct Fleet {
+    authority: Authority,
+    pub(crate) instances: Vec<Option<Instance>>,
+}
+
+pub(crate) const NAMES: [(&str, &str); 6] = [
+    ("north", "north-1"),
+    ("north", "north-2"),
+    ("centre", "centre-1"),
+    ("centre", "centre-2"),
+    ("south", "south-1"),
+    ("south", "south-2"),
+];
+
+impl Fleet {
+    pub(crate) fn start() -> Self {
+        let mut fleet = Self {
+            authority: authority(),
+            instances: NAMES.iter().map(|_| None).collect(),
+        };
+        for at in 0..NAMES.len() {
+            fleet.start_one(at, 1);
+        }
+        fleet.give_live_list();
+        fleet
+    }
+
+    pub(crate) fn start_one(&mut self, at: usize, incarnation: u64) {
+        let (region, name) = NAMES[at];
+        let instance = Instance::start(&self.authority, region, name, incarnation);
+        self.instances[at] = Some(instance);
+    }
+
+    pub(crate) fn give_live_list(&self) {
+        let running: Vec<Identity> = self.running().map(|i| i.identity.clone()).collect();
+        for instance in self.running() {
+            instance.give_live_list(&running);
+        }
+    }
+
+    pub(crate) fn running(&self) -> impl Iterator<Item = &Instance> {
+        self.instances.iter().flatten()
+    }
+
+    pub(crate) fn get(&self, at: usize) -> &Instance {
+        self.instances[at].as_ref().expect("runs")
+    }
+
+    /// Waits until every running instance sees every running one as alive in its incarnation.
+    pub(crate) fn wait_agreed(&self) {
+        let mut expected: Vec<(String, u64)> = self
+            .running()
+            .map(|i| (i.identity.instance.to_string(), i.identity.incarnation.0))
+            .collect();
+        expected.sort();
+        wait("all see all", || {
+            self.running()
+                .all(|instance| instance.seen_as(State::Alive) == expected)
+        });
+    }
+
+    pub(crate) fn wait_revision(&self, revision: u64) {
+        wait("the revision is in force everywhere", || {
+            self.running().all(|instance| {
+                let document = instance.view().document;
+                document.is_some_and(|known| known.0 == revision)
+            })
+        });
+    }
+}
--- a/crates/gateway/tests/peers_support/mod.rs
+++ b/crates/gateway/tests/peers_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of it")]
 
+pub(crate) mod instance;
+
 use carobwheel_core::id::InstanceId;
 use carobwheel_gateway::peers::{
     start, Handle, Inbound, IncomingForward, PeerSettings, PeerStats, Sinks, TlsMaterial,
