Forward requests of bound accounts to their region

Cause: a request of a bound account that reached another region's instance was refused with 421, although its home could serve it. Change: the deciding thread names an instance of the home region (the one that counts for the account, if alive); the request travels over the links with its hops and the digest of its key, never the key; the receiver checks both against its own document and runs the same filters; the answer streams back and keeps what it says about having run. A forward that is lost after it was sent is not repeated.

--- a/crates/gateway/src/daemon/links.rs
+++ b/crates/gateway/src/daemon/links.rs
@@ -3,7 +3,7 @@
 use crate::{
     decide::Event,
     in_force::InForce,
-    peers::{self, Inbound, PeerSettings, Sinks, TlsMaterial},
+    peers::{self, Inbound, IncomingForward, PeerSettings, Sinks, TlsMaterial},
     ring::Sender,
     settings::Settings,
 };
@@ -20,6 +20,7 @@
     settings: &Settings,
     tls: Option<TlsMaterial>,
     decide: &Sender<Event>,
+    forwarded: Sender<IncomingForward>,
     cancel: CancellationToken,
 ) -> anyhow::Result<Option<(peers::Handle, JoinHandle<()>)>> {
     let Some(peers) = &settings.peers else {
@@ -33,7 +34,8 @@
             Some(event) => decide.try_send(event).is_ok(),
             None => true,
         }),
-        forward: Box::new(drop),
+        // A request that finds no room is dropped, which refuses it.
+        forward: Box::new(move |incoming| drop(forwarded.try_send(incoming))),
     };
     let started = peers::start(peer_settings, sinks, cancel)
         .with_context(|| format!("cannot start the links on {}", peers.address))?;
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -7,7 +7,11 @@
     dispatch,
     in_flight::InFlight,
     in_force::Current,
-    intake::{self, Claims, Entries, Server, Shared, BODY_UNIT_BYTES},
+    intake::{
+        self,
+        forwarded::{self, RING_FORWARDED},
+        Claims, Entries, Server, Shared, BODY_UNIT_BYTES,
+    },
     peers::{self, TlsMaterial},
     platform, report,
     report::StatusBoard,
@@ -60,8 +64,9 @@
     let store = platform::store_client(settings, incarnation)?;
     let (decide, events) = ring::ring(decide::RING_EVENTS);
     let (commands, platform_commands) = ring::async_ring(platform::RING_COMMANDS);
+    let (forwarded, forwards) = ring::async_ring(RING_FORWARDED);
     let mut threads = Vec::new();
-    let links = links::start(settings, tls, &decide, cancel.child_token())?;
+    let links = links::start(settings, tls, &decide, forwarded, cancel.child_token())?;
     let peers = links.map(|(handle, thread)| {
         threads.push(thread);
         handle
@@ -106,6 +111,7 @@
         decide: decide.clone(),
         dispatch,
         report,
+        peers: peers.clone(),
         claims: Claims::new(store),
         credentials: settings.upstream_credentials.clone(),
         entries,
@@ -117,6 +123,11 @@
         requests: AtomicU64::new(0),
         incarnation,
     });
+    threads.push(forwarded::start(
+        Arc::clone(&shared),
+        forwards,
+        cancel.child_token(),
+    )?);
     let server = intake::start(settings, Arc::clone(&shared))?;
     let operators = settings
         .operators_address
--- a/crates/gateway/src/decide/ask.rs
+++ b/crates/gateway/src/decide/ask.rs
@@ -1,7 +1,7 @@
 //! Requests that ask for a place: placed at once, queued, or refused.
 
 use super::{
-    event::{Ask, Placed, Target},
+    event::{Ask, Placed, Step, Target},
     state::{account_of, Configured, Open, State},
 };
 use crate::{
@@ -35,6 +35,11 @@
             refuse(ask, withdrawn());
             return;
         }
+        let bound = ask.bound_region.as_ref();
+        if bound.is_some_and(|region| *region != self.identity.region) {
+            self.forward_home(ask);
+            return;
+        }
         if ask.tried.is_empty() {
             configured.retrier.on_request();
         }
@@ -133,7 +138,7 @@
         let ticket = placed.ticket;
         // A caller that went away has dropped the receiving end and uses nothing.
         let charge = ask.charge;
-        if ask.reply.send(Ok(placed)).is_err() {
+        if ask.reply.send(Ok(Step::Dispatch(placed))).is_err() {
             if let Some(charge) = charge {
                 self.uncharge(charge, 0, now);
             }
--- a/crates/gateway/src/decide/event.rs
+++ b/crates/gateway/src/decide/event.rs
@@ -2,7 +2,7 @@
 
 use crate::{in_force::InForce, peers::Inbound, refusal::Refusal};
 use carobwheel_core::{
-    id::{ClassId, ModelId, RegionId, RequestId, ServiceId, UpstreamId, VersionId},
+    id::{ClassId, InstanceId, ModelId, RegionId, RequestId, ServiceId, UpstreamId, VersionId},
     identity::Caller,
     limit::ChargeId,
     retry::{Decision, Failure},
@@ -11,7 +11,7 @@
     time::Millis,
 };
 use carobwheel_wire::platform::InstanceList;
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
@@ -64,7 +64,27 @@
     /// Ends the request when its account may not go on with it.
     pub cancel: CancellationToken,
     /// Where the decision goes.
-    pub reply: oneshot::Sender<Result<Placed, Refusal>>,
+    pub reply: oneshot::Sender<Result<Step, Refusal>>,
+}
+
+/// The next step of a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Send it to an upstream.
+    Dispatch(Placed),
+    /// Send it to another instance.
+    Forward(ForwardTo),
+}
+
+/// Another instance that a request goes to.
+#[derive(Clone, Debug)]
+pub struct ForwardTo {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Its address for instances.
+    pub addr: SocketAddr,
+    /// The hops to send along.
+    pub hops: Hops,
 }
 
 /// A place at an upstream.
--- /dev/null
+++ b/crates/gateway/src/decide/forward.rs
@@ -0,0 +1,65 @@
+//! Requests that another instance has to serve.
+
+use super::{
+    ask::refuse,
+    event::{Ask, ForwardTo, Step},
+    state::{account_of, State},
+};
+use crate::refusal::{Cause, Refusal};
+use carobwheel_core::{
+    id::{AccountId, RegionId},
+    member::Identity,
+    route::Hop,
+    slot::{shard_of, Role, SlotId},
+};
+use rand::seq::IndexedRandom as _;
+
+impl State {
+    /// Sends a request to an instance of the region that it is bound to.
+    pub(super) fn forward_home(&mut self, ask: Box<Ask>) {
+        let Some(region) = ask.bound_region.clone() else {
+            return;
+        };
+        let account = account_of(&ask);
+        let Some(next) = self.instance_in(&region, account) else {
+            let message = format!("no instance of region `{region}` can be reached");
+            let refusal = Refusal::not_run(Cause::WrongRegion, message).retry_after(1_000);
+            refuse(ask, refusal);
+            return;
+        };
+        match ask.hops.forward(Hop::Across, &next.instance) {
+            Ok(hops) => {
+                let step = Step::Forward(ForwardTo {
+                    instance: next.instance,
+                    addr: next.peer_addr,
+                    hops,
+                });
+                // A caller that went away needs no answer.
+                let _ = ask.reply.send(Ok(step));
+            }
+            Err(fault) => {
+                refuse(ask, Refusal::not_run(Cause::WrongRegion, fault.to_string()));
+            }
+        }
+    }
+
+    /// An instance of `region`: the one that counts for the account, or any.
+    fn instance_in(&mut self, region: &RegionId, account: Option<&AccountId>) -> Option<Identity> {
+        let alive = self.members.alive_in(region);
+        let owner = account.and_then(|account| {
+            let slot = SlotId {
+                region: region.clone(),
+                shard: shard_of(account),
+                role: Role::Primary,
+            };
+            self.slots.owners.get(&slot)
+        });
+        let is_owner =
+            |identity: &&&Identity| owner.is_some_and(|owner| owner.instance == identity.instance);
+        let chosen = alive
+            .iter()
+            .find(is_owner)
+            .or_else(|| alive.choose(&mut self.rng))?;
+        Some((*chosen).clone())
+    }
+}
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod ask;
 mod charge;
 mod event;
+mod forward;
 mod gossip;
 mod membership;
 mod outlets;
@@ -16,7 +17,8 @@
 mod status;
 
 pub use event::{
-    Ask, Ending, Event, LiveListRead, Placed, RetryQuestion, Settlement, SlotsRead, Target,
+    Ask, Ending, Event, ForwardTo, LiveListRead, Placed, RetryQuestion, Settlement, SlotsRead,
+    Step, Target,
 };
 pub use outlets::Outlets;
 
--- a/crates/gateway/src/intake/action/mod.rs
+++ b/crates/gateway/src/intake/action/mod.rs
@@ -8,7 +8,12 @@
 
 pub(crate) use claims::Claims;
 
-use super::{answer::Answer, work, work::Work, Shared};
+use super::{
+    answer::Answer,
+    forward,
+    work::{self, Found, Work},
+    Shared,
+};
 use crate::{
     in_flight::Running,
     refusal::{run_of_status, Cause, Refusal, Run},
@@ -37,7 +42,10 @@
 ) -> Result<Answer, Refusal> {
     let spec = spec(&work)?;
     // The place comes first: a request that is refused costs the store nothing.
-    let place = work::place(shared, &work, &[], None).await?;
+    let place = match work::place(shared, &work, &[], None).await? {
+        Found::Place(place) => place,
+        Found::Forward(to) => return forward::send(shared, &work, to, running).await,
+    };
     let upstream = upstream::Upstream::new(place);
     let (reply, answer) = oneshot::channel();
     let driver = Driver {
--- a/crates/gateway/src/intake/action/upstream.rs
+++ b/crates/gateway/src/intake/action/upstream.rs
@@ -3,7 +3,7 @@
 use super::super::{
     answer::Answer,
     pass,
-    work::{self, Place, Work},
+    work::{self, Found, Place, Work},
     Shared,
 };
 use crate::{
@@ -50,7 +50,9 @@
         }
         let charged = self.charged.take();
         match work::place(shared, work, &self.tried, charged).await {
-            Ok(place) => self.place = Some(place),
+            Ok(Found::Place(place)) => self.place = Some(place),
+            // Another instance would claim the action anew, under a claim that is held here.
+            Ok(Found::Forward(_)) => {}
             Err(refusal) => self.refusal = Some(refusal),
         }
         self.place.is_some()
--- a/crates/gateway/src/intake/body.rs
+++ b/crates/gateway/src/intake/body.rs
@@ -51,7 +51,8 @@
     u32::try_from(bytes.div_ceil(BODY_UNIT_BYTES as u64)).unwrap_or(u32::MAX)
 }
 
-fn take_room(shared: &Shared, bytes: u64) -> Result<OwnedSemaphorePermit, Refusal> {
+/// Room for a body of `bytes` in memory.
+pub(super) fn take_room(shared: &Shared, bytes: u64) -> Result<OwnedSemaphorePermit, Refusal> {
     Arc::clone(&shared.body_room)
         .try_acquire_many_owned(units(bytes))
         .map_err(|_| {
--- a/crates/gateway/src/intake/classify.rs
+++ b/crates/gateway/src/intake/classify.rs
@@ -1,6 +1,6 @@
 //! Finds out what a request asks for: a model and its class, or a plain route.
 
-use super::head::{BodyLength, RequestHead};
+use super::head::BodyLength;
 use crate::{
     decide::Target,
     refusal::{Cause, Refusal},
@@ -47,9 +47,14 @@
 }
 
 /// The way that the head of a request leads.
-pub(super) fn way<'a>(document: &'a Document, head: &RequestHead) -> Result<Way<'a>, Refusal> {
-    if MODEL_PATHS.contains(&head.path.as_str()) {
-        if head.method != Method::Post {
+pub(super) fn way<'a>(
+    document: &'a Document,
+    path: &str,
+    method: &str,
+    length: BodyLength,
+) -> Result<Way<'a>, Refusal> {
+    if MODEL_PATHS.contains(&path) {
+        if method != Method::Post.as_str() {
             return Err(method_not_allowed());
         }
         return Ok(Way::Model);
@@ -57,17 +62,13 @@
     let route = document
         .routes
         .iter()
-        .filter(|route| is_below(&head.path, &route.path))
+        .filter(|route| is_below(path, &route.path))
         .max_by_key(|route| route.path.len())
         .ok_or_else(|| Refusal::not_run(Cause::NotFound, "no route has this path"))?;
-    if !route
-        .methods
-        .iter()
-        .any(|method| method == head.method.as_str())
-    {
+    if !route.methods.iter().any(|allowed| allowed == method) {
         return Err(method_not_allowed());
     }
-    if !route.idempotent && head.length == BodyLength::Unknown {
+    if !route.idempotent && length == BodyLength::Unknown {
         let message = "this route needs a content-length, since a cut body cannot be told apart";
         return Err(Refusal::not_run(Cause::LengthRequired, message));
     }
--- a/crates/gateway/src/intake/mod.rs
+++ b/crates/gateway/src/intake/mod.rs
@@ -9,6 +9,8 @@
 mod body;
 mod classify;
 mod entry;
+mod forward;
+pub(crate) mod forwarded;
 mod gather;
 mod handler;
 mod head;
@@ -20,7 +22,7 @@
 pub use entry::{Entries, Entry, EntryList, LIFETIME_S};
 
 use crate::{
-    decide, dispatch, in_flight::InFlight, in_force::Current, report, ring::Sender,
+    decide, dispatch, in_flight::InFlight, in_force::Current, peers, report, ring::Sender,
     settings::Settings,
 };
 use anyhow::Context as _;
@@ -64,6 +66,8 @@
     pub decide: Sender<decide::Event>,
     /// Ring to the dispatching thread.
     pub dispatch: Sender<dispatch::Job>,
+    /// Links to other instances; none for an instance that stands alone.
+    pub peers: Option<peers::Handle>,
     /// Ring to the reporting thread.
     pub report: Sender<report::Observation>,
     /// Records of actions that may not be repeated.
--- a/crates/gateway/src/intake/pass.rs
+++ b/crates/gateway/src/intake/pass.rs
@@ -4,10 +4,11 @@
     action,
     answer::{Answer, AnswerBody},
     body, classify,
+    forward::{self, ForwardedHead},
     gather::gather,
-    head::RequestHead,
+    head::{BodyLength, RequestHead},
     upstream_headers,
-    work::{self, Work},
+    work::{self, Found, Work},
     Shared,
 };
 use crate::{
@@ -20,6 +21,7 @@
     report::Label,
 };
 use carobwheel_core::{
+    document::Account,
     id::RequestId,
     identity::{Caller, IdentityRefusal},
     retry::Failure,
@@ -74,6 +76,15 @@
     running: Running,
 ) -> Result<Answer, Refusal> {
     let work = read(shared, request_id, request, head, data).await?;
+    serve(shared, work, running).await
+}
+
+/// The filters place, dispatch and relay.
+pub(super) async fn serve(
+    shared: &Arc<Shared>,
+    work: Work,
+    running: Running,
+) -> Result<Answer, Refusal> {
     running.trace().label(label(&work));
     if work.call.idempotent {
         return try_upstreams(shared, &work, running).await;
@@ -81,6 +92,27 @@
     action::run(shared, work, running).await
 }
 
+/// Classifies a request that another instance has forwarded, by the document in force here.
+pub(super) fn classify_again(
+    in_force: &InForce,
+    head: &ForwardedHead,
+    caller: &Caller,
+    body: &[u8],
+) -> Result<classify::Call, Refusal> {
+    let document = &in_force.document;
+    let path = head.path_and_query.split('?').next().unwrap_or_default();
+    let length = BodyLength::Bytes(head.body_bytes);
+    let way = classify::way(document, path, &head.method, length)?;
+    classify::call(document, way, account_of(in_force, caller), body)
+}
+
+fn account_of<'a>(in_force: &'a InForce, caller: &Caller) -> Option<&'a Account> {
+    match caller {
+        Caller::Account(credential) => in_force.document.account(&credential.account),
+        Caller::Open => None,
+    }
+}
+
 fn label(work: &Work) -> Label {
     Label {
         account: match &work.caller {
@@ -104,17 +136,19 @@
 ) -> Result<Work, Refusal> {
     let in_force = in_force(shared)?;
     // A caller without a valid key learns nothing about which paths there are.
-    let way = classify::way(&in_force.document, &head);
+    let way = classify::way(
+        &in_force.document,
+        &head.path,
+        head.method.as_str(),
+        head.length,
+    );
     let is_open = matches!(&way, Ok(classify::Way::Route(route)) if route.open);
     let caller = identify(&in_force, head.key.as_deref(), is_open)?;
     let way = way?;
     let max_body_bytes = in_force.document.policy.max_body_bytes;
     let held = body::read(shared, data, head.length, max_body_bytes).await?;
     upstream_headers::check_key_places(request, &head, &held.bytes)?;
-    let account = match &caller {
-        Caller::Account(credential) => in_force.document.account(&credential.account),
-        Caller::Open => None,
-    };
+    let account = account_of(&in_force, &caller);
     let call = classify::call(&in_force.document, way, account, &held.bytes)?;
     let hops = Hops::default()
         .arrive(&shared.instance)
@@ -146,7 +180,10 @@
     let mut charged = None;
     loop {
         let is_retry = !tried.is_empty();
-        let mut place = work::place(shared, work, &tried, charged).await?;
+        let mut place = match work::place(shared, work, &tried, charged).await? {
+            Found::Place(place) => place,
+            Found::Forward(to) => return forward::send(shared, work, to, running).await,
+        };
         let exchange = work::dispatch(shared, work, &place, is_retry).await;
         let (failure, refusal) = match exchange {
             Ok(head) => match retried_status(head.status) {
@@ -195,7 +232,11 @@
 }
 
 /// Turns an upstream's head into the answer for the caller.
-async fn answer(head: Head, settling: Settling, running: Running) -> Result<Answer, Refusal> {
+pub(super) async fn answer(
+    head: Head,
+    settling: Settling,
+    running: Running,
+) -> Result<Answer, Refusal> {
     let framing = framing(&head.headers);
     let body = if framing == Framing::Events {
         let relayed = RelayBody::new(head.chunks, framing, settling, running);
--- a/crates/gateway/src/intake/work.rs
+++ b/crates/gateway/src/intake/work.rs
@@ -2,7 +2,7 @@
 
 use super::{classify, upstream_headers, Shared};
 use crate::{
-    decide::{Ask, Event, Placed, RetryQuestion},
+    decide::{Ask, Event, ForwardTo, Placed, RetryQuestion, Step},
     dispatch::{ExchangeError, Head, Job},
     refusal::{Cause, Refusal},
     relay::{Charged, Settling},
@@ -51,6 +51,14 @@
     pub(super) cancel: CancellationToken,
 }
 
+/// Where a request goes.
+pub(super) enum Found {
+    /// To an upstream.
+    Place(Place),
+    /// To another instance.
+    Forward(ForwardTo),
+}
+
 /// Asks for a place at an upstream that is not among `tried`. `charged` is the charge of an
 /// earlier attempt.
 pub(super) async fn place(
@@ -58,19 +66,23 @@
     work: &Work,
     tried: &[UpstreamId],
     charged: Option<Charged>,
-) -> Result<Place, Refusal> {
-    let placed = ask(shared, work, tried, charged.as_ref().map(Charged::id)).await?;
+) -> Result<Found, Refusal> {
+    let step = ask(shared, work, tried, charged.as_ref().map(Charged::id)).await?;
+    let placed = match step {
+        Step::Dispatch(placed) => placed,
+        Step::Forward(to) => return Ok(Found::Forward(to)),
+    };
     let charged = charged.or_else(|| {
         let charge = placed.charge?;
         Some(Charged::new(charge, shared.decide.clone()))
     });
     let cancel = work.cancel.child_token();
     let decide = shared.decide.clone();
-    Ok(Place {
+    Ok(Found::Place(Place {
         settling: Settling::new(placed.ticket, charged, decide, cancel.clone()),
         placed,
         cancel,
-    })
+    }))
 }
 
 async fn ask(
@@ -78,7 +90,7 @@
     work: &Work,
     tried: &[UpstreamId],
     charge: Option<ChargeId>,
-) -> Result<Placed, Refusal> {
+) -> Result<Step, Refusal> {
     let (reply, decision) = oneshot::channel();
     let call = &work.call;
     let ask = Ask {
--- a/crates/gateway/src/relay/settle.rs
+++ b/crates/gateway/src/relay/settle.rs
@@ -60,17 +60,32 @@
 /// A placement that has still to be settled. Dropping it settles it as cancelled and cancels the
 /// exchange behind it.
 pub struct Settling {
-    ticket: u64,
+    /// Absent when another instance has placed the request.
+    ticket: Option<u64>,
     output_tokens: u64,
     reported_tokens: u64,
     has_first_byte: bool,
     is_settled: bool,
     charged: Option<Charged>,
-    decide: Sender<Event>,
+    decide: Option<Sender<Event>>,
     cancel: CancellationToken,
 }
 
 impl Settling {
+    /// A guard for a request that another instance has placed, and settles there.
+    pub fn elsewhere() -> Self {
+        Self {
+            ticket: None,
+            charged: None,
+            output_tokens: 0,
+            reported_tokens: 0,
+            has_first_byte: false,
+            is_settled: true,
+            decide: None,
+            cancel: CancellationToken::new(),
+        }
+    }
+
     /// A guard for the placement `ticket`, whose exchange is cancelled by `cancel`.
     pub fn new(
         ticket: u64,
@@ -79,24 +94,29 @@
         cancel: CancellationToken,
     ) -> Self {
         Self {
-            ticket,
+            ticket: Some(ticket),
             charged,
             output_tokens: 0,
             reported_tokens: 0,
             has_first_byte: false,
             is_settled: false,
-            decide,
+            decide: Some(decide),
             cancel,
         }
     }
 
+    fn tell(&self, event: impl FnOnce(u64) -> Event) {
+        if let (Some(ticket), Some(decide)) = (self.ticket, &self.decide) {
+            // Only an estimate is late when the ring is full.
+            let _ = decide.try_send(event(ticket));
+        }
+    }
+
     /// Notes that a byte of the answer arrived.
     pub fn byte_arrived(&mut self) {
         if !self.has_first_byte {
             self.has_first_byte = true;
-            let ticket = self.ticket;
-            // Only an estimate of latency is lost when the ring is full.
-            let _ = self.decide.try_send(Event::FirstByte { ticket });
+            self.tell(|ticket| Event::FirstByte { ticket });
         }
     }
 
@@ -110,9 +130,7 @@
         self.output_tokens = output_tokens;
         if output_tokens >= self.reported_tokens + REPORTED_TOKENS {
             self.reported_tokens = output_tokens;
-            let ticket = self.ticket;
-            // Only an estimate of the work ahead is late when the ring is full.
-            let _ = self.decide.try_send(Event::Progress {
+            self.tell(|ticket| Event::Progress {
                 ticket,
                 output_tokens,
             });
@@ -136,12 +154,14 @@
         if let Some(charged) = &mut self.charged {
             charged.output_tokens = self.output_tokens;
         }
-        let settlement = Settlement {
-            ticket: self.ticket,
-            ending,
-            output_tokens: self.output_tokens,
-        };
-        send(&self.decide, Event::Settle(settlement));
+        if let (Some(ticket), Some(decide)) = (self.ticket, &self.decide) {
+            let settlement = Settlement {
+                ticket,
+                ending,
+                output_tokens: self.output_tokens,
+            };
+            send(decide, Event::Settle(settlement));
+        }
         self.charged = None;
     }
 
