Judge rollouts in the daemon

Cause: versions moved only by hand; a bad one was noticed by callers. Change: the deciding thread chooses the version by the rollout's step, counts what each request's end says about it, shares evidence with peers, stops a suspect version at once everywhere and writes the verdict; a failed attempt on a version under judgement is repeated on the old one.

--- a/crates/gateway/src/decide/apply.rs
+++ b/crates/gateway/src/decide/apply.rs
@@ -33,6 +33,7 @@
         self.outlets.send_packets(packets);
         let limiter = &mut self.charging.limiter;
         limiter.apply_document(next.revision, &next.document, now);
+        self.apply_rollouts(&next.document);
         let groups = next.document.upstreams.iter().map(group_of);
         match &mut self.configured {
             Some(configured) => {
--- a/crates/gateway/src/decide/ask.rs
+++ b/crates/gateway/src/decide/ask.rs
@@ -2,6 +2,7 @@
 
 use super::{
     event::{Ask, Placed, Step, Target},
+    rollouts::{Rollouts, Trial},
     state::{account_of, Configured, Open, State},
 };
 use crate::{
@@ -10,9 +11,9 @@
 };
 use carobwheel_core::{
     admit::{Entry, Next},
-    id::VersionId,
+    id::{ModelId, VersionId},
     route::{self, Placement, Request, Wanted},
-    time::Millis,
+    time::{Millis, UnixMillis},
 };
 use rand::Rng;
 
@@ -52,13 +53,20 @@
 
     /// Places a request that has been charged, or queues it.
     pub(super) fn seek_place(&mut self, ask: Box<Ask>, now: Millis) {
-        let Some(configured) = &mut self.configured else {
+        let unix_now = self.unix_now();
+        let Some(configured) = &self.configured else {
             return;
         };
-        let placed = place(configured, &ask, now, &mut self.rng);
+        let way = Way {
+            configured,
+            rollouts: &self.rollouts,
+            unix_now,
+            now,
+        };
+        let placed = way.place(&ask, &mut self.rng);
         match placed {
             // A request that finds others waiting takes its turn behind them.
-            Ok(placement) if self.admit.is_empty() => self.start(*ask, &placement, now),
+            Ok(placement) if self.admit.is_empty() => self.start(*ask, placement, now),
             Ok(_) => self.wait(ask, 0, now),
             Err(route::Refusal::Full { wait_ms }) => self.wait(ask, wait_ms, now),
             Err(refusal) => self.turn_away(ask, refusal_of(&refusal), now),
@@ -90,18 +98,25 @@
 
     /// Places waiting requests as far as there is room.
     pub(super) fn place_waiting(&mut self, now: Millis) {
+        let unix_now = self.unix_now();
         while !self.admit.is_empty() {
             let Some(configured) = &self.configured else {
                 return;
             };
+            let way = Way {
+                configured,
+                rollouts: &self.rollouts,
+                unix_now,
+                now,
+            };
             let rng = &mut self.rng;
             let keys = &configured.in_force.keys;
             let next = self.admit.next(
                 |entry| keys.is_valid(&entry.item.caller) && !entry.item.reply.is_closed(),
-                |entry| place(configured, &entry.item, now, rng).ok(),
+                |entry| way.place(&entry.item, rng).ok(),
             );
             match next {
-                Some(Next::Placed(entry, placement)) => self.start(*entry.item, &placement, now),
+                Some(Next::Placed(entry, chosen)) => self.start(*entry.item, chosen, now),
                 Some(Next::Withdrawn(entry)) => self.turn_away(entry.item, withdrawn(), now),
                 None => return,
             }
@@ -117,7 +132,12 @@
         }
     }
 
-    fn start(&mut self, ask: Ask, placement: &Placement, now: Millis) {
+    fn start(&mut self, ask: Ask, chosen: Chosen, now: Millis) {
+        let Chosen {
+            placement,
+            version,
+            trial,
+        } = chosen;
         let Some(configured) = &mut self.configured else {
             return;
         };
@@ -131,7 +151,7 @@
             ticket: self.last_ticket + 1,
             upstream: spec.id.clone(),
             url: spec.url.clone(),
-            version: version(&configured.in_force, &ask).cloned(),
+            version,
             priority: priority(&configured.in_force, &ask),
             charge: ask.charge,
         };
@@ -146,8 +166,9 @@
         }
         self.last_ticket = ticket;
         let open = Open {
-            flight: configured.router.start(placement, now),
-            upstream: placement.upstream.clone(),
+            flight: configured.router.start(&placement, now),
+            upstream: placement.upstream,
+            trial,
         };
         let former = self.open.insert(ticket, open);
         assert!(former.is_none(), "each placement has a ticket of its own");
@@ -163,51 +184,108 @@
     let _ = ask.reply.send(Err(refusal));
 }
 
-fn place(
-    configured: &Configured,
-    ask: &Ask,
+/// Where a request goes, with the version and what it tries.
+struct Chosen {
+    placement: Placement,
+    version: Option<VersionId>,
+    trial: Option<Trial>,
+}
+
+/// What placement looks at.
+struct Way<'a> {
+    configured: &'a Configured,
+    rollouts: &'a Rollouts,
+    unix_now: UnixMillis,
     now: Millis,
-    rng: &mut impl Rng,
-) -> Result<Placement, route::Refusal> {
-    let in_force = &configured.in_force;
-    let remaining_ms = ask.deadline.since(now);
-    let (wanted, target) = match &ask.target {
-        Target::Model { model, class } => {
-            let version = version(in_force, ask).ok_or(route::Refusal::NoUpstream)?;
-            let classes = &in_force.document.classes;
-            let class = classes
-                .iter()
-                .find(|known| known.id == *class)
-                .ok_or(route::Refusal::NoUpstream)?;
-            let target = route::Target::of_class(class, remaining_ms);
-            (Wanted::Model { model, version }, target)
-        }
-        Target::Service { service, .. } => {
-            let target = route::Target::of_service(remaining_ms);
-            (Wanted::Service(service), target)
-        }
-    };
-    let request = Request {
-        id: &ask.request,
-        wanted,
-        prompt_tokens: ask.prompt_tokens,
-        max_output_tokens: ask.max_output_tokens,
-        prefix_hashes: &ask.prefix,
-        target,
-        bound_region: ask.bound_region.as_ref(),
-        hops: &ask.hops,
-        tried: &ask.tried,
-    };
-    configured.router.place(&request, now, rng)
 }
 
-fn version<'a>(in_force: &'a InForce, ask: &Ask) -> Option<&'a VersionId> {
-    match &ask.target {
-        Target::Model { model, .. } => {
-            let model = in_force.document.model(model.as_str())?;
-            Some(&model.version)
+impl Way<'_> {
+    fn place(&self, ask: &Ask, rng: &mut impl Rng) -> Result<Chosen, route::Refusal> {
+        let remaining_ms = ask.deadline.since(self.now);
+        match &ask.target {
+            Target::Model { model, class } => {
+                let document = &self.configured.in_force.document;
+                let (version, trial) = self
+                    .rollouts
+                    .version(document, ask, self.unix_now, self.now)
+                    .ok_or(route::Refusal::NoUpstream)?;
+                let class = document
+                    .classes
+                    .iter()
+                    .find(|known| known.id == *class)
+                    .ok_or(route::Refusal::NoUpstream)?;
+                let target = route::Target::of_class(class, remaining_ms);
+                let wanted = Wanted::Model {
+                    model,
+                    version: &version,
+                };
+                match self.seek(ask, wanted, target, rng) {
+                    Ok(placement) => Ok(Chosen {
+                        placement,
+                        version: Some(version),
+                        trial,
+                    }),
+                    Err(_) if trial.as_ref().is_some_and(Trial::is_of_new_version) => {
+                        self.place_on_old(ask, model, target, rng)
+                    }
+                    Err(refusal) => Err(refusal),
+                }
+            }
+            Target::Service { service, .. } => {
+                let target = route::Target::of_service(remaining_ms);
+                let placement = self.seek(ask, Wanted::Service(service), target, rng)?;
+                Ok(Chosen {
+                    placement,
+                    version: None,
+                    trial: None,
+                })
+            }
         }
-        Target::Service { .. } => None,
+    }
+
+    /// Places a request on the old version when the new one has no room for it.
+    fn place_on_old(
+        &self,
+        ask: &Ask,
+        model: &ModelId,
+        target: route::Target,
+        rng: &mut impl Rng,
+    ) -> Result<Chosen, route::Refusal> {
+        let version = self
+            .rollouts
+            .old_version(model)
+            .ok_or(route::Refusal::NoUpstream)?;
+        let wanted = Wanted::Model {
+            model,
+            version: &version,
+        };
+        let placement = self.seek(ask, wanted, target, rng)?;
+        Ok(Chosen {
+            placement,
+            version: Some(version),
+            trial: None,
+        })
+    }
+
+    fn seek(
+        &self,
+        ask: &Ask,
+        wanted: Wanted<'_>,
+        target: route::Target,
+        rng: &mut impl Rng,
+    ) -> Result<Placement, route::Refusal> {
+        let request = Request {
+            id: &ask.request,
+            wanted,
+            prompt_tokens: ask.prompt_tokens,
+            max_output_tokens: ask.max_output_tokens,
+            prefix_hashes: &ask.prefix,
+            target,
+            bound_region: ask.bound_region.as_ref(),
+            hops: &ask.hops,
+            tried: &ask.tried,
+        };
+        self.configured.router.place(&request, self.now, rng)
     }
 }
 
--- a/crates/gateway/src/decide/event.rs
+++ b/crates/gateway/src/decide/event.rs
@@ -2,10 +2,14 @@
 
 use crate::{in_force::InForce, peers::Inbound, refusal::Refusal};
 use carobwheel_core::{
-    id::{ClassId, InstanceId, ModelId, RegionId, RequestId, ServiceId, UpstreamId, VersionId},
+    id::{
+        ClassId, InstanceId, ModelId, RegionId, RequestId, RolloutId, ServiceId, UpstreamId,
+        VersionId,
+    },
     identity::Caller,
     limit::ChargeId,
     retry::{Decision, Failure},
+    rollout::VerdictAnswer,
     route::Hops,
     slot,
     time::Millis,
@@ -179,6 +183,15 @@
     SlotsKnown,
     /// The live list was read.
     LiveList(Box<LiveListRead>),
+    /// The store answered a call about a verdict.
+    Verdict {
+        /// The rollout.
+        rollout: RolloutId,
+        /// Number of the call.
+        call: u32,
+        /// The answer.
+        answer: VerdictAnswer,
+    },
     /// The instance is leaving.
     Leave,
 }
--- a/crates/gateway/src/decide/gossip.rs
+++ b/crates/gateway/src/decide/gossip.rs
@@ -2,6 +2,7 @@
 
 use super::{slots::peer_of, state::State};
 use carobwheel_core::{
+    evidence::Digest,
     id::InstanceId,
     limit::LoanMessage,
     route::{LoadDigest, DIGEST_LIFETIME_MS},
@@ -12,6 +13,8 @@
 
 /// Channel of messages about loans.
 pub(super) const LOAN_CHANNEL: u8 = 1;
+/// Channel of evidence about rollouts.
+pub(super) const EVIDENCE_CHANNEL: u8 = 2;
 /// Topic of the settled revision; travels to the whole fleet.
 const SETTLED_TOPIC: u8 = 1;
 /// Topic of the slots that a member owns; travels to the whole fleet.
@@ -54,6 +57,7 @@
         self.tell_load();
         self.hear_owners();
         self.hear_loads(now);
+        self.tell_evidence(now);
     }
 
     /// Tells the fleet which revision the limits here have settled on, if that is news.
@@ -158,10 +162,17 @@
 
     /// Takes a message that another module of a peer has sent.
     pub(super) fn on_opaque(&mut self, from: &InstanceId, channel: u8, bytes: &[u8], now: Millis) {
-        if channel != LOAN_CHANNEL {
-            log::debug!(channel = channel; "message of an unknown channel skipped");
-            return;
+        match channel {
+            LOAN_CHANNEL => self.on_loan_bytes(from, bytes, now),
+            EVIDENCE_CHANNEL => match postcard::from_bytes::<Digest>(bytes) {
+                Ok(digest) => self.on_digest(from, &digest, now),
+                Err(_) => log::warn!(from = from.as_str(); "malformed evidence skipped"),
+            },
+            _ => log::debug!(channel = channel; "message of an unknown channel skipped"),
         }
+    }
+
+    fn on_loan_bytes(&mut self, from: &InstanceId, bytes: &[u8], now: Millis) {
         let Ok((incarnation, message)) = postcard::from_bytes::<(u64, LoanMessage)>(bytes) else {
             log::warn!(from = from.as_str(); "malformed message about loans skipped");
             return;
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -11,6 +11,7 @@
 mod gossip;
 mod membership;
 mod outlets;
+mod rollouts;
 mod settle;
 mod slots;
 mod state;
--- a/crates/gateway/src/decide/settle.rs
+++ b/crates/gateway/src/decide/settle.rs
@@ -11,8 +11,11 @@
 
 impl State {
     pub(super) fn first_byte(&mut self, ticket: u64, now: Millis) {
-        if let (Some(configured), Some(open)) = (&mut self.configured, self.open.get(&ticket)) {
+        if let (Some(configured), Some(open)) = (&mut self.configured, self.open.get_mut(&ticket)) {
             configured.router.first_token(open.flight, now);
+            if let Some(trial) = &mut open.trial {
+                trial.first_token(now);
+            }
         }
     }
 
@@ -48,6 +51,9 @@
             let change = configured.outliers.record(&open.upstream, is_error, now);
             configured.heed(change, now);
         }
+        if let Some(trial) = &open.trial {
+            self.judge(trial, settlement, now);
+        }
         self.place_waiting(now);
     }
 
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -5,6 +5,7 @@
     event::{Ask, Event},
     membership,
     outlets::Outlets,
+    rollouts::{Rollouts, Trial},
     slots::Slots,
 };
 use crate::{
@@ -19,7 +20,7 @@
     retry::{Outliers, Retrier, RetrySettings},
     route::{FlightId, Router},
     slot::Peer,
-    time::{Clock, Millis},
+    time::{Clock, Millis, UnixMillis},
 };
 use rand::{rngs::StdRng, Rng as _, SeedableRng as _};
 use std::{collections::HashMap, sync::Arc};
@@ -32,6 +33,8 @@
 pub(super) struct Open {
     pub(super) flight: FlightId,
     pub(super) upstream: UpstreamId,
+    /// What the request says about a version, if a rollout decided it.
+    pub(super) trial: Option<Trial>,
 }
 
 /// What depends on a document being in force.
@@ -51,6 +54,7 @@
     pub(super) members: Members,
     pub(super) slots: Slots,
     pub(super) charging: Charging,
+    pub(super) rollouts: Rollouts,
     pub(super) admit: Admit<Box<Ask>>,
     pub(super) open: HashMap<u64, Open>,
     pub(super) last_ticket: u64,
@@ -98,6 +102,7 @@
             members: Members::new(own, 0, rng.random(), now),
             slots: Slots::new(me.clone(), settings.platform.is_some(), now),
             charging: Charging::new(me.clone(), identity.region.clone()),
+            rollouts: Rollouts::new(&me, &identity.region),
             identity,
             me,
             outlets,
@@ -134,10 +139,20 @@
             Event::Slots(read) => self.on_slots(*read, now),
             Event::SlotsKnown => self.slots_known(),
             Event::LiveList(read) => self.on_live_list(&read, now),
+            Event::Verdict {
+                rollout,
+                call,
+                answer,
+            } => self.on_verdict(&rollout, call, answer, now),
             Event::Leave => self.leave(now),
         }
     }
 
+    /// Civil time, for the steps of rollouts.
+    pub(super) fn unix_now(&self) -> UnixMillis {
+        self.clock.unix_now()
+    }
+
     /// Work that is due by time alone.
     pub(super) fn tick(&mut self) {
         let now = self.clock.now();
@@ -147,6 +162,7 @@
             self.tick_members(now);
             self.tick_slots(now);
             self.tick_charging(now);
+            self.tick_rollouts(now);
         }
         if is_due(&mut self.due.gossip, GOSSIP_PERIOD_MS, now) {
             self.gossip(now);
--- a/crates/gateway/src/decide/status.rs
+++ b/crates/gateway/src/decide/status.rs
@@ -20,7 +20,7 @@
             loans_taken: totals.loans_taken,
             loans_given: totals.loans_given,
             retries: configured.map_or(0, |configured| configured.retrier.retries()),
-            rollouts: BTreeMap::new(),
+            rollouts: self.rollouts.status(self.unix_now()),
         }));
     }
 
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod document;
 mod live_list;
 mod slots;
+mod verdicts;
 
 pub use document::DOCUMENT_KEY;
 
@@ -16,7 +17,12 @@
     store::{StoreClient, StoreClientOptions},
 };
 use anyhow::Context as _;
-use carobwheel_core::{id::RegionId, slot, time::Clock};
+use carobwheel_core::{
+    id::{RegionId, RolloutId},
+    rollout::Verdict,
+    slot,
+    time::Clock,
+};
 use reqwest::{redirect, retry, Client};
 use std::{thread, time::Duration};
 use tokio::{runtime, time};
@@ -35,6 +41,22 @@
     ReadSlots,
     /// Write the record of slots of the own region, then read it.
     WriteSlots(Box<slot::Write>),
+    /// Write a verdict on a rollout unless there is one.
+    WriteVerdict {
+        /// The rollout.
+        rollout: RolloutId,
+        /// Number of the call.
+        call: u32,
+        /// The verdict.
+        verdict: Verdict,
+    },
+    /// Read the verdict on a rollout.
+    ReadVerdict {
+        /// The rollout.
+        rollout: RolloutId,
+        /// Number of the call.
+        call: u32,
+    },
     /// So many instances share the store's rates.
     SetInstances(u32),
     /// This instance is leaving: take its entry out of the directory.
@@ -139,6 +161,20 @@
                 Command::WriteSlots(write) => {
                     slots::write(&self.store, self.clock, region, &write, &self.decide).await;
                 }
+                Command::WriteVerdict {
+                    rollout,
+                    call,
+                    verdict,
+                } => {
+                    let (store, decide) = (self.store.clone(), self.decide.clone());
+                    let me = self.settings.instance.id.clone();
+                    let writing = verdicts::write(store, decide, me, rollout, call, verdict);
+                    tokio::spawn(writing);
+                }
+                Command::ReadVerdict { rollout, call } => {
+                    let (store, decide) = (self.store.clone(), self.decide.clone());
+                    tokio::spawn(verdicts::read(store, decide, rollout, call));
+                }
                 Command::SetInstances(instances) => self.store.set_instances(instances),
                 Command::Leave => leave.cancel(),
             }
