Borrow from full parts where an account's demand is concentrated

It now takes from parts that are nearly full before it runs dry, keeps what it has borrowed by the demand alone, and reports every second.

--- a/crates/core/src/limit/borrow.rs
+++ b/crates/core/src/limit/borrow.rs
@@ -1,6 +1,6 @@
 //! Borrowing: the side of an instance whose own parts do not suffice.
 
-use super::account::Remote;
+use super::account::{Active, Remote};
 use super::charge::{ChargeRequest, Outcome};
 use super::limiter::Limiter;
 use super::loan::Loan;
@@ -21,6 +21,12 @@
 const LONGEST_WAIT_MS: u64 = 100;
 /// Demand that an instance borrows ahead for, in milliseconds.
 const AHEAD_MS: u64 = 1_500;
+/// An account's demand is concentrated at an instance from one in this many of its rate on.
+const CONCENTRATED_SHARE: u64 = 4;
+/// A part from this share of its burst on is about to lose accrual, in percent.
+const FULL_PCT: u64 = 90;
+/// A full part is asked for one in this many of its tokens.
+const FULL_SHARE_LENT: u64 = 3;
 /// A loan that yields less than this share of what is needed is not worth a message.
 const LEAST_SHARE: u64 = 8;
 
@@ -110,30 +116,30 @@
         let Some(account) = self.accounts.get_mut(id) else {
             return Vec::new();
         };
-        let accruing = account.parts.iter().flatten();
-        let own_per_ms: u64 = accruing.map(|part| part.rate_micro_per_s / 1_000).sum();
+        let parts = || account.parts.iter().flatten();
+        let own_per_ms: u64 = parts().map(|part| part.rate_micro_per_s / 1_000).sum();
+        let own_cap: u64 = parts().map(|part| part.cap_micro).sum();
+        let own_level: u64 = parts().map(|part| part.level_micro).sum();
         let Some(active) = &mut account.active else {
             return Vec::new();
         };
         let demand = active.demand.over_ms(AHEAD_MS, now);
         let target = demand.min(rate_per_ms * AHEAD_MS);
-        let have = available + pending + own_per_ms * AHEAD_MS;
-        if have > target / 2 || target < MICRO_PER_TOKEN {
+        let accruing = own_per_ms * AHEAD_MS;
+        let have = available + pending + accruing;
+        if target < MICRO_PER_TOKEN || accruing >= target {
             return Vec::new();
         }
-        let mut needed = target - have;
-        let least = needed / LEAST_SHARE;
-        let mut asks = Vec::new();
-        for remote in order(&mut active.remotes, &home, now) {
-            let estimate = remote.estimate_micro(now);
-            if needed == 0 || remote.is_asked || estimate < least {
-                continue;
-            }
-            let wanted = needed.min(estimate);
-            needed -= wanted;
-            asks.push(mark_asked(remote, wanted, now));
+        if have <= target / 2 {
+            let least = (target - have) / LEAST_SHARE;
+            return ask_in_order(active, &home, target - have, least, now);
+        }
+        let borrowed = available.saturating_sub(own_level) + pending;
+        let is_concentrated = target >= rate_per_ms * AHEAD_MS / CONCENTRATED_SHARE;
+        if !is_concentrated || borrowed >= target || is_nearly_full(own_level, own_cap) {
+            return Vec::new();
         }
-        asks
+        ask_full_ones(active, target - borrowed, now)
     }
 
     fn send_asks(
@@ -226,6 +232,48 @@
     }
 }
 
+/// Asks for `needed` micro-tokens, of slots that yield at least `least`.
+fn ask_in_order(
+    active: &mut Active,
+    home: &RegionId,
+    mut needed: u64,
+    least: u64,
+    now: Millis,
+) -> Vec<Ask> {
+    let mut asks = Vec::new();
+    for remote in order(&mut active.remotes, home, now) {
+        let estimate = remote.estimate_micro(now);
+        if needed == 0 || remote.is_asked || estimate < least {
+            continue;
+        }
+        let wanted = needed.min(estimate);
+        needed -= wanted;
+        asks.push(mark_asked(remote, wanted, now));
+    }
+    asks
+}
+
+/// Asks slots that are about to lose accrual because they are full, while this one is not. With
+/// all parts equally full the account can spend its whole burst, as with a single bucket.
+fn ask_full_ones(active: &mut Active, mut wanted_micro: u64, now: Millis) -> Vec<Ask> {
+    let mut asks = Vec::new();
+    for remote in &mut active.remotes {
+        let estimate = remote.estimate_micro(now);
+        let is_full = is_nearly_full(estimate, remote.share.cap_micro);
+        if remote.is_asked || !is_full || wanted_micro < MICRO_PER_TOKEN {
+            continue;
+        }
+        let wanted = wanted_micro.min(estimate / FULL_SHARE_LENT);
+        wanted_micro -= wanted;
+        asks.push(mark_asked(remote, wanted, now));
+    }
+    asks
+}
+
+fn is_nearly_full(level_micro: u64, cap_micro: u64) -> bool {
+    level_micro >= cap_micro / 100 * FULL_PCT && cap_micro > 0
+}
+
 /// An ask to be sent.
 struct Ask {
     remote: Remote,
--- a/crates/core/src/limit/loan.rs
+++ b/crates/core/src/limit/loan.rs
@@ -9,7 +9,7 @@
 /// Time after which an ask without an answer is given up, in milliseconds.
 pub(super) const ASK_TIMEOUT_MS: u64 = 1_000;
 /// Time between two reports on the same loan while nothing is final, in milliseconds.
-const PARTIAL_REPORT_MS: u64 = 2_000;
+const PARTIAL_REPORT_MS: u64 = 1_000;
 /// Time after which a final report without an acknowledgement is sent again, in milliseconds.
 const REPORT_RETRY_MS: u64 = 1_000;
 
--- a/crates/core/src/limit/tend.rs
+++ b/crates/core/src/limit/tend.rs
@@ -80,13 +80,18 @@
         }
     }
 
-    /// What is available here beyond the demand of the next seconds.
-    pub(super) fn excess_micro(&mut self, id: &AccountId, now: Millis) -> u64 {
-        let available = self.available_micro(id, now);
-        let account = self.accounts.get(id);
-        let active = account.and_then(|account| account.active.as_ref());
-        let demand = active.map_or(0, |active| active.demand.over_ms(KEPT_MS, now));
-        available.saturating_sub(demand)
+    /// What is borrowed beyond the demand of the next seconds.
+    pub(super) fn excess_micro(&self, id: &AccountId, now: Millis) -> u64 {
+        let Some(account) = self.accounts.get(id) else {
+            return u64::MAX;
+        };
+        let Some(active) = &account.active else {
+            return u64::MAX;
+        };
+        let numbers = active.loans.iter();
+        let loans = numbers.filter_map(|number| self.loans.get(number));
+        let borrowed: u64 = loans.map(|loan| loan.unspent_micro).sum();
+        borrowed.saturating_sub(active.demand.over_ms(KEPT_MS, now))
     }
 
     pub(super) fn forget_loan(&mut self, number: u64, account: &AccountId) {
--- a/crates/ctl/src/experiment/limits/world/mod.rs
+++ b/crates/ctl/src/experiment/limits/world/mod.rs
@@ -111,6 +111,8 @@
 pub struct World {
     setup: Setup,
     rng: StdRng,
+    /// Offered load has a source of its own, so that it is the same whatever is decided.
+    load_rng: StdRng,
     now_ms: u64,
     sequence: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -146,6 +148,7 @@
         });
         let mut world = Self {
             rng: StdRng::seed_from_u64(setup.seed),
+            load_rng: StdRng::seed_from_u64(!setup.seed),
             now_ms: 0,
             sequence: 0,
             queue: BinaryHeap::new(),
--- a/crates/ctl/src/experiment/limits/world/process.rs
+++ b/crates/ctl/src/experiment/limits/world/process.rs
@@ -181,8 +181,13 @@
         let (nodes, regions) = (self.setup.nodes, self.setup.regions.len());
         let mut arrivals = Vec::new();
         for flow in &self.setup.flows {
-            let of_flow =
-                flow.arrivals(self.now_ms, ARRIVAL_STEP_MS, nodes, regions, &mut self.rng);
+            let of_flow = flow.arrivals(
+                self.now_ms,
+                ARRIVAL_STEP_MS,
+                nodes,
+                regions,
+                &mut self.load_rng,
+            );
             arrivals.extend(of_flow);
         }
         for mut arrival in arrivals {
