--- a/crates/core/src/member/members.rs
+++ b/crates/core/src/member/members.rs
@@ -187,9 +187,9 @@
         confirmed.map(|m| self.view(m)).collect()
     }
 
-    /// One member.
+    /// One member; none if nothing but the live list has named it yet.
     pub fn member(&self, instance: &InstanceId) -> Option<MemberView> {
-        let member = self.table.get(instance)?;
+        let member = self.table.get(instance).filter(|m| m.is_confirmed)?;
         Some(self.view(member))
     }
 
