--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -7,6 +7,8 @@
 use crate::time::Millis;
 use rand::Rng;
 
+/// Share of an engine's slots that long requests leave free, so that urgent ones find one at once.
+const URGENT_RESERVE: f64 = 0.0625;
 /// Share of an engine's slots that long requests may take.
 const LONG_SLOTS_SHARE: f64 = 0.75;
 /// Share of a long class's first-token target that prompts ahead of it may take.
@@ -189,7 +191,8 @@
     let most = ((slots as f64 * LONG_SLOTS_SHARE) as u64).max(1);
     let backlog_ms = state.speed.prefill_ms(load.long_prompt_tokens as f64);
     let most_backlog_ms = target.first_token_ms as f64 * LONG_BACKLOG_SHARE;
-    load.long_requests < most && backlog_ms <= most_backlog_ms
+    let reserve = (slots as f64 * URGENT_RESERVE) as u64;
+    load.requests + reserve < slots && load.long_requests < most && backlog_ms <= most_backlog_ms
 }
 
 /// Whether the upstream takes one more request. Instances of the upstream's region may each have an equal part of its slots
