--- /dev/null
+++ b/crates/gateway/tests/soak_support/mod.rs
@@ -0,0 +1,158 @@
+//! A random load with random faults, and the account of every request.
+
+#![allow(clippy::unwrap_used)]
+
+mod faults;
+mod load;
+mod plan;
+mod reconcile;
+mod record;
+mod stage;
+mod watch;
+
+use crate::support::{eventually, PATIENCE, SECONDS};
+use faults::{set_targets, Driver};
+use load::{http_client, Board, Request};
+use plan::Plan;
+use record::{Kind, Outcome, Record};
+use stage::{Stage, WITHDRAWN};
+use std::{
+    collections::BTreeMap,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use watch::Watch;
+
+/// Runs the soak and returns every promise that was broken.
+pub(crate) async fn run() -> Vec<String> {
+    let plan = Plan::from_environment();
+    let mut stage = Stage::start().await;
+    let board = Arc::new(Board::default());
+    set_targets(&stage, &board);
+    let (mut driver, mut watch) = (Driver::new(plan.seed), Watch::new(Instant::now()));
+    watch.sample(&stage);
+    let start = Instant::now();
+    let load = load::start(plan, start, &board);
+    driver
+        .run(plan, start, &mut stage, &board, &mut watch)
+        .await;
+    while !load.is_finished() {
+        watch.look(&stage);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    load.await.unwrap();
+    let mut faults = Vec::new();
+    check_withdrawn(&driver, &board).await;
+    watch.look(&stage);
+    check_serving(&board).await;
+    watch.sample(&stage);
+    watch.end_leaving(&stage);
+    for instance in &mut driver.stopping {
+        let status = instance.exit_status().await;
+        if status.code() != Some(0) {
+            faults.push(format!(
+                "planned stop of {} ended with {status}",
+                instance.id
+            ));
+        }
+    }
+    let rates = watch.check_rates();
+    faults.append(&mut watch.faults);
+    let records = board.records.lock().unwrap().clone();
+    faults.extend(reconcile::reconcile(&stage, &driver, &records));
+    faults.extend(panics_in_logs());
+    report(plan, start, &records, &driver);
+    println!("tokens used of allowed: {rates:?}");
+    println!("checks of leaving upstreams: {}", watch.leaving_checks);
+    for fault in &faults {
+        println!("BROKEN: {fault}");
+    }
+    faults
+}
+
+/// Seconds after its withdrawal a key is refused everywhere. These requests are accounted for like
+/// the others.
+async fn check_withdrawn(driver: &Driver, board: &Arc<Board>) {
+    let Some(withdrawn_at) = driver.withdrawn_at else {
+        return;
+    };
+    eventually("the time to withdraw a key is over", PATIENCE, || async {
+        (withdrawn_at.elapsed() > SECONDS).then_some(())
+    })
+    .await;
+    let http = http_client();
+    for target in board.targets() {
+        let mark = format!("withdrawn-{}", target.id);
+        let record = Request::question(WITHDRAWN, &mark)
+            .send(&http, &target)
+            .await;
+        board.records.lock().unwrap().push(record);
+    }
+}
+
+/// Once all faults are over every instance serves again.
+async fn check_serving(board: &Arc<Board>) {
+    let http = http_client();
+    for target in board.targets() {
+        let (http, target) = (&http, &target);
+        let mark = &format!("last-{}", target.id);
+        let record = eventually("an instance serves again", PATIENCE, || async move {
+            let request = Request::question("insurers", mark);
+            let record = request.send(http, target).await;
+            (record.outcome == Outcome::Whole).then_some(record)
+        })
+        .await;
+        board.records.lock().unwrap().push(record);
+    }
+}
+
+/// Lines of the processes' logs that tell of a panic. Every process has a log of its own.
+fn panics_in_logs() -> Vec<String> {
+    let prefix = format!("fleet-{}-", std::process::id());
+    let folders = std::fs::read_dir(PathBuf::from(env!("CARGO_TARGET_TMPDIR"))).unwrap();
+    let own = folders.map(|entry| entry.unwrap().path()).filter(|path| {
+        path.file_name()
+            .unwrap()
+            .to_string_lossy()
+            .starts_with(&prefix)
+    });
+    let mut logs = 0;
+    let mut panics = Vec::new();
+    for folder in own {
+        for file in std::fs::read_dir(folder).unwrap() {
+            let file = file.unwrap().path();
+            if file.extension().is_none_or(|it| it != "log") {
+                continue;
+            }
+            logs += 1;
+            let text = std::fs::read_to_string(&file).unwrap();
+            let lines = text.lines().filter(|line| line.contains("panicked"));
+            panics.extend(lines.map(|line| format!("{}: {line}", file.display())));
+        }
+    }
+    assert!(logs > 0, "the logs were found");
+    panics
+}
+
+fn report(plan: Plan, start: Instant, records: &[Record], driver: &Driver) {
+    let mut outcomes: BTreeMap<(Kind, String), usize> = BTreeMap::new();
+    for record in records {
+        let outcome = match &record.outcome {
+            Outcome::Wrong(_) => "Wrong".to_owned(),
+            outcome => format!("{outcome:?}"),
+        };
+        *outcomes.entry((record.kind, outcome)).or_default() += 1;
+    }
+    let elapsed_s = start.elapsed().as_secs_f64();
+    let steps: usize = driver.steps.values().sum();
+    println!(
+        "seed {}: {elapsed_s:.1} s, {} requests, {steps} fault steps",
+        plan.seed,
+        records.len()
+    );
+    println!("{:?}", driver.steps);
+    for ((kind, outcome), count) in outcomes {
+        println!("{count:>7} {kind:?} {outcome}");
+    }
+}
