--- a/crates/gateway/tests/soak_support/faults.rs
+++ b/crates/gateway/tests/soak_support/faults.rs
@@ -89,7 +89,8 @@
     pub(crate) withdrawn_at: Option<Instant>,
     /// Requests that engines and services answer with an error status without running them.
     pub(crate) injected_statuses: u64,
-    pub(crate) steps: BTreeMap<Step, usize>,
+    /// The steps taken, with their times.
+    pub(crate) steps: Vec<(Instant, Step)>,
 }
 
 impl Driver {
@@ -106,10 +107,19 @@
             killed_at: BTreeMap::new(),
             withdrawn_at: None,
             injected_statuses: 0,
-            steps: BTreeMap::new(),
+            steps: Vec::new(),
         }
     }
 
+    /// The last step before `at`.
+    pub(crate) fn step_at(&self, at: Instant) -> Option<Step> {
+        let before = self
+            .steps
+            .iter()
+            .take_while(|(taken_at, _)| *taken_at <= at);
+        before.last().map(|(_, step)| *step)
+    }
+
     /// Brings about faults until the run is at its end, and then takes all back.
     pub(crate) async fn run(
         &mut self,
@@ -139,7 +149,7 @@
         }
         let step = self.draw();
         println!("{:>7} ms: {step:?}", self.start.elapsed().as_millis());
-        *self.steps.entry(step).or_default() += 1;
+        self.steps.push((Instant::now(), step));
         match step {
             Step::KeyWithdrawn => self.withdraw(stage),
             Step::UpstreamLeaving => self.change_leaving(stage, watch),
--- a/crates/gateway/tests/soak_support/mod.rs
+++ b/crates/gateway/tests/soak_support/mod.rs
@@ -15,7 +15,7 @@
 use load::{http_client, Board, Request};
 use plan::Plan;
 use record::{Kind, Outcome, Record};
-use stage::{Stage, WITHDRAWN};
+use stage::{Stage, LIMITED, WITHDRAWN};
 use std::{
     collections::BTreeMap,
     path::PathBuf,
@@ -63,6 +63,7 @@
     faults.extend(reconcile::reconcile(&stage, &driver, &records));
     faults.extend(panics_in_logs());
     report(plan, start, &records, &driver);
+    report_wrongful_refusals(&records, &driver);
     println!("tokens used of allowed: {rates:?}");
     println!("checks of leaving upstreams: {}", watch.leaving_checks);
     for fault in &faults {
@@ -144,15 +145,30 @@
         };
         *outcomes.entry((record.kind, outcome)).or_default() += 1;
     }
-    let elapsed_s = start.elapsed().as_secs_f64();
-    let steps: usize = driver.steps.values().sum();
     println!(
-        "seed {}: {elapsed_s:.1} s, {} requests, {steps} fault steps",
+        "seed {}: {:.1} s, {} requests, {} fault steps",
         plan.seed,
-        records.len()
+        start.elapsed().as_secs_f64(),
+        records.len(),
+        driver.steps.len()
     );
-    println!("{:?}", driver.steps);
     for ((kind, outcome), count) in outcomes {
         println!("{count:>7} {kind:?} {outcome}");
     }
 }
+
+/// Prints the requests that were refused as over the rate although their account has a rate that
+/// the load cannot reach, by the last fault step before each.
+fn report_wrongful_refusals(records: &[Record], driver: &Driver) {
+    let refused = records.iter().filter(|record| {
+        let is_limited = LIMITED.iter().any(|it| it.account == record.account);
+        record.outcome == Outcome::NotRun(429) && !is_limited
+    });
+    let mut groups: BTreeMap<_, usize> = BTreeMap::new();
+    for record in refused {
+        let step = driver.step_at(record.started_at);
+        let place = (step, &record.instance, &record.account);
+        *groups.entry(place).or_default() += 1;
+    }
+    println!("refused within the rate: {groups:?}");
+}
