Continue broken streams on another engine

Cause: a stream whose engine died ended in an error event, although the request may be repeated and another engine had room. A token is one event with output, as the engines send them.

--- a/crates/gateway/src/intake/forward.rs
+++ b/crates/gateway/src/intake/forward.rs
@@ -173,7 +173,7 @@
         headers: header_map(&head.headers),
         chunks: received,
     };
-    let mut answer = pass::answer(exchanged, Settling::elsewhere(), running).await?;
+    let mut answer = pass::answer(exchanged, Settling::elsewhere(), running, None).await?;
     answer.run = head.run.into();
     Ok(answer)
 }
--- a/crates/gateway/src/intake/forwarded.rs
+++ b/crates/gateway/src/intake/forwarded.rs
@@ -142,7 +142,7 @@
         call,
         hops,
         cancel: CancellationToken::new(),
-        _room: room,
+        _room: Arc::new(room),
     };
     pass::serve(shared, work, running).await
 }
--- a/crates/gateway/src/intake/gather.rs
+++ b/crates/gateway/src/intake/gather.rs
@@ -34,7 +34,7 @@
 ) -> Result<AnswerBody, Refusal> {
     if let Framing::Length(length_bytes) = framing {
         if length_bytes > MAX_GATHERED_BYTES {
-            let relayed = RelayBody::new(chunks, framing, settling, running);
+            let relayed = RelayBody::new(chunks, framing, settling, running, None);
             return Ok(AnswerBody::Long(Box::new(relayed), length_bytes));
         }
     }
--- a/crates/gateway/src/intake/mod.rs
+++ b/crates/gateway/src/intake/mod.rs
@@ -15,6 +15,7 @@
 mod handler;
 mod head;
 mod pass;
+mod resume;
 mod upstream_headers;
 mod work;
 
--- a/crates/gateway/src/intake/pass.rs
+++ b/crates/gateway/src/intake/pass.rs
@@ -7,7 +7,7 @@
     forward::{self, ForwardedHead},
     gather::gather,
     head::{BodyLength, RequestHead},
-    upstream_headers,
+    resume, upstream_headers,
     work::{self, Found, Work},
     Shared,
 };
@@ -17,7 +17,7 @@
     in_flight::Running,
     in_force::InForce,
     refusal::{run_of_status, Cause, Refusal},
-    relay::{Framing, RelayBody, Settling},
+    relay::{Framing, RelayBody, Resumer, Settling},
     report::Label,
 };
 use carobwheel_core::{
@@ -87,7 +87,7 @@
 ) -> Result<Answer, Refusal> {
     running.trace().label(label(&work));
     if work.call.idempotent {
-        return try_upstreams(shared, &work, running).await;
+        return try_upstreams(shared, &Arc::new(work), running).await;
     }
     action::run(shared, work, running).await
 }
@@ -166,14 +166,14 @@
         call,
         hops,
         cancel: CancellationToken::new(),
-        _room: held.room,
+        _room: Arc::new(held.room),
     })
 }
 
 /// Places and dispatches the request, again where that is allowed.
 async fn try_upstreams(
     shared: &Arc<Shared>,
-    work: &Work,
+    work: &Arc<Work>,
     running: Running,
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
@@ -187,7 +187,11 @@
         let exchange = work::dispatch(shared, work, &place, is_retry).await;
         let (failure, refusal) = match exchange {
             Ok(head) => match retried_status(head.status) {
-                None => return answer(head, place.settling, running).await,
+                None => {
+                    tried.push(place.placed.upstream);
+                    let resumer = resume::resumer(shared, work, tried);
+                    return answer(head, place.settling, running, Some(resumer)).await;
+                }
                 Some(failure) => (failure, upstream_refusal(head.status)),
             },
             Err(err) => (err.failure(), refusal_of(&err)),
@@ -236,10 +240,11 @@
     head: Head,
     settling: Settling,
     running: Running,
+    resumer: Option<Resumer>,
 ) -> Result<Answer, Refusal> {
     let framing = framing(&head.headers);
     let body = if framing == Framing::Events {
-        let relayed = RelayBody::new(head.chunks, framing, settling, running);
+        let relayed = RelayBody::new(head.chunks, framing, settling, running, resumer);
         AnswerBody::Stream(Box::new(relayed))
     } else {
         gather(head.chunks, framing, settling, running).await?
--- a/crates/gateway/src/intake/work.rs
+++ b/crates/gateway/src/intake/work.rs
@@ -17,7 +17,7 @@
     time::Millis,
 };
 use reqwest::{header::HeaderMap, Method};
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::{
     sync::{oneshot, OwnedSemaphorePermit},
     time,
@@ -25,6 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// A request that has been read and classified.
+#[derive(Clone)]
 pub(super) struct Work {
     pub(super) request_id: RequestId,
     pub(super) method: Method,
@@ -40,7 +41,7 @@
     /// Ends the request and every exchange of it.
     pub(super) cancel: CancellationToken,
     /// Room that the body takes while the request runs.
-    pub(super) _room: OwnedSemaphorePermit,
+    pub(super) _room: Arc<OwnedSemaphorePermit>,
 }
 
 /// A place at an upstream, given back when it is dropped.
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -1,10 +1,11 @@
 //! The body of a relayed answer as a byte stream.
 
-use super::{Settling, SseScan};
+use super::{sse::EventStream, Charged, Settling};
 use crate::{decide::Ending, dispatch::ExchangeError, in_flight::Running, refusal::Cause};
 use bytes::{Buf as _, Bytes};
 use carobwheel_core::retry::Failure;
 use std::{
+    future::Future as _,
     io,
     pin::Pin,
     task::{ready, Context, Poll},
@@ -12,13 +13,16 @@
 };
 use tokio::{
     io::{AsyncRead, ReadBuf},
-    sync::mpsc,
+    sync::{mpsc, oneshot},
     time::{interval_at, Instant, Interval},
 };
 
 const HEARTBEAT_PERIOD: Duration = Duration::from_secs(10);
 const HEARTBEAT: &[u8] = b": heartbeat\n\n";
 
+/// Chunks of an answer as they arrive.
+pub type Chunks = mpsc::Receiver<Result<Bytes, ExchangeError>>;
+
 /// How the end of an answer is recognised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -30,94 +34,188 @@
     Unknown,
 }
 
+/// A stream that goes on from another engine.
+pub struct Resumed {
+    /// Its chunks, beginning behind the tokens that were relayed.
+    pub chunks: Chunks,
+    /// Its place.
+    pub settling: Settling,
+}
+
+/// A stream that broke.
+pub struct Broken {
+    /// Tokens that the caller has.
+    pub relayed_tokens: u64,
+    /// How the stream broke.
+    pub failure: Failure,
+    /// The charge of the request.
+    pub charged: Option<Charged>,
+}
+
+/// Looks for another engine that continues a broken stream; none if there is none.
+pub type Resumer = Box<dyn FnMut(Broken) -> oneshot::Receiver<Option<Resumed>> + Send>;
+
+enum Source {
+    Chunks(Chunks),
+    Resuming(oneshot::Receiver<Option<Resumed>>, ExchangeError),
+    Over,
+}
+
 /// The body of a relayed answer.
 pub struct RelayBody {
-    chunks: mpsc::Receiver<Result<Bytes, ExchangeError>>,
+    source: Source,
     current: Bytes,
     framing: Framing,
-    scan: SseScan,
+    events: EventStream,
     received_bytes: u64,
-    is_over: bool,
     heartbeat: Interval,
+    resumer: Option<Resumer>,
     settling: Settling,
     running: Running,
 }
 
 impl RelayBody {
-    /// A body that relays `chunks` and settles its placement at the end.
+    /// A body that relays `chunks` and settles its placement at the end. A stream of events that
+    /// breaks is continued by `resumer`, if there is one.
     pub fn new(
-        chunks: mpsc::Receiver<Result<Bytes, ExchangeError>>,
+        chunks: Chunks,
         framing: Framing,
         settling: Settling,
         running: Running,
+        resumer: Option<Resumer>,
     ) -> Self {
         Self {
-            chunks,
+            source: Source::Chunks(chunks),
             current: Bytes::new(),
             framing,
-            scan: SseScan::default(),
+            events: EventStream::default(),
             received_bytes: 0,
-            is_over: false,
             heartbeat: interval_at(Instant::now() + HEARTBEAT_PERIOD, HEARTBEAT_PERIOD),
+            resumer,
             settling,
             running,
         }
     }
 
-    fn receive(&mut self, chunk: Bytes) {
+    fn receive(&mut self, chunk: Bytes) -> io::Result<()> {
         self.settling.byte_arrived();
         self.running.trace().byte_arrived();
         self.received_bytes += chunk.len() as u64;
-        if self.framing == Framing::Events {
-            self.scan.feed(&chunk);
-            self.settling.set_output_tokens(self.scan.data_events());
+        if self.framing != Framing::Events {
+            self.current = chunk;
+            return Ok(());
+        }
+        match self.events.feed(&chunk) {
+            Ok(whole) => {
+                self.settling.set_output_tokens(self.events.tokens());
+                self.current = whole;
+                Ok(())
+            }
+            Err(_) => {
+                self.resumer = None;
+                self.end(Some(ExchangeError::Broken(
+                    "an event is too long".to_owned(),
+                )))
+            }
         }
-        self.current = chunk;
     }
 
-    /// Ends the body after `broken` or the upstream's own end. A stream of events gets an error
-    /// event, other bodies an I/O error, so a caller never takes a cut answer for a whole one.
+    /// The chunks have ended, by the upstream or by an error.
     fn end(&mut self, broken: Option<ExchangeError>) -> io::Result<()> {
-        self.is_over = true;
-        if broken.is_none() && self.is_whole() {
+        if self.is_whole() && (broken.is_none() || self.framing == Framing::Events) {
+            self.source = Source::Over;
             self.settling.settle(Ending::Whole);
             return Ok(());
         }
-        let failure = broken
-            .as_ref()
-            .map_or(Failure::ConnectionLost, ExchangeError::failure);
-        self.settling.settle(Ending::Failed(failure));
+        let err = broken.unwrap_or_else(|| {
+            ExchangeError::Broken("the upstream ended its answer early".to_owned())
+        });
+        let failure = err.failure();
+        let charged = self.settling.take_charge();
+        match &mut self.resumer {
+            Some(resume) => {
+                self.settling.settle(Ending::Failed(failure));
+                self.events.drop_rest();
+                let resuming = resume(Broken {
+                    relayed_tokens: self.events.tokens(),
+                    failure,
+                    charged,
+                });
+                self.source = Source::Resuming(resuming, err);
+                Ok(())
+            }
+            None => {
+                self.settling.put_charge(charged);
+                self.settling.settle(Ending::Failed(failure));
+                self.give_up(&err)
+            }
+        }
+    }
+
+    /// Ends the body so that the caller never takes it for whole: a stream of events gets an error
+    /// event, other bodies an I/O error.
+    fn give_up(&mut self, err: &ExchangeError) -> io::Result<()> {
+        self.source = Source::Over;
         self.running.trace().refused(Cause::UpstreamFailed);
-        let detail = broken.map_or_else(
-            || "the upstream ended its answer early".to_owned(),
-            |err| err.to_string(),
-        );
-        log::warn!(received_bytes = self.received_bytes; "answer cut short: {detail}");
+        log::warn!(received_bytes = self.received_bytes; "answer cut short: {err}");
         if self.framing == Framing::Events {
-            self.current = error_event(&detail);
+            self.current = error_event(&err.to_string());
             return Ok(());
         }
-        Err(io::Error::new(io::ErrorKind::UnexpectedEof, detail))
+        Err(io::Error::new(
+            io::ErrorKind::UnexpectedEof,
+            err.to_string(),
+        ))
+    }
+
+    fn go_on(&mut self, resumed: Option<Resumed>) -> io::Result<()> {
+        match resumed {
+            Some(Resumed { chunks, settling }) => {
+                log::info!(relayed_tokens = self.events.tokens(); "stream continued elsewhere");
+                self.source = Source::Chunks(chunks);
+                self.settling = settling;
+                Ok(())
+            }
+            None => {
+                let err = match std::mem::replace(&mut self.source, Source::Over) {
+                    Source::Resuming(_, err) => err,
+                    Source::Chunks(_) | Source::Over => ExchangeError::Cancelled,
+                };
+                self.give_up(&err)
+            }
+        }
     }
 
     fn is_whole(&self) -> bool {
         match self.framing {
-            Framing::Events => self.scan.is_done(),
+            Framing::Events => self.events.is_done(),
             Framing::Length(length_bytes) => self.received_bytes == length_bytes,
             Framing::Unknown => true,
         }
     }
 
+    /// Waits for the next bytes, an end, or a stream that continues this one.
+    fn poll_source(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match &mut self.source {
+            Source::Chunks(chunks) => match ready!(chunks.poll_recv(cx)) {
+                Some(Ok(chunk)) => Poll::Ready(self.receive(chunk)),
+                Some(Err(err)) => Poll::Ready(self.end(Some(err))),
+                None => Poll::Ready(self.end(None)),
+            },
+            Source::Resuming(resuming, _) => {
+                let resumed = ready!(Pin::new(resuming).poll(cx));
+                Poll::Ready(self.go_on(resumed.unwrap_or(None)))
+            }
+            Source::Over => Poll::Ready(Ok(())),
+        }
+    }
+
     // A stream without traffic notices that its caller left only when something is written.
     fn poll_heartbeat(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         if self.framing != Framing::Events {
             return Poll::Pending;
         }
         ready!(self.heartbeat.poll_tick(cx));
-        if self.received_bytes > 0 && !self.scan.is_between_events() {
-            // Registers the waker for the next period.
-            return self.poll_heartbeat(cx);
-        }
         self.current = Bytes::from_static(HEARTBEAT);
         Poll::Ready(())
     }
@@ -132,8 +230,7 @@
             "code": "upstream_failed",
         }
     });
-    // The blank line ends an event that was cut in its middle.
-    Bytes::from(format!("\n\ndata: {error}\n\n"))
+    Bytes::from(format!("data: {error}\n\n"))
 }
 
 impl AsyncRead for RelayBody {
@@ -144,13 +241,11 @@
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
         while this.current.is_empty() {
-            if this.is_over {
+            if matches!(this.source, Source::Over) {
                 return Poll::Ready(Ok(()));
             }
-            match this.chunks.poll_recv(cx) {
-                Poll::Ready(Some(Ok(chunk))) => this.receive(chunk),
-                Poll::Ready(Some(Err(err))) => this.end(Some(err))?,
-                Poll::Ready(None) => this.end(None)?,
+            match this.poll_source(cx) {
+                Poll::Ready(received) => received?,
                 Poll::Pending => ready!(this.poll_heartbeat(cx)),
             }
         }
--- a/crates/gateway/src/relay/mod.rs
+++ b/crates/gateway/src/relay/mod.rs
@@ -7,6 +7,6 @@
 mod settle;
 mod sse;
 
-pub use body::{Framing, RelayBody};
+pub use body::{Broken, Chunks, Framing, RelayBody, Resumed, Resumer};
 pub use settle::{Charged, Settling};
-pub use sse::SseScan;
+pub use sse::{EventStream, EventTooLong, MAX_EVENT_BYTES};
--- a/crates/gateway/src/relay/settle.rs
+++ b/crates/gateway/src/relay/settle.rs
@@ -165,9 +165,16 @@
         self.charged = None;
     }
 
+    /// Puts a charge back that was taken out.
+    pub fn put_charge(&mut self, charged: Option<Charged>) {
+        self.charged = charged;
+    }
+
     /// Takes the charge out, for another attempt of the same request.
     pub fn take_charge(&mut self) -> Option<Charged> {
-        self.charged.take()
+        let mut charged = self.charged.take()?;
+        charged.output_tokens = self.output_tokens;
+        Some(charged)
     }
 }
 
--- a/crates/gateway/src/relay/sse.rs
+++ b/crates/gateway/src/relay/sse.rs
@@ -1,35 +1,83 @@
-//! Reads a stream of server-sent events as it passes, in constant memory.
+//! Cuts a stream of server-sent events into whole events, and counts what they carry.
+//!
+//! Only whole events are passed on, so a stream that breaks in the middle of an event can be
+//! continued from another engine without a torn event in between.
 
-/// Longest part of a line that is looked at, in bytes.
-const LINE_HEAD_BYTES: usize = 16;
+use bytes::{Bytes, BytesMut};
+use memchr::memmem;
+use serde::Deserialize;
+use std::borrow::Cow;
+
+/// Longest event, in bytes.
+pub const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 const DATA_FIELD: &[u8] = b"data:";
 const LAST_EVENT: &[u8] = b"[DONE]";
+/// Bytes before the last ones that may hold the beginning of an event's end.
+const END_OVERLAP_BYTES: usize = 3;
+
+/// An event that is longer than [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventTooLong;
 
-/// Counts the events of a stream and finds its last one.
-#[derive(Clone, Debug, Default)]
-pub struct SseScan {
-    line_head: Vec<u8>,
-    line_bytes: usize,
-    data_events: u64,
+#[derive(Deserialize)]
+struct Chunk<'a> {
+    #[serde(borrow, default)]
+    choices: Vec<Choice<'a>>,
+}
+
+#[derive(Deserialize)]
+struct Choice<'a> {
+    #[serde(borrow, default)]
+    delta: Option<Delta<'a>>,
+    #[serde(borrow, default)]
+    text: Option<Cow<'a, str>>,
+}
+
+#[derive(Deserialize)]
+struct Delta<'a> {
+    #[serde(borrow, default)]
+    content: Option<Cow<'a, str>>,
+}
+
+/// A stream of events as far as it has passed.
+#[derive(Debug, Default)]
+pub struct EventStream {
+    rest: BytesMut,
+    tokens: u64,
     is_done: bool,
-    is_between_events: bool,
 }
 
-impl SseScan {
-    /// Reads the next chunk, which may begin and end anywhere.
-    pub fn feed(&mut self, chunk: &[u8]) {
-        for &byte in chunk {
-            match byte {
-                b'\n' => self.end_line(),
-                b'\r' => {}
-                _ => self.extend_line(byte),
+impl EventStream {
+    /// Takes the next bytes, which may begin and end anywhere, and returns the events that are
+    /// whole by now.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an event is longer than [`MAX_EVENT_BYTES`].
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLong> {
+        let searched = self.rest.len().saturating_sub(END_OVERLAP_BYTES);
+        self.rest.extend_from_slice(bytes);
+        let Some(end) = end_of_events(&self.rest[searched..]) else {
+            if self.rest.len() > MAX_EVENT_BYTES {
+                return Err(EventTooLong);
             }
+            return Ok(Bytes::new());
+        };
+        let whole = self.rest.split_to(searched + end).freeze();
+        for line in whole.split(|byte| *byte == b'\n') {
+            self.read_line(line);
         }
+        Ok(whole)
+    }
+
+    /// Forgets the beginning of an event whose end will not come.
+    pub fn drop_rest(&mut self) {
+        self.rest.clear();
     }
 
-    /// Events with data so far, without the last one.
-    pub fn data_events(&self) -> u64 {
-        self.data_events
+    /// Pieces of output that have passed; engines send one token in each.
+    pub fn tokens(&self) -> u64 {
+        self.tokens
     }
 
     /// Whether the stream's last event (`data: [DONE]`) has passed.
@@ -37,29 +85,34 @@
         self.is_done
     }
 
-    /// Whether the stream stands between two events, where a comment may be put in.
-    pub fn is_between_events(&self) -> bool {
-        self.is_between_events && self.line_bytes == 0
-    }
-
-    fn extend_line(&mut self, byte: u8) {
-        if self.line_head.len() < LINE_HEAD_BYTES {
-            self.line_head.push(byte);
+    fn read_line(&mut self, line: &[u8]) {
+        let Some(data) = line.strip_prefix(DATA_FIELD) else {
+            return;
+        };
+        let data = data.trim_ascii();
+        if data == LAST_EVENT {
+            self.is_done = true;
+        } else if has_output(data) {
+            self.tokens += 1;
         }
-        self.line_bytes += 1;
-        self.is_between_events = false;
     }
+}
 
-    fn end_line(&mut self) {
-        if let Some(data) = self.line_head.strip_prefix(DATA_FIELD) {
-            if data.trim_ascii() == LAST_EVENT {
-                self.is_done = true;
-            } else {
-                self.data_events += 1;
-            }
-        }
-        self.is_between_events = self.line_bytes == 0;
-        self.line_head.clear();
-        self.line_bytes = 0;
-    }
+/// Position behind the last event that ends in `bytes`.
+fn end_of_events(bytes: &[u8]) -> Option<usize> {
+    let ends = [&b"\n\n"[..], &b"\r\n\r\n"[..]];
+    let behind = |end: &&[u8]| memmem::rfind(bytes, end).map(|at| at + end.len());
+    ends.iter().filter_map(behind).max()
+}
+
+// An event that cannot be read is passed on but counts as no output.
+fn has_output(data: &[u8]) -> bool {
+    let Ok(chunk) = serde_json::from_slice::<Chunk<'_>>(data) else {
+        return false;
+    };
+    chunk.choices.iter().any(|choice| {
+        let of_delta = choice.delta.as_ref().and_then(|it| it.content.as_ref());
+        let text = of_delta.or(choice.text.as_ref());
+        text.is_some_and(|text| !text.is_empty())
+    })
 }
--- /dev/null
+++ b/crates/gateway/tests/promise_streams.rs
@@ -0,0 +1,58 @@
+//! Streams that break are continued on another engine.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use carobwheel_standin::engine::{EngineOptions, Fault};
+use support::{expected_answer, Caller, Fleet, FleetOptions};
+use test_case::test_case;
+
+const TOKENS: u64 = 200;
+
+async fn fleet() -> Fleet {
+    let engine = EngineOptions {
+        answer_tokens: TOKENS,
+        ..EngineOptions::default()
+    };
+    Fleet::start(FleetOptions {
+        engine,
+        ..FleetOptions::default()
+    })
+    .await
+}
+
+/// The connection breaks at the start, inside an event, or close to the end; the stream also ends
+/// in good form without its last tokens.
+#[test_case(Fault::DieAfterBytes(1); "at the first byte")]
+#[test_case(Fault::DieAfterBytes(1_000); "after some events")]
+#[test_case(Fault::DieAfterBytes(12_345); "inside an event")]
+#[test_case(Fault::Short; "short of its end")]
+#[tokio::test]
+async fn a_broken_stream_goes_on_with_no_token_doubled_or_lost(fault: Fault) {
+    let fleet = fleet().await;
+    fleet.engines["north"].fail_next(fault, 1);
+    let caller = Caller::of("insurers");
+    let prompt = "a question whose answer breaks off";
+    let url = &fleet.instance("north").url;
+    let reply = caller.chat(url, prompt, true).await.unwrap();
+    let text = reply.streamed_text();
+    assert_eq!(text, Some(expected_answer(prompt, TOKENS)), "{reply:?}");
+    assert_eq!(
+        fleet.engine_requests(),
+        2,
+        "one engine broke, another went on"
+    );
+}
+
+/// A bound account's only engine at home is the one that broke.
+#[tokio::test]
+async fn a_broken_stream_of_a_bound_account_never_goes_on_elsewhere() {
+    let fleet = fleet().await;
+    fleet.engines["north"].fail_next(Fault::DieAfterBytes(1_000), 1);
+    let caller = Caller::of("north-office");
+    let url = &fleet.instance("north").url;
+    let reply = caller.chat(url, "bound", true).await.unwrap();
+    assert!(reply.is_failure(), "{reply:?}");
+    assert_eq!(fleet.engine_requests(), 1);
+}
