--- a/crates/gateway/tests/soak_support/reconcile.rs
+++ b/crates/gateway/tests/soak_support/reconcile.rs
@@ -65,6 +65,7 @@
     for record in records {
         faults.extend(check_told(driver, record));
     }
+    check_seen(&seen, records, &mut faults);
     check_regions(&seen, records, &mut faults);
     check_keyed(stage, records, &mut faults);
     check_once_dispatched(&seen, records, &mut faults);
@@ -91,6 +92,13 @@
     }
 }
 
+/// Every answer comes from an upstream that saw the request.
+fn check_seen(seen: &Seen, records: &[Record], faults: &mut Vec<String>) {
+    let whole = records.iter().filter(|it| it.outcome == Outcome::Whole);
+    let unseen = whole.filter(|it| seen.count(&it.mark) == 0);
+    faults.extend(unseen.map(|record| format!("no upstream saw it: {record:?}")));
+}
+
 /// Bound accounts are served in their region alone.
 fn check_regions(seen: &Seen, records: &[Record], faults: &mut Vec<String>) {
     for record in records {
