Be ready only once tokens can be borrowed or the whole region is owned

Ruled out: lost asks (none was sent), unknown owners (256 of 256 known). Change: readiness waits until the instance may borrow or owns every slot of its region.

--- a/crates/core/src/limit/limiter.rs
+++ b/crates/core/src/limit/limiter.rs
@@ -294,8 +294,9 @@
         self.tables.last().map_or(0, |table| table.revision)
     }
 
-    /// Every member has heard of this instance and will ask it when a slot changes its owner.
-    pub(super) fn has_joined(&self, now: Millis) -> bool {
+    /// Every member has heard of this instance and will ask it when a slot changes its owner. An
+    /// instance borrows nothing before that.
+    pub fn has_joined(&self, now: Millis) -> bool {
         self.first_tick
             .is_some_and(|first| now.since(first) >= JOIN_MS)
     }
--- a/crates/gateway/src/decide/slots.rs
+++ b/crates/gateway/src/decide/slots.rs
@@ -5,7 +5,7 @@
 use carobwheel_core::{
     id::{InstanceId, RegionId},
     member::{MemberView, State as MemberState},
-    slot::{Keeper, Peer, Presence, Record, SlotId, Update, View},
+    slot::{Keeper, Peer, Presence, Record, Role, SlotId, Update, View, SHARDS},
     time::Millis,
 };
 use rand::Rng as _;
@@ -166,7 +166,9 @@
             self.charging.limiter.set_fleet_revision(revision, now);
         }
         self.tell_settled_revision();
-        let can_charge = settled.is_some_and(|settled| settled > 0);
+        let is_settled = settled.is_some_and(|settled| settled > 0);
+        let can_borrow = self.charging.limiter.has_joined(now);
+        let can_charge = is_settled && (can_borrow || self.owns_region());
         self.judge_readiness(can_charge, now);
     }
 
@@ -180,15 +182,21 @@
         listed.iter().all(is_known)
     }
 
+    /// Whether this instance owns every slot of its region, so that it need not borrow there.
+    fn owns_region(&self) -> bool {
+        let owned = self.slots.keeper.record().owned_by(&self.me);
+        owned.len() == Role::ALL.len() * usize::from(SHARDS)
+    }
+
     /// An instance is ready once it can charge requests, at the latest after a while: a member
     /// that never tells its revision may not keep others from serving.
-    fn judge_readiness(&mut self, is_fleet_settled: bool, now: Millis) {
+    fn judge_readiness(&mut self, can_charge: bool, now: Millis) {
         let Some(in_force) = self.revision() else {
             return;
         };
         let knows_owners = !self.slots.owners.is_empty();
         let is_late = now.0 > READY_AT_LATEST_MS;
-        let can_charge = is_fleet_settled && knows_owners;
+        let can_charge = can_charge && knows_owners;
         if (can_charge || is_late) && !self.outlets.is_ready.swap(true, Ordering::Relaxed) {
             log::info!(revision = in_force, can_charge; "ready");
         }
