--- a/crates/core/src/evidence/counts.rs
+++ b/crates/core/src/evidence/counts.rs
@@ -36,9 +36,6 @@
     pub failed: bool,
     /// Time from dispatch to the first token, in milliseconds, if there was one.
     pub first_token_ms: Option<u64>,
-    /// The wait for the first token was counted as slow before, by
-    /// [`super::Evidence::record_overdue`].
-    pub was_overdue: bool,
     /// Mean time between two tokens, in milliseconds, if there were several.
     pub between_tokens_ms: Option<u64>,
 }
--- a/crates/core/src/evidence/gathered.rs
+++ b/crates/core/src/evidence/gathered.rs
@@ -1,11 +1,14 @@
 //! All evidence that an instance has.
 
+use super::cohort::{Cohort, Ticket};
+use super::reference::References;
 use super::{
-    Digest, LatencyReference, OriginCells, OriginTag, RegionCells, RolloutTag, RouteCell, RouteTag,
-    Sample, Side, Sides, Suspicion,
+    Digest, OriginCells, OriginTag, RegionCells, RolloutTag, RouteCell, RouteTag, Sample, Side,
+    Sides, Suspicion,
 };
 use crate::id::RegionId;
 use crate::rollout::Verdict;
+use crate::time::Millis;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// How often a change is sent on before it counts as spread.
@@ -42,12 +45,6 @@
     sends_left: u8,
 }
 
-#[derive(Clone, Debug, Default)]
-struct References {
-    first_token: LatencyReference,
-    between_tokens: LatencyReference,
-}
-
 type CellKey = (RolloutTag, RouteTag);
 
 /// The evidence of one instance: its own counters and what it heard.
@@ -55,6 +52,7 @@
 pub struct Evidence {
     origin: OriginTag,
     region: RegionId,
+    cohorts: BTreeMap<CellKey, Cohort>,
     references: BTreeMap<CellKey, References>,
     cells: BTreeMap<(Stratum, CellKey), Cell>,
     suspicions: BTreeMap<RolloutTag, Suspicion>,
@@ -67,6 +65,7 @@
         Self {
             origin,
             region,
+            cohorts: BTreeMap::new(),
             references: BTreeMap::new(),
             cells: BTreeMap::new(),
             suspicions: BTreeMap::new(),
@@ -74,68 +73,71 @@
         }
     }
 
-    /// Counts one request of the own process.
-    pub fn record(
+    /// Takes note that a request of the own process was sent to a version.
+    pub fn begin(
         &mut self,
         rollout: RolloutTag,
         route: RouteTag,
         side: Side,
-        sample: &Sample,
-    ) -> Change {
-        let references = self.references.entry((rollout, route)).or_default();
-        let stratum = Stratum::Origin(self.origin);
-        let cell = self.cells.entry((stratum.clone(), (rollout, route)));
-        let cell = cell.or_default();
-        let counts = cell.sides.side_mut(side);
-        counts.requests += 1;
-        counts.failures += u64::from(sample.failed);
-        let first = slowness(&mut references.first_token, side, sample.first_token_ms);
-        if let (Some(is_slow), false) = (first, sample.was_overdue) {
-            counts.timed_first += 1;
-            counts.slow_first += u64::from(is_slow);
-        }
-        let between = slowness(
-            &mut references.between_tokens,
-            side,
-            sample.between_tokens_ms,
-        );
-        if let Some(is_slow) = between {
-            counts.timed_between += 1;
-            counts.slow_between += u64::from(is_slow);
+        now: Millis,
+    ) -> Ticket {
+        let cohort = self.cohorts.entry((rollout, route)).or_default();
+        cohort.begin(rollout, route, side, now)
+    }
+
+    /// Takes what became of a request: at its failure, or else once some tokens have arrived.
+    ///
+    /// A request that fails later is reported a second time by [`Self::fail_late`]. Nothing is
+    /// counted before [`Self::count`], but for failures of overdue requests.
+    pub fn end(&mut self, ticket: Ticket, sample: Sample) {
+        let key = (ticket.rollout, ticket.route);
+        let Some(cohort) = self.cohorts.get_mut(&key) else {
+            return;
+        };
+        let Some((side, was_overdue)) = cohort.end(ticket, sample) else {
+            return;
+        };
+        if side == Side::Old {
+            self.references.entry(key).or_default().record(&sample);
         }
-        cell.sends_left = SENDS_OF_A_CHANGE;
-        Change {
-            rollout,
-            route,
-            stratum,
-            sides: cell.sides,
+        if was_overdue && sample.failed {
+            self.fail_late(ticket.rollout, ticket.route, side);
         }
     }
 
-    /// Counts one request of the own process as slow while it still waits for its first token,
-    /// once it has waited for [`Self::first_token_reference_ms`].
-    ///
-    /// A version that hangs shows this way long before its requests time out.
-    pub fn record_overdue(&mut self, rollout: RolloutTag, route: RouteTag, side: Side) -> Change {
-        let stratum = Stratum::Origin(self.origin);
-        let cell = self.cells.entry((stratum.clone(), (rollout, route)));
-        let cell = cell.or_default();
-        let counts = cell.sides.side_mut(side);
-        counts.timed_first += 1;
-        counts.slow_first += 1;
+    /// Counts a failure of a request that has ended well before, such as a stream that broke.
+    pub fn fail_late(&mut self, rollout: RolloutTag, route: RouteTag, side: Side) {
+        let key = (Stratum::Origin(self.origin), (rollout, route));
+        let cell = self.cells.entry(key).or_default();
+        cell.sides.side_mut(side).failures += 1;
         cell.sends_left = SENDS_OF_A_CHANGE;
-        Change {
-            rollout,
-            route,
-            stratum,
-            sides: cell.sides,
-        }
     }
 
-    /// Latency to the first token above which a request is slow, in milliseconds.
-    pub fn first_token_reference_ms(&self, rollout: RolloutTag, route: RouteTag) -> Option<u64> {
-        let references = self.references.get(&(rollout, route))?;
-        references.first_token.reference_ms()
+    /// Counts the requests whose turn has come and returns the own counters that grew. Called
+    /// after [`Self::end`] and several times a second.
+    pub fn count(&mut self, now: Millis) -> Vec<Change> {
+        let mut changes = Vec::new();
+        let stratum = Stratum::Origin(self.origin);
+        for (key, cohort) in &mut self.cohorts {
+            let references = self.references.entry(*key).or_default();
+            let mut growth = Sides::default();
+            while let Some(turn) = cohort.next_turn(references.hold_ms(), now) {
+                references.judge(&turn, growth.side_mut(turn.side));
+            }
+            if growth == Sides::default() {
+                continue;
+            }
+            let cell = self.cells.entry((stratum.clone(), *key)).or_default();
+            cell.sides = cell.sides.plus(&growth);
+            cell.sends_left = SENDS_OF_A_CHANGE;
+            changes.push(Change {
+                rollout: key.0,
+                route: key.1,
+                stratum: stratum.clone(),
+                sides: cell.sides,
+            });
+        }
+        changes
     }
 
     /// Merges what another instance sent and returns the counters that grew.
@@ -223,8 +225,24 @@
         self.with_flags(digest)
     }
 
-    /// Sums over the own region, for a peer of another region.
+    /// The own counters, for a peer of another region, which spreads them there.
+    ///
+    /// A fleet uses either these or [`Self::sums_for_other_region`] between its regions, never
+    /// both, or requests would count twice.
     pub fn news_for_other_region(&self) -> Digest {
+        let own = Stratum::Origin(self.origin);
+        let mut digest = Digest::default();
+        for ((stratum, key), cell) in &self.cells {
+            if *stratum == own {
+                push(&mut digest, stratum, *key, cell.sides);
+            }
+        }
+        self.with_flags(digest)
+    }
+
+    /// Sums over the own region, for a peer of another region, in a fleet in which the counters of
+    /// single instances would be too many.
+    pub fn sums_for_other_region(&self) -> Digest {
         let mut sums: BTreeMap<CellKey, Sides> = BTreeMap::new();
         for ((stratum, key), cell) in &self.cells {
             if matches!(stratum, Stratum::Origin(_)) {
@@ -252,6 +270,7 @@
     /// Drops the evidence of all rollouts but `current`. Suspicions and verdicts stay as long as
     /// their rollout does.
     pub fn retain(&mut self, current: &BTreeSet<RolloutTag>) {
+        self.cohorts.retain(|(tag, _), _| current.contains(tag));
         self.references.retain(|(tag, _), _| current.contains(tag));
         self.cells.retain(|(_, (tag, _)), _| current.contains(tag));
         self.suspicions.retain(|tag, _| current.contains(tag));
@@ -267,17 +286,6 @@
     }
 }
 
-fn slowness(reference: &mut LatencyReference, side: Side, latency: Option<u64>) -> Option<bool> {
-    let latency_ms = latency?;
-    let is_slow = reference
-        .reference_ms()
-        .map(|limit_ms| latency_ms > limit_ms);
-    if side == Side::Old {
-        reference.record(latency_ms);
-    }
-    is_slow
-}
-
 fn push(digest: &mut Digest, stratum: &Stratum, (rollout, route): CellKey, sides: Sides) {
     let cell = RouteCell {
         rollout,
--- a/crates/core/src/evidence/mod.rs
+++ b/crates/core/src/evidence/mod.rs
@@ -6,15 +6,17 @@
 //! each instance are gossiped; between regions only sums are. A suspicion, once raised by anyone,
 //! spreads the same way and is never taken back.
 
+mod cohort;
 mod counts;
 mod digest;
 mod gathered;
 mod reference;
 
+pub use cohort::Ticket;
 pub use counts::{Counts, Kind, Sample, Side, Sides, KINDS};
 pub use digest::{Digest, OriginCells, RegionCells, RouteCell, Suspicion};
 pub use gathered::{Change, Evidence, Stratum, SENDS_OF_A_CHANGE};
-pub use reference::{LatencyReference, REFERENCE_QUANTILE};
+pub use reference::REFERENCE_QUANTILE;
 
 use crate::id::{InstanceId, RolloutId};
 use serde::{Deserialize, Serialize};
--- a/crates/core/src/rollout/comparison.rs
+++ b/crates/core/src/rollout/comparison.rs
@@ -33,7 +33,7 @@
 const FAILURE_SUPPORT_SCORE: f64 = 3.0;
 const SLOWNESS_SUPPORT_SCORE: f64 = 4.0;
 /// Score gathered while probing at which the versions count as alike.
-const CLEAR_SCORE: f64 = -3.0;
+const CLEAR_SCORE: f64 = -2.0;
 /// Parts of a block score that are not carried over when the versions count as alike. Load swings
 /// raise many alarms about latency, and the highest of many scores is high by chance.
 const FORGOTTEN_FAILURE_SCORE: f64 = 2.0;
@@ -145,7 +145,8 @@
     }
 
     fn score_alarm(&mut self, new: Trials) {
-        let reference = self.expected.upper_ratio().max(LEAST_RATIO);
+        let recent = self.recent.upper_ratio();
+        let reference = self.expected.upper_ratio().max(recent).max(LEAST_RATIO);
         for index in 0..ALTERNATIVES {
             let ratio = with_odds_times(reference, self.factors[index]);
             let score = &mut self.alarm_scores[index];
--- a/crates/core/src/rollout/state.rs
+++ b/crates/core/src/rollout/state.rs
@@ -19,7 +19,7 @@
 pub const EVIDENCE_GRACE_MS: u64 = 30_000;
 /// Time after the deadline before a rollout that still looks worse is rolled back, in
 /// milliseconds.
-pub const CAUTION_GRACE_MS: u64 = 60_000;
+pub const CAUTION_GRACE_MS: u64 = 120_000;
 
 /// One rollout at one instance.
 #[derive(Clone, Debug)]
