--- a/crates/core/src/rollout/comparison.rs
+++ b/crates/core/src/rollout/comparison.rs
@@ -30,7 +30,7 @@
 const ALARM_SCORE: f64 = 12.0;
 /// Block scores that have to support an alarm, since trouble that strikes both versions and load
 /// swings raise alarms too.
-const FAILURE_SUPPORT_SCORE: f64 = 3.0;
+const FAILURE_SUPPORT_SCORE: f64 = 1.5;
 const SLOWNESS_SUPPORT_SCORE: f64 = 4.0;
 /// Score gathered while probing at which the versions count as alike.
 const CLEAR_SCORE: f64 = -2.0;
--- a/crates/ctl/src/experiment/rollout/report.rs
+++ b/crates/ctl/src/experiment/rollout/report.rs
@@ -8,7 +8,7 @@
 
 /// Heading of the table.
 pub(super) const HEADER: &str = "\
-case                                  right  wrong  none  before  after p50/p99/max  share p99/max %  suspicion s p50/p99  verdict s p50/p99";
+case                                  right  wrong  none  before  after p50/p99/max  share p50/p99/max %  suspicion s p50/p99  verdict s p50/p99";
 
 /// One line of the table.
 #[derive(Debug, Serialize)]
@@ -22,6 +22,7 @@
     new_after_p50: u64,
     new_after_p99: u64,
     new_after_max: u64,
+    share_after_p50_pct: f64,
     share_after_p99_pct: f64,
     share_after_max_pct: f64,
     suspicion_p50_s: f64,
@@ -62,6 +63,7 @@
             new_after_p50: quantile(&after, 0.5) as u64,
             new_after_p99: quantile(&after, 0.99) as u64,
             new_after_max: quantile(&after, 1.0) as u64,
+            share_after_p50_pct: quantile(&share, 0.5),
             share_after_p99_pct: quantile(&share, 0.99),
             share_after_max_pct: quantile(&share, 1.0),
             suspicion_p50_s: quantile(&suspicion, 0.5),
@@ -80,8 +82,8 @@
             self.new_after_p50, self.new_after_p99, self.new_after_max
         );
         let share = format!(
-            "{:.2}/{:.2}",
-            self.share_after_p99_pct, self.share_after_max_pct
+            "{:.2}/{:.2}/{:.2}",
+            self.share_after_p50_pct, self.share_after_p99_pct, self.share_after_max_pct
         );
         let suspicion = format!("{:.1}/{:.1}", self.suspicion_p50_s, self.suspicion_p99_s);
         let verdict = format!(
@@ -90,7 +92,7 @@
         );
         write!(
             f,
-            "{:<37} {:>5}  {:>5}  {:>4}  {:>6}  {after:>17}  {share:>15}  {suspicion:>19}  {verdict:>17}",
+            "{:<37} {:>5}  {:>5}  {:>4}  {:>6}  {after:>17}  {share:>19}  {suspicion:>19}  {verdict:>17}",
             self.case, self.right, self.wrong, self.no_verdict, self.new_before_p50
         )
     }
