--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -1,6 +1,9 @@
 //! Seeded measurements of decisions against baselines.
 
+pub mod gossip;
+pub mod limits;
 pub mod rollout;
+pub mod routing;
 
 use clap::Subcommand;
 
@@ -14,7 +17,16 @@
 
 /// What is measured.
 #[derive(Debug, Subcommand)]
-pub enum Topic {}
+pub enum Topic {
+    /// Traffic, processor time and memory of membership, and the spread of a revision.
+    Gossip(gossip::Args),
+    /// Wrongful refusals of the fleet's limits, against a static split and a central counter.
+    Limits(limits::Args),
+    /// Right and wrong verdicts on bad and good versions, and the traffic that bad ones got.
+    Rollout(rollout::Args),
+    /// Routing, admission and retries under load, against the usual baselines.
+    Routing(routing::Args),
+}
 
 /// Runs the experiment.
 ///
@@ -22,5 +34,10 @@
 ///
 /// Fails if the experiment cannot be set up or a report cannot be written.
 pub fn run(args: Args) -> anyhow::Result<()> {
-    match args.topic {}
+    match args.topic {
+        Topic::Gossip(args) => gossip::run(args),
+        Topic::Limits(args) => limits::run(args),
+        Topic::Rollout(args) => rollout::run(args),
+        Topic::Routing(args) => routing::run(args),
+    }
 }
--- a/crates/gateway/src/intake/mod.rs
+++ b/crates/gateway/src/intake/mod.rs
@@ -9,21 +9,24 @@
 mod body;
 mod classify;
 mod entry;
+mod forward;
+pub(crate) mod forwarded;
 mod gather;
 mod handler;
 mod head;
 mod pass;
+mod resume;
 mod upstream_headers;
 mod work;
 
 pub(crate) use action::Claims;
-pub use entry::{Entry, EntryList, LIFETIME_S};
+pub use entry::{Entries, Entry, EntryList, LIFETIME_S};
 
 use crate::{
-    decide, dispatch, in_flight::InFlight, in_force::Current, ring::Sender, settings::Settings,
+    decide, dispatch, in_flight::InFlight, in_force::Current, peers, report, ring::Sender,
+    settings::Settings,
 };
 use anyhow::Context as _;
-use arc_swap::ArcSwap;
 use carobwheel_core::{
     id::{InstanceId, UpstreamId},
     time::Clock,
@@ -64,18 +67,24 @@
     pub decide: Sender<decide::Event>,
     /// Ring to the dispatching thread.
     pub dispatch: Sender<dispatch::Job>,
+    /// Links to other instances; none for an instance that stands alone.
+    pub peers: Option<peers::Handle>,
+    /// Ring to the reporting thread.
+    pub report: Sender<report::Observation>,
     /// Records of actions that may not be repeated.
     pub(crate) claims: Claims,
     /// Credential of each upstream.
     pub credentials: BTreeMap<UpstreamId, String>,
     /// Instances that callers may use, in order.
-    pub entries: ArcSwap<EntryList>,
+    pub entries: Entries,
     /// Requests in flight.
     pub in_flight: Arc<InFlight>,
     /// Room for request bodies, in units of [`BODY_UNIT_BYTES`].
     pub body_room: Arc<Semaphore>,
     /// Longest time in which a request body has to arrive, in milliseconds.
     pub body_timeout_ms: u64,
+    /// The instance can serve requests.
+    pub is_ready: Arc<AtomicBool>,
     /// The instance is leaving: it is not ready and closes connections.
     pub is_leaving: AtomicBool,
     /// Requests so far.
--- a/crates/gateway/src/intake/work.rs
+++ b/crates/gateway/src/intake/work.rs
@@ -2,20 +2,22 @@
 
 use super::{classify, upstream_headers, Shared};
 use crate::{
-    decide::{Ask, Event, Placed, RetryQuestion},
+    decide::{Ask, Event, ForwardTo, Placed, RetryQuestion, Step},
     dispatch::{ExchangeError, Head, Job},
     refusal::{Cause, Refusal},
+    relay::{Charged, Settling},
 };
 use bytes::Bytes;
 use carobwheel_core::{
     id::{RequestId, UpstreamId},
     identity::Caller,
+    limit::ChargeId,
     retry::{Decision, Failure},
     route::Hops,
     time::Millis,
 };
 use reqwest::{header::HeaderMap, Method};
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::{
     sync::{oneshot, OwnedSemaphorePermit},
     time,
@@ -23,6 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// A request that has been read and classified.
+#[derive(Clone)]
 pub(super) struct Work {
     pub(super) request_id: RequestId,
     pub(super) method: Method,
@@ -35,16 +38,60 @@
     pub(super) call: classify::Call,
     pub(super) deadline: Millis,
     pub(super) hops: Hops,
+    /// Ends the request and every exchange of it.
+    pub(super) cancel: CancellationToken,
     /// Room that the body takes while the request runs.
-    pub(super) _room: OwnedSemaphorePermit,
+    pub(super) _room: Arc<OwnedSemaphorePermit>,
 }
 
-/// Asks for a place at an upstream that is not among `tried`.
+/// A place at an upstream, given back when it is dropped.
+pub(super) struct Place {
+    pub(super) placed: Placed,
+    pub(super) settling: Settling,
+    /// Ends the exchange on this place.
+    pub(super) cancel: CancellationToken,
+}
+
+/// Where a request goes.
+pub(super) enum Found {
+    /// To an upstream.
+    Place(Place),
+    /// To another instance.
+    Forward(ForwardTo),
+}
+
+/// Asks for a place at an upstream that is not among `tried`. `charged` is the charge of an
+/// earlier attempt.
 pub(super) async fn place(
     shared: &Shared,
     work: &Work,
     tried: &[UpstreamId],
-) -> Result<Placed, Refusal> {
+    charged: Option<Charged>,
+) -> Result<Found, Refusal> {
+    let step = ask(shared, work, tried, charged.as_ref().map(Charged::id)).await?;
+    let placed = match step {
+        Step::Dispatch(placed) => placed,
+        Step::Forward(to) => return Ok(Found::Forward(to)),
+    };
+    let charged = charged.or_else(|| {
+        let charge = placed.charge?;
+        Some(Charged::new(charge, shared.decide.clone()))
+    });
+    let cancel = work.cancel.child_token();
+    let decide = shared.decide.clone();
+    Ok(Found::Place(Place {
+        settling: Settling::new(placed.ticket, charged, decide, cancel.clone()),
+        placed,
+        cancel,
+    }))
+}
+
+async fn ask(
+    shared: &Shared,
+    work: &Work,
+    tried: &[UpstreamId],
+    charge: Option<ChargeId>,
+) -> Result<Step, Refusal> {
     let (reply, decision) = oneshot::channel();
     let call = &work.call;
     let ask = Ask {
@@ -59,6 +106,8 @@
         deadline: work.deadline,
         tried: tried.to_vec(),
         hops: work.hops.clone(),
+        charge,
+        cancel: work.cancel.clone(),
         reply,
     };
     shared
@@ -83,10 +132,10 @@
 pub(super) async fn dispatch(
     shared: &Shared,
     work: &Work,
-    placed: &Placed,
+    place: &Place,
     fresh_connection: bool,
-    cancel: CancellationToken,
 ) -> Result<Head, ExchangeError> {
+    let placed = &place.placed;
     let credential = shared.credentials.get(&placed.upstream);
     let (reply, answered) = oneshot::channel();
     let job = Job {
@@ -96,7 +145,7 @@
         body: work.body.clone(),
         fresh_connection,
         head_timeout: remaining(shared, work),
-        cancel,
+        cancel: place.cancel.clone(),
         reply,
     };
     shared
--- a/crates/gateway/src/relay/settle.rs
+++ b/crates/gateway/src/relay/settle.rs
@@ -4,6 +4,7 @@
     decide::{Ending, Event, Settlement},
     ring::{Full, Sender},
 };
+use carobwheel_core::limit::ChargeId;
 use std::{thread, time::Duration};
 use tokio_util::sync::CancellationToken;
 
@@ -11,39 +12,111 @@
 const REPORTED_TOKENS: u64 = 32;
 const RETRY_PAUSE: Duration = Duration::from_millis(1);
 
+/// A charge that has still to be settled. Dropping it settles it by the tokens noted.
+pub struct Charged {
+    charge: ChargeId,
+    output_tokens: u64,
+    decide: Sender<Event>,
+}
+
+impl Charged {
+    /// A guard for `charge`.
+    pub fn new(charge: ChargeId, decide: Sender<Event>) -> Self {
+        Self {
+            charge,
+            output_tokens: 0,
+            decide,
+        }
+    }
+
+    /// The charge.
+    pub fn id(&self) -> ChargeId {
+        self.charge
+    }
+}
+
+impl Drop for Charged {
+    fn drop(&mut self) {
+        let event = Event::Uncharge {
+            charge: self.charge,
+            output_tokens: self.output_tokens,
+        };
+        send(&self.decide, event);
+    }
+}
+
+// A lost settlement would hold a place or tokens for long, so a full ring is waited for.
+fn send(decide: &Sender<Event>, event: Event) {
+    let mut event = event;
+    while let Err(Full(unsent)) = decide.try_send(event) {
+        if decide.is_closed() {
+            return;
+        }
+        event = unsent;
+        thread::sleep(RETRY_PAUSE);
+    }
+}
+
 /// A placement that has still to be settled. Dropping it settles it as cancelled and cancels the
 /// exchange behind it.
 pub struct Settling {
-    ticket: u64,
+    /// Absent when another instance has placed the request.
+    ticket: Option<u64>,
     output_tokens: u64,
     reported_tokens: u64,
     has_first_byte: bool,
     is_settled: bool,
-    decide: Sender<Event>,
+    charged: Option<Charged>,
+    decide: Option<Sender<Event>>,
     cancel: CancellationToken,
 }
 
 impl Settling {
+    /// A guard for a request that another instance has placed, and settles there.
+    pub fn elsewhere() -> Self {
+        Self {
+            ticket: None,
+            charged: None,
+            output_tokens: 0,
+            reported_tokens: 0,
+            has_first_byte: false,
+            is_settled: true,
+            decide: None,
+            cancel: CancellationToken::new(),
+        }
+    }
+
     /// A guard for the placement `ticket`, whose exchange is cancelled by `cancel`.
-    pub fn new(ticket: u64, decide: Sender<Event>, cancel: CancellationToken) -> Self {
+    pub fn new(
+        ticket: u64,
+        charged: Option<Charged>,
+        decide: Sender<Event>,
+        cancel: CancellationToken,
+    ) -> Self {
         Self {
-            ticket,
+            ticket: Some(ticket),
+            charged,
             output_tokens: 0,
             reported_tokens: 0,
             has_first_byte: false,
             is_settled: false,
-            decide,
+            decide: Some(decide),
             cancel,
         }
     }
 
+    fn tell(&self, event: impl FnOnce(u64) -> Event) {
+        if let (Some(ticket), Some(decide)) = (self.ticket, &self.decide) {
+            // Only an estimate is late when the ring is full.
+            let _ = decide.try_send(event(ticket));
+        }
+    }
+
     /// Notes that a byte of the answer arrived.
     pub fn byte_arrived(&mut self) {
         if !self.has_first_byte {
             self.has_first_byte = true;
-            let ticket = self.ticket;
-            // Only an estimate of latency is lost when the ring is full.
-            let _ = self.decide.try_send(Event::FirstByte { ticket });
+            self.tell(|ticket| Event::FirstByte { ticket });
         }
     }
 
@@ -57,9 +130,7 @@
         self.output_tokens = output_tokens;
         if output_tokens >= self.reported_tokens + REPORTED_TOKENS {
             self.reported_tokens = output_tokens;
-            let ticket = self.ticket;
-            // Only an estimate of the work ahead is late when the ring is full.
-            let _ = self.decide.try_send(Event::Progress {
+            self.tell(|ticket| Event::Progress {
                 ticket,
                 output_tokens,
             });
@@ -80,19 +151,30 @@
         if ending != Ending::Whole {
             self.cancel.cancel();
         }
-        let mut event = Event::Settle(Settlement {
-            ticket: self.ticket,
-            ending,
-            output_tokens: self.output_tokens,
-        });
-        // A lost settlement would hold the upstream's place for ever, so a full ring is waited for.
-        while let Err(Full(unsent)) = self.decide.try_send(event) {
-            if self.decide.is_closed() {
-                return;
-            }
-            event = unsent;
-            thread::sleep(RETRY_PAUSE);
+        if let Some(charged) = &mut self.charged {
+            charged.output_tokens = self.output_tokens;
+        }
+        if let (Some(ticket), Some(decide)) = (self.ticket, &self.decide) {
+            let settlement = Settlement {
+                ticket,
+                ending,
+                output_tokens: self.output_tokens,
+            };
+            send(decide, Event::Settle(settlement));
         }
+        self.charged = None;
+    }
+
+    /// Puts a charge back that was taken out.
+    pub fn put_charge(&mut self, charged: Option<Charged>) {
+        self.charged = charged;
+    }
+
+    /// Takes the charge out, for another attempt of the same request.
+    pub fn take_charge(&mut self) -> Option<Charged> {
+        let mut charged = self.charged.take()?;
+        charged.output_tokens = self.output_tokens;
+        Some(charged)
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/process.rs
@@ -0,0 +1,127 @@
+//! Starting, stopping and being left: one process and its edges.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use carobwheel_standin::engine::EngineOptions;
+use std::{
+    path::PathBuf,
+    process::{Command, Output},
+};
+use support::{chat_body, eventually, Caller, Fleet, FleetOptions, PATIENCE};
+use test_case::test_case;
+
+fn run(command: &str, settings: &str, name: &str) -> Output {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+    std::fs::write(&file, settings).unwrap();
+    Command::new(env!("CARGO_BIN_EXE_carobwheel"))
+        .args([command, "--settings"])
+        .arg(file)
+        .output()
+        .unwrap()
+}
+
+const GOOD: &str = r#"{
+    "instance": {"id": "n1", "region": "north", "data_centre": "north-a"},
+    "callers": {"address": "127.0.0.1:0"},
+    "store": {"url": "http://127.0.0.1:1"}
+}"#;
+
+#[test]
+fn good_settings_are_checked_without_starting_anything() {
+    let output = run("check", GOOD, "good");
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
+
+#[test_case("broken", "{", &["not settings"]; "not JSON")]
+#[test_case("unknown", &GOOD.replace("\"store\"", "\"stroe\""), &["stroe"]; "unknown field")]
+#[test_case("values", &GOOD.replace("http://127.0.0.1:1", "etcd").replace("\"callers\": {", "\"callers\": {\"threads\": 0, "), &["store.url", "callers.threads", "1 to 64"]; "two faults at once")]
+fn faulty_settings_are_named_and_end_with_code_2(name: &str, settings: &str, named: &[&str]) {
+    for command in ["check", "serve"] {
+        let output = run(command, settings, &format!("{name}-{command}"));
+        let message = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{message}");
+        for name in named {
+            assert!(message.contains(name), "`{name}` is missing in: {message}");
+        }
+    }
+}
+
+#[test]
+fn port_in_use_ends_with_code_1_and_its_cause() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let output = run("serve", &GOOD.replace("127.0.0.1:0", &address), "in-use");
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(1), "{message}");
+    assert!(
+        message.contains(&address) || message.contains("in use"),
+        "{message}"
+    );
+}
+
+fn endless() -> FleetOptions {
+    FleetOptions {
+        engine: EngineOptions {
+            answer_tokens: 1_000,
+            token_ms: 3_600_000,
+            ..EngineOptions::default()
+        },
+        ..FleetOptions::default()
+    }
+}
+
+async fn open_stream(fleet: &Fleet) -> reqwest::Response {
+    let url = format!("{}/v1/chat/completions", fleet.instance("north").url);
+    let request = Caller::of("insurers").request("POST", &url);
+    let response = request
+        .body(chat_body("endless", true))
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(response.status(), 200);
+    response
+}
+
+#[tokio::test]
+async fn caller_that_leaves_cancels_its_upstream_stream() {
+    let fleet = Fleet::start(endless()).await;
+    let response = open_stream(&fleet).await;
+    drop(response);
+    eventually("the engine has noticed", PATIENCE, || async {
+        let cancelled: u64 = fleet
+            .engines
+            .values()
+            .map(|engine| engine.counts().cancelled)
+            .sum();
+        (cancelled == 1).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn second_signal_ends_the_process_at_once() {
+    let mut fleet = Fleet::start(endless()).await;
+    let _response = open_stream(&fleet).await;
+    let place = fleet
+        .instances
+        .iter()
+        .position(|it| it.region == "north")
+        .unwrap();
+    let url = format!("{}/readyz", fleet.instances[place].url);
+    let client = Caller::http_client();
+    fleet.instances[place].terminate();
+    eventually("the first signal has been heard", PATIENCE, || async {
+        let is_ready = client
+            .get(&url)
+            .send()
+            .await
+            .is_ok_and(|it| it.status() == 200);
+        (!is_ready).then_some(())
+    })
+    .await;
+    fleet.instances[place].terminate();
+    let status = fleet.instances[place].exit_status().await;
+    assert_eq!(status.code(), Some(3), "a request was cut");
+}
