--- a/crates/core/src/route/choice.rs
+++ b/crates/core/src/route/choice.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 
 /// Share of an engine's slots that long requests leave free, so that urgent ones find one at once.
-const URGENT_RESERVE: f64 = 0.0625;
+const URGENT_RESERVE: f64 = 0.03125;
 /// Share of an engine's slots that long requests may take.
 const LONG_SLOTS_SHARE: f64 = 0.75;
 /// Share of a long class's first-token target that prompts ahead of it may take.
