--- a/crates/core/src/limit/borrow.rs
+++ b/crates/core/src/limit/borrow.rs
@@ -1,10 +1,10 @@
 //! Borrowing: the side of an instance whose own parts do not suffice.
 
-use super::account::Remote;
-use super::charge::{ChargeId, ChargeRequest, Outcome};
+use super::account::{Active, Remote};
+use super::charge::{ChargeRequest, Outcome};
 use super::limiter::Limiter;
 use super::loan::Loan;
-use super::message::{LoanAck, LoanAsk, LoanGrant, LoanMessage, LoanReport, Outgoing};
+use super::message::{LoanAsk, LoanGrant, LoanMessage, LoanReport, Outgoing};
 use super::{MICRO_PER_TOKEN, REFILL_PER_MILLE};
 use crate::id::{AccountId, RegionId};
 use crate::slot::Peer;
@@ -21,10 +21,12 @@
 const LONGEST_WAIT_MS: u64 = 100;
 /// Demand that an instance borrows ahead for, in milliseconds.
 const AHEAD_MS: u64 = 1_500;
-/// Demand that an instance keeps of what it has borrowed, in milliseconds.
-const KEPT_MS: u64 = 3_000;
-/// Age at which an unspent loan beyond the demand is given back, in milliseconds.
-const IDLE_LOAN_MS: u64 = 1_500;
+/// An account's demand is concentrated at an instance from one in this many of its rate on.
+const CONCENTRATED_SHARE: u64 = 4;
+/// A part from this share of its burst on is about to lose accrual, in percent.
+const FULL_PCT: u64 = 90;
+/// A full part is asked for one in this many of its tokens.
+const FULL_SHARE_LENT: u64 = 3;
 /// A loan that yields less than this share of what is needed is not worth a message.
 const LEAST_SHARE: u64 = 8;
 
@@ -40,12 +42,13 @@
         let pending_micro = self.pending_micro(request.account);
         let rate_per_ms = self.rate_micro_per_ms(request.account);
         let home = self.region.clone();
+        let may_borrow = self.has_joined(now);
         let Some(active) = self.activate(request.account, now) else {
             return Outcome::UnknownAccount;
         };
         let mut within_reach: u64 = pending_micro;
         for remote in &active.remotes {
-            if !remote.is_asked {
+            if may_borrow && !remote.is_asked {
                 within_reach += remote.estimate_micro(now);
             }
         }
@@ -64,7 +67,8 @@
             let is_home = remote.slot.region == home;
             let estimate = remote.estimate_micro(now);
             let is_too_small = estimate < least.min(needed);
-            if needed == 0 || remote.is_asked || is_too_small || !(is_home || may_ask_away) {
+            let is_in_time = may_borrow && (is_home || may_ask_away);
+            if needed == 0 || remote.is_asked || is_too_small || !is_in_time {
                 continue;
             }
             let wanted = needed.min(estimate);
@@ -87,6 +91,9 @@
 
     /// Borrows for accounts whose demand exceeds what accrues here.
     pub(super) fn borrow_ahead(&mut self, now: Millis) {
+        if !self.has_joined(now) {
+            return;
+        }
         let hot: Vec<AccountId> = self
             .accounts
             .iter()
@@ -109,30 +116,30 @@
         let Some(account) = self.accounts.get_mut(id) else {
             return Vec::new();
         };
-        let accruing = account.parts.iter().flatten();
-        let own_per_ms: u64 = accruing.map(|part| part.rate_micro_per_s / 1_000).sum();
+        let parts = || account.parts.iter().flatten();
+        let own_per_ms: u64 = parts().map(|part| part.rate_micro_per_s / 1_000).sum();
+        let own_cap: u64 = parts().map(|part| part.cap_micro).sum();
+        let own_level: u64 = parts().map(|part| part.level_micro).sum();
         let Some(active) = &mut account.active else {
             return Vec::new();
         };
         let demand = active.demand.over_ms(AHEAD_MS, now);
         let target = demand.min(rate_per_ms * AHEAD_MS);
-        let have = available + pending + own_per_ms * AHEAD_MS;
-        if have > target / 2 || target < MICRO_PER_TOKEN {
+        let accruing = own_per_ms * AHEAD_MS;
+        let have = available + pending + accruing;
+        if target < MICRO_PER_TOKEN || accruing >= target {
             return Vec::new();
         }
-        let mut needed = target - have;
-        let least = needed / LEAST_SHARE;
-        let mut asks = Vec::new();
-        for remote in order(&mut active.remotes, &home, now) {
-            let estimate = remote.estimate_micro(now);
-            if needed == 0 || remote.is_asked || estimate < least {
-                continue;
-            }
-            let wanted = needed.min(estimate);
-            needed -= wanted;
-            asks.push(mark_asked(remote, wanted, now));
+        if have <= target / 2 {
+            let least = (target - have) / LEAST_SHARE;
+            return ask_in_order(active, &home, target - have, least, now);
+        }
+        let borrowed = available.saturating_sub(own_level) + pending;
+        let is_concentrated = target >= rate_per_ms * AHEAD_MS / CONCENTRATED_SHARE;
+        if !is_concentrated || borrowed >= target || is_nearly_full(own_level, own_cap) {
+            return Vec::new();
         }
-        asks
+        ask_full_ones(active, target - borrowed, now)
     }
 
     fn send_asks(
@@ -203,101 +210,6 @@
         (!is_taken && grant.amount_micro > 0).then_some(unwanted)
     }
 
-    pub(super) fn on_ack(&mut self, ack: &LoanAck) {
-        if let Some(loan) = self.loans.get_mut(&ack.loan) {
-            loan.ack(ack.used_micro.saturating_add(ack.returned_micro));
-        }
-    }
-
-    /// Gives back what is not needed, sends due reports and forgets loans that are over.
-    pub(super) fn tend_loans(&mut self, now: Millis) {
-        let mut over = Vec::new();
-        let mut spent = Vec::new();
-        let mut excess: BTreeMap<AccountId, u64> = BTreeMap::new();
-        let numbers: Vec<u64> = self.loans.keys().copied().collect();
-        for number in numbers {
-            self.give_back_idle(number, &mut excess, now);
-            let Some(loan) = self.loans.get_mut(&number) else {
-                continue;
-            };
-            if let Some(report) = loan.due_report(number, now) {
-                let message = self.outbox.entry(loan.lender.clone()).or_default();
-                message.reports.push(report);
-            }
-            if loan.is_over(now) {
-                over.push((number, loan.account.clone()));
-            } else if loan.granted.is_some() && loan.unspent_micro == 0 {
-                spent.push((number, loan.account.clone()));
-            }
-        }
-        for (number, account) in over {
-            self.forget_loan(number, &account);
-        }
-        for (number, account) in spent {
-            self.unlist_loan(number, &account);
-        }
-    }
-
-    fn give_back_idle(&mut self, number: u64, excess: &mut BTreeMap<AccountId, u64>, now: Millis) {
-        let Some(loan) = self.loans.get(&number) else {
-            return;
-        };
-        if loan.unspent_micro == 0 {
-            return;
-        }
-        let mut is_due = loan.is_expired(now);
-        if !is_due && now.since(loan.asked) >= IDLE_LOAN_MS {
-            let account = loan.account.clone();
-            let unspent = loan.unspent_micro;
-            let spare = match excess.get(&account) {
-                Some(spare) => *spare,
-                None => self.excess_micro(&account, now),
-            };
-            is_due = unspent <= spare;
-            let rest = if is_due { spare - unspent } else { spare };
-            excess.insert(account, rest);
-        }
-        if !is_due {
-            return;
-        }
-        if let Some(loan) = self.loans.get_mut(&number) {
-            loan.give_back();
-        }
-    }
-
-    /// What is available here beyond the demand of the next seconds.
-    fn excess_micro(&mut self, id: &AccountId, now: Millis) -> u64 {
-        let available = self.available_micro(id, now);
-        let account = self.accounts.get(id);
-        let active = account.and_then(|account| account.active.as_ref());
-        let demand = active.map_or(0, |active| active.demand.over_ms(KEPT_MS, now));
-        available.saturating_sub(demand)
-    }
-
-    fn forget_loan(&mut self, number: u64, account: &AccountId) {
-        let Some(loan) = self.loans.remove(&number) else {
-            return;
-        };
-        let account = self.accounts.get_mut(account);
-        let Some(active) = account.and_then(|account| account.active.as_mut()) else {
-            return;
-        };
-        active.loans.retain(|of| *of != number);
-        if loan.granted.is_none() {
-            for remote in &mut active.remotes {
-                remote.is_asked &= remote.slot != loan.slot;
-            }
-        }
-    }
-
-    /// Takes a loan without unspent tokens off the account's list.
-    fn unlist_loan(&mut self, number: u64, account: &AccountId) {
-        let account = self.accounts.get_mut(account);
-        if let Some(active) = account.and_then(|account| account.active.as_mut()) {
-            active.loans.retain(|of| *of != number);
-        }
-    }
-
     /// Tokens asked for and not answered yet.
     fn pending_micro(&self, id: &AccountId) -> u64 {
         let account = self.accounts.get(id);
@@ -318,29 +230,48 @@
             (limits.rate_tokens_per_s * REFILL_PER_MILLE).max(1)
         })
     }
+}
 
-    /// Ends charges that were never settled, as fully used.
-    pub(super) fn end_charges(&mut self, now: Millis) {
-        while let Some((&number, charge)) = self.charges.iter().next() {
-            if charge.ends > now {
-                return;
-            }
-            self.settle(ChargeId(number), u64::MAX, now);
-            self.ended.push(ChargeId(number));
+/// Asks for `needed` micro-tokens, of slots that yield at least `least`.
+fn ask_in_order(
+    active: &mut Active,
+    home: &RegionId,
+    mut needed: u64,
+    least: u64,
+    now: Millis,
+) -> Vec<Ask> {
+    let mut asks = Vec::new();
+    for remote in order(&mut active.remotes, home, now) {
+        let estimate = remote.estimate_micro(now);
+        if needed == 0 || remote.is_asked || estimate < least {
+            continue;
         }
+        let wanted = needed.min(estimate);
+        needed -= wanted;
+        asks.push(mark_asked(remote, wanted, now));
     }
+    asks
+}
 
-    /// Drops the state in use of accounts without demand and loans.
-    pub(super) fn forget_idle(&mut self, now: Millis) {
-        for account in self.accounts.values_mut() {
-            let is_idle = account.active.as_ref().is_some_and(|active| {
-                active.loans.is_empty() && active.demand.over_ms(KEPT_MS, now) == 0
-            });
-            if is_idle {
-                account.active = None;
-            }
+/// Asks slots that are about to lose accrual because they are full, while this one is not. With
+/// all parts equally full the account can spend its whole burst, as with a single bucket.
+fn ask_full_ones(active: &mut Active, mut wanted_micro: u64, now: Millis) -> Vec<Ask> {
+    let mut asks = Vec::new();
+    for remote in &mut active.remotes {
+        let estimate = remote.estimate_micro(now);
+        let is_full = is_nearly_full(estimate, remote.share.cap_micro);
+        if remote.is_asked || !is_full || wanted_micro < MICRO_PER_TOKEN {
+            continue;
         }
+        let wanted = wanted_micro.min(estimate / FULL_SHARE_LENT);
+        wanted_micro -= wanted;
+        asks.push(mark_asked(remote, wanted, now));
     }
+    asks
+}
+
+fn is_nearly_full(level_micro: u64, cap_micro: u64) -> bool {
+    level_micro >= cap_micro / 100 * FULL_PCT && cap_micro > 0
 }
 
 /// An ask to be sent.
--- a/crates/core/src/rollout/comparison.rs
+++ b/crates/core/src/rollout/comparison.rs
@@ -1,4 +1,4 @@
-//! Sequential comparison of both versions on one route, for one kind of fault.
+//! Sequential comparison of both versions, on one route or on all, for one kind of fault.
 //!
 //! Two scores run side by side. The *block score* compares requests to both versions made at the
 //! same time at the same source, and so is not misled by load swings or by trouble that strikes
@@ -7,12 +7,13 @@
 //! at any share; it only lowers the share to a probe. Both are cumulative sums that stop at zero,
 //! so a fault that begins late is found as fast as an early one.
 //!
-//! A fault that shows under load only vanishes while probing. The second alarm after a cleared one
-//! therefore decides as well, unless the old version was in trouble at the same time.
+//! A fault that shows under load only vanishes while probing, and the new version gets its share
+//! back. What the block score had reached before is carried over, so that evidence from several
+//! bursts adds up.
 
 use super::baseline::Baseline;
 use super::score::{block_score, log_likelihood_ratio, with_odds_times};
-use crate::evidence::{Counts, Kind, Sides, Stratum};
+use crate::evidence::{Counts, Kind, RouteTag, Sides, Stratum};
 use crate::time::Millis;
 use std::collections::BTreeMap;
 
@@ -20,22 +21,25 @@
 // Factors on the odds of a bad request, from the smallest fault that matters to a total one.
 const FAILURE_FACTORS: [f64; ALTERNATIVES] = [4.0, 20.0, 200.0];
 const SLOWNESS_FACTORS: [f64; ALTERNATIVES] = [2.5, 6.0, 20.0];
-// The alarm leaves the smallest faults to the block score.
-const FIRST_ALARM_ALTERNATIVE: usize = 1;
 // Ratios below this are alike.
 const LEAST_RATIO: f64 = 0.001;
 /// Score at which the new version is surely worse.
 const DECISION_SCORE: f64 = 16.0;
 /// Scores at which the new version falls back to the probe share.
 const CAUTION_SCORE: f64 = 8.0;
-const ALARM_SCORE: f64 = 10.0;
+const ALARM_SCORE: f64 = 12.0;
+/// Block scores that have to support an alarm, since trouble that strikes both versions and load
+/// swings raise alarms too.
+const FAILURE_SUPPORT_SCORE: f64 = 3.0;
+const SLOWNESS_SUPPORT_SCORE: f64 = 4.0;
 /// Score gathered while probing at which the versions count as alike.
 const CLEAR_SCORE: f64 = -3.0;
+/// Parts of a block score that are not carried over when the versions count as alike. Load swings
+/// raise many alarms about latency, and the highest of many scores is high by chance.
+const FORGOTTEN_FAILURE_SCORE: f64 = 2.0;
+const FORGOTTEN_SLOWNESS_SCORE: f64 = 7.0;
 /// Requests to the new version while probing before it may be cleared.
 const MIN_PROBES: u64 = 10;
-/// The old version counts as in trouble at this multiple of its ratio.
-const TROUBLE_FACTOR: f64 = 2.0;
-const MIN_TROUBLE_FAULTS: u64 = 5;
 
 /// Requests, and those among them that went badly.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -75,23 +79,27 @@
 
 #[derive(Clone, Debug)]
 struct Caution {
+    // Index of the fault that is feared.
+    alternative: usize,
     score: f64,
     probes: u64,
-    old_ratio: f64,
-    old: Trials,
+    // Highest block score since the caution began.
+    peak: f64,
 }
 
-/// Comparison of both versions on one route, for one kind of fault.
+/// Comparison of both versions, on one route or on all, for one kind of fault.
 #[derive(Clone, Debug)]
 pub struct Comparison {
     kind: Kind,
     factors: [f64; ALTERNATIVES],
-    baseline: Baseline,
-    pending: BTreeMap<Stratum, (Trials, Trials)>,
+    expected: Baseline,
+    recent: Baseline,
+    pending: BTreeMap<(RouteTag, Stratum), (Trials, Trials)>,
     block_scores: [f64; ALTERNATIVES],
     alarm_scores: [f64; ALTERNATIVES],
     caution: Option<Caution>,
-    has_cleared: bool,
+    // Block scores of earlier cautions.
+    carried: f64,
     is_worse: bool,
 }
 
@@ -105,23 +113,25 @@
         Self {
             kind,
             factors,
-            baseline: Baseline::new(kind, now),
+            expected: Baseline::expected(kind, now),
+            recent: Baseline::recent(kind, now),
             pending: BTreeMap::new(),
             block_scores: [0.0; ALTERNATIVES],
             alarm_scores: [0.0; ALTERNATIVES],
             caution: None,
-            has_cleared: false,
+            carried: 0.0,
             is_worse: false,
         }
     }
 
-    /// Takes requests that ended at `stratum` since the last call for it.
-    pub fn add(&mut self, stratum: &Stratum, growth: &Sides, now: Millis) -> Finding {
+    /// Takes requests that ended at `source` since the last call for it.
+    pub fn add(&mut self, source: &(RouteTag, Stratum), growth: &Sides, now: Millis) -> Finding {
         let new = Trials::of(&growth.new, self.kind);
         let old = Trials::of(&growth.old, self.kind);
         self.score_alarm(new);
-        self.score_block(stratum, new, old);
-        self.baseline.record(old, now);
+        self.score_block(source, new, old);
+        self.expected.record(old, now);
+        self.recent.record(old, now);
         self.conclude()
     }
 
@@ -135,8 +145,8 @@
     }
 
     fn score_alarm(&mut self, new: Trials) {
-        let reference = self.baseline.upper_ratio().max(LEAST_RATIO);
-        for index in FIRST_ALARM_ALTERNATIVE..ALTERNATIVES {
+        let reference = self.expected.upper_ratio().max(LEAST_RATIO);
+        for index in 0..ALTERNATIVES {
             let ratio = with_odds_times(reference, self.factors[index]);
             let score = &mut self.alarm_scores[index];
             *score = (*score + log_likelihood_ratio(new, ratio, reference)).max(0.0);
@@ -145,8 +155,8 @@
 
     // A block is complete once it holds requests to both versions; its size does not depend on
     // how they went.
-    fn score_block(&mut self, stratum: &Stratum, new: Trials, old: Trials) {
-        let pending = self.pending.entry(stratum.clone()).or_default();
+    fn score_block(&mut self, source: &(RouteTag, Stratum), new: Trials, old: Trials) {
+        let pending = self.pending.entry(source.clone()).or_default();
         pending.0.add(new);
         pending.1.add(old);
         let (new, old) = *pending;
@@ -154,54 +164,76 @@
             return;
         }
         *pending = (Trials::default(), Trials::default());
-        let old_ratio = self.baseline.ratio().max(LEAST_RATIO);
+        let old_ratio = self.recent.ratio().max(LEAST_RATIO);
         for index in 0..ALTERNATIVES {
             let new_ratio = with_odds_times(old_ratio, self.factors[index]);
             let growth = block_score(new, old, new_ratio, old_ratio);
             let score = &mut self.block_scores[index];
             *score = (*score + growth).max(0.0);
-            if let (0, Some(caution)) = (index, &mut self.caution) {
-                caution.score += growth;
-                caution.probes += new.trials;
-                caution.old.add(old);
+            if let Some(caution) = &mut self.caution {
+                if caution.alternative == index {
+                    caution.score += growth;
+                }
             }
         }
+        if let Some(caution) = &mut self.caution {
+            caution.probes += new.trials;
+        }
+    }
+
+    fn is_alarming(&self, alternative: usize) -> bool {
+        let block_score = self.block_scores[alternative];
+        let support_score = match self.kind {
+            Kind::Failure => FAILURE_SUPPORT_SCORE,
+            Kind::SlowFirstToken | Kind::SlowTokens => SLOWNESS_SUPPORT_SCORE,
+        };
+        let is_supported = block_score >= support_score;
+        let is_alarm = self.alarm_scores[alternative] >= ALARM_SCORE && is_supported;
+        is_alarm || block_score >= CAUTION_SCORE
+    }
+
+    // How well a fault of this size fits what was seen of late.
+    fn fit(&self, alternative: usize) -> f64 {
+        self.block_scores[alternative].max(self.alarm_scores[alternative])
     }
 
     fn conclude(&mut self) -> Finding {
         let block_score = self.block_scores.iter().copied().fold(0.0, f64::max);
-        let alarm_score = self.alarm_scores.iter().copied().fold(0.0, f64::max);
-        if block_score >= DECISION_SCORE {
+        if self.carried + block_score >= DECISION_SCORE {
             self.is_worse = true;
         }
-        let is_clear = self.caution.as_ref().is_some_and(Caution::is_clear);
-        if is_clear && block_score < CAUTION_SCORE {
-            self.clear();
-        } else if self.caution.is_none()
-            && (block_score >= CAUTION_SCORE || alarm_score >= ALARM_SCORE)
-        {
-            self.enter_caution();
+        let feared = (0..ALTERNATIVES)
+            .filter(|index| self.is_alarming(*index))
+            .max_by(|a, b| self.fit(*a).total_cmp(&self.fit(*b)));
+        match (feared, &mut self.caution) {
+            (Some(alternative), None) => {
+                self.caution = Some(Caution {
+                    alternative,
+                    score: 0.0,
+                    probes: 0,
+                    peak: block_score,
+                });
+            }
+            (_, Some(caution)) => {
+                caution.peak = caution.peak.max(block_score);
+                if caution.is_clear() {
+                    self.clear();
+                }
+            }
+            (None, None) => {}
         }
         self.finding()
     }
 
-    fn enter_caution(&mut self) {
-        if self.has_cleared {
-            self.is_worse = true;
-        }
-        self.caution = Some(Caution {
-            score: 0.0,
-            probes: 0,
-            old_ratio: self.baseline.ratio(),
-            old: Trials::default(),
-        });
-    }
-
     fn clear(&mut self) {
-        let caution = self.caution.take();
-        let was_common = caution.is_some_and(|caution| caution.is_old_in_trouble());
-        self.has_cleared |= !was_common;
+        let peak = self.caution.take().map_or(0.0, |caution| caution.peak);
+        let forgotten = match self.kind {
+            Kind::Failure => FORGOTTEN_FAILURE_SCORE,
+            Kind::SlowFirstToken | Kind::SlowTokens => FORGOTTEN_SLOWNESS_SCORE,
+        };
+        self.carried += (peak - forgotten).max(0.0);
         self.alarm_scores = [0.0; ALTERNATIVES];
+        self.block_scores = [0.0; ALTERNATIVES];
     }
 }
 
@@ -209,9 +241,4 @@
     fn is_clear(&self) -> bool {
         self.probes >= MIN_PROBES && self.score <= CLEAR_SCORE
     }
-
-    fn is_old_in_trouble(&self) -> bool {
-        let ratio = self.old.faults as f64 / self.old.trials.max(1) as f64;
-        self.old.faults >= MIN_TROUBLE_FAULTS && ratio >= TROUBLE_FACTOR * self.old_ratio
-    }
 }
--- a/crates/ctl/src/experiment/gossip/fleet.rs
+++ b/crates/ctl/src/experiment/gossip/fleet.rs
@@ -68,6 +68,7 @@
     pub(super) received_bytes_per_s: f64,
     pub(super) most_sent_bytes_per_s: f64,
     pub(super) processor_pct: f64,
+    /// Resident memory with the document, in bytes.
     pub(super) memory_bytes: f64,
     pub(super) links: f64,
     pub(super) dials_per_s: f64,
@@ -112,15 +113,16 @@
         self.regions
     }
 
-    /// Waits until every instance sees all others.
-    pub(super) fn wait_settled(&self, limit: Duration) -> anyhow::Result<()> {
+    /// Waits until every instance sees all others, and returns the time that took, in seconds.
+    pub(super) fn wait_settled(&self, limit: Duration) -> anyhow::Result<f64> {
+        let start = Instant::now();
         let members = self.nodes.len() as u64;
         let is_settled = || {
             let alive = |node: &Node| node.seen.alive.load(Ordering::Acquire);
             self.nodes.iter().all(|node| alive(node) == members)
         };
         wait(limit, is_settled).context("the instances do not find each other")?;
-        Ok(())
+        Ok(start.elapsed().as_secs_f64())
     }
 
     pub(super) fn traffic(&self) -> Traffic {
@@ -156,17 +158,20 @@
         }
         let processor_s = used_after.processor_s - used_before.processor_s;
         cost.processor_pct = 100.0 * processor_s / elapsed_s / members;
-        let memory_bytes = used_after
-            .memory_bytes
-            .saturating_sub(self.base.memory_bytes);
-        cost.memory_bytes = memory_bytes as f64 / members;
         Ok(cost)
     }
 
+    /// Resident memory of one instance, in bytes.
+    pub(super) fn memory_bytes(&self) -> anyhow::Result<f64> {
+        let used = usage(std::process::id())?;
+        let own_bytes = used.memory_bytes.saturating_sub(self.base.memory_bytes);
+        Ok(own_bytes as f64 / self.nodes.len() as f64)
+    }
+
     /// Gives one instance a new document, and returns the time until all have it in force, in
     /// milliseconds.
     pub(super) fn publish(&self, revision: u64, document_bytes: usize) -> anyhow::Result<f64> {
-        let bytes = Bytes::from(vec![b'x'; document_bytes]);
+        let bytes = document(revision, document_bytes);
         let first = &self.nodes[revision as usize % self.nodes.len()];
         let start = Instant::now();
         first
@@ -192,6 +197,17 @@
     }
 }
 
+/// A document in which one stretch differs from each revision to the next.
+fn document(revision: u64, bytes: usize) -> Bytes {
+    let text = format!("revision {revision} changes this account;");
+    let start = (revision as usize * 7_919) % bytes;
+    let mut document = vec![b'x'; bytes];
+    for (byte, new) in document[start..].iter_mut().zip(text.bytes()) {
+        *byte = new;
+    }
+    document.into()
+}
+
 fn start_node(
     args: &Args,
     authority: &Authority,
--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod gossip;
 pub mod limits;
+pub mod rollout;
 pub mod routing;
 
 use clap::Subcommand;
@@ -19,6 +20,10 @@
 pub enum Topic {
     /// Traffic, processor time and memory of membership, and the spread of a revision.
     Gossip(gossip::Args),
+    /// Wrongful refusals of the fleet's limits, against a static split and a central counter.
+    Limits(limits::Args),
+    /// Right and wrong verdicts on bad and good versions, and the traffic that bad ones got.
+    Rollout(rollout::Args),
     /// Routing, admission and retries under load, against the usual baselines.
     Routing(routing::Args),
 }
@@ -31,6 +36,8 @@
 pub fn run(args: Args) -> anyhow::Result<()> {
     match args.topic {
         Topic::Gossip(args) => gossip::run(args),
+        Topic::Limits(args) => limits::run(args),
+        Topic::Rollout(args) => rollout::run(args),
         Topic::Routing(args) => routing::run(args),
     }
 }
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -7,9 +7,14 @@
     dispatch,
     in_flight::InFlight,
     in_force::Current,
-    intake::{self, Claims, Entries, Server, Shared, BODY_UNIT_BYTES},
+    intake::{
+        self,
+        forwarded::{self, RING_FORWARDED},
+        Claims, Entries, Server, Shared, BODY_UNIT_BYTES,
+    },
     peers::{self, TlsMaterial},
-    platform,
+    platform, report,
+    report::StatusBoard,
     ring::{self, Sender},
     settings::{Settings, Shutdown},
 };
@@ -32,6 +37,7 @@
 pub struct Daemon {
     shared: Arc<Shared>,
     server: Server,
+    operators: Option<Server>,
     peers: Option<peers::Handle>,
     decide: Sender<decide::Event>,
     clock: Clock,
@@ -58,8 +64,9 @@
     let store = platform::store_client(settings, incarnation)?;
     let (decide, events) = ring::ring(decide::RING_EVENTS);
     let (commands, platform_commands) = ring::async_ring(platform::RING_COMMANDS);
+    let (forwarded, forwards) = ring::async_ring(RING_FORWARDED);
     let mut threads = Vec::new();
-    let links = links::start(settings, tls, &decide, cancel.child_token())?;
+    let links = links::start(settings, tls, &decide, forwarded, cancel.child_token())?;
     let peers = links.map(|(handle, thread)| {
         threads.push(thread);
         handle
@@ -72,9 +79,14 @@
         platform_commands,
         cancel.child_token(),
     )?);
+    let board = StatusBoard::default();
+    let metrics = settings.metrics.as_ref();
+    let (report, report_thread) = report::start(metrics, board.clone(), cancel.child_token())?;
+    threads.push(report_thread);
     let outlets = Outlets {
         current: current.clone(),
         entries: entries.clone(),
+        board: board.clone(),
         is_ready: Arc::clone(&is_ready),
         peers: peers.clone(),
         platform: commands,
@@ -98,6 +110,8 @@
         current,
         decide: decide.clone(),
         dispatch,
+        report,
+        peers: peers.clone(),
         claims: Claims::new(store),
         credentials: settings.upstream_credentials.clone(),
         entries,
@@ -109,11 +123,24 @@
         requests: AtomicU64::new(0),
         incarnation,
     });
+    threads.push(forwarded::start(
+        Arc::clone(&shared),
+        forwards,
+        cancel.child_token(),
+    )?);
     let server = intake::start(settings, Arc::clone(&shared))?;
+    let operators = settings
+        .operators_address
+        .map(|address| {
+            let in_flight = Arc::clone(&shared.in_flight);
+            report::start_operators(settings, address, board, in_flight)
+        })
+        .transpose()?;
     log::info!(address:% = server.address; "listening for callers");
     Ok(Daemon {
         shared,
         server,
+        operators,
         peers,
         decide,
         clock,
@@ -161,6 +188,9 @@
         }
         let cut = self.shared.in_flight.count();
         self.server.stop();
+        if let Some(operators) = self.operators {
+            operators.stop();
+        }
         self.cancel.cancel();
         for thread in self.threads {
             if thread.join().is_err() {
--- a/crates/gateway/src/decide/event.rs
+++ b/crates/gateway/src/decide/event.rs
@@ -2,16 +2,20 @@
 
 use crate::{in_force::InForce, peers::Inbound, refusal::Refusal};
 use carobwheel_core::{
-    id::{ClassId, ModelId, RegionId, RequestId, ServiceId, UpstreamId, VersionId},
+    id::{
+        ClassId, InstanceId, ModelId, RegionId, RequestId, RolloutId, ServiceId, UpstreamId,
+        VersionId,
+    },
     identity::Caller,
     limit::ChargeId,
     retry::{Decision, Failure},
+    rollout::VerdictAnswer,
     route::Hops,
     slot,
     time::Millis,
 };
 use carobwheel_wire::platform::InstanceList;
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
@@ -64,7 +68,27 @@
     /// Ends the request when its account may not go on with it.
     pub cancel: CancellationToken,
     /// Where the decision goes.
-    pub reply: oneshot::Sender<Result<Placed, Refusal>>,
+    pub reply: oneshot::Sender<Result<Step, Refusal>>,
+}
+
+/// The next step of a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Send it to an upstream.
+    Dispatch(Placed),
+    /// Send it to another instance.
+    Forward(ForwardTo),
+}
+
+/// Another instance that a request goes to.
+#[derive(Clone, Debug)]
+pub struct ForwardTo {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Its address for instances.
+    pub addr: SocketAddr,
+    /// The hops to send along.
+    pub hops: Hops,
 }
 
 /// A place at an upstream.
@@ -159,6 +183,15 @@
     SlotsKnown,
     /// The live list was read.
     LiveList(Box<LiveListRead>),
+    /// The store answered a call about a verdict.
+    Verdict {
+        /// The rollout.
+        rollout: RolloutId,
+        /// Number of the call.
+        call: u32,
+        /// The answer.
+        answer: VerdictAnswer,
+    },
     /// The instance is leaving.
     Leave,
 }
--- a/crates/gateway/src/intake/action/mod.rs
+++ b/crates/gateway/src/intake/action/mod.rs
@@ -8,10 +8,15 @@
 
 pub(crate) use claims::Claims;
 
-use super::{answer::Answer, work, work::Work, Shared};
+use super::{
+    answer::Answer,
+    forward,
+    work::{self, Found, Work},
+    Shared,
+};
 use crate::{
     in_flight::Running,
-    refusal::{Cause, Refusal, Run},
+    refusal::{run_of_status, Cause, Refusal, Run},
 };
 use carobwheel_core::{
     identity::Caller,
@@ -37,7 +42,10 @@
 ) -> Result<Answer, Refusal> {
     let spec = spec(&work)?;
     // The place comes first: a request that is refused costs the store nothing.
-    let place = work::place(shared, &work, &[], None).await?;
+    let place = match work::place(shared, &work, &[], None).await? {
+        Found::Place(place) => place,
+        Found::Forward(to) => return forward::send(shared, &work, to, running).await,
+    };
     let upstream = upstream::Upstream::new(place);
     let (reply, answer) = oneshot::channel();
     let driver = Driver {
@@ -247,7 +255,7 @@
 fn replay(outcome: &once::Outcome) -> Answer {
     let mut answer = Answer::whole(
         outcome.status,
-        Run::Ran,
+        run_of_status(outcome.status),
         outcome.body.bytes().unwrap_or_default().to_vec().into(),
     );
     if let Some(content_type) = &outcome.content_type {
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -1,7 +1,7 @@
 //! The body of a relayed answer as a byte stream.
 
 use super::{Settling, SseScan};
-use crate::{decide::Ending, dispatch::ExchangeError, in_flight::Running};
+use crate::{decide::Ending, dispatch::ExchangeError, in_flight::Running, refusal::Cause};
 use bytes::{Buf as _, Bytes};
 use carobwheel_core::retry::Failure;
 use std::{
@@ -26,8 +26,8 @@
     Events,
     /// A body of this many bytes.
     Length(u64),
-    /// A body that ends with its connection or its last chunk.
-    Chunked,
+    /// A body of unknown length.
+    Unknown,
 }
 
 /// The body of a relayed answer.
@@ -40,7 +40,7 @@
     is_over: bool,
     heartbeat: Interval,
     settling: Settling,
-    _running: Running,
+    running: Running,
 }
 
 impl RelayBody {
@@ -60,19 +60,13 @@
             is_over: false,
             heartbeat: interval_at(Instant::now() + HEARTBEAT_PERIOD, HEARTBEAT_PERIOD),
             settling,
-            _running: running,
+            running,
         }
     }
 
-    /// The same body, beginning with bytes that have been received before.
-    #[must_use]
-    pub fn beginning_with(mut self, received: Bytes) -> Self {
-        self.receive(received);
-        self
-    }
-
     fn receive(&mut self, chunk: Bytes) {
         self.settling.byte_arrived();
+        self.running.trace().byte_arrived();
         self.received_bytes += chunk.len() as u64;
         if self.framing == Framing::Events {
             self.scan.feed(&chunk);
@@ -93,6 +87,7 @@
             .as_ref()
             .map_or(Failure::ConnectionLost, ExchangeError::failure);
         self.settling.settle(Ending::Failed(failure));
+        self.running.trace().refused(Cause::UpstreamFailed);
         let detail = broken.map_or_else(
             || "the upstream ended its answer early".to_owned(),
             |err| err.to_string(),
@@ -109,7 +104,7 @@
         match self.framing {
             Framing::Events => self.scan.is_done(),
             Framing::Length(length_bytes) => self.received_bytes == length_bytes,
-            Framing::Chunked => true,
+            Framing::Unknown => true,
         }
     }
 
