Count evidence in order of start, refuse old decisions, print status tables

Change: tickets of trials begin with the dispatch and end early on long answers; a job is not sent later than half the tolerated pause after its decision; carobctl prints lines that may get lost, and the status as tables.

--- a/crates/ctl/src/config/mod.rs
+++ b/crates/ctl/src/config/mod.rs
@@ -2,7 +2,7 @@
 
 mod diff;
 
-use crate::options::{EXIT_CONFLICT, EXIT_FAULTY_INPUT};
+use crate::options::{print_line, EXIT_CONFLICT, EXIT_FAULTY_INPUT};
 use anyhow::{bail, Context as _};
 use carobwheel_core::document::{Document, Fault};
 use carobwheel_gateway::{
@@ -86,7 +86,7 @@
             let Some(record) = record else {
                 bail!("the store holds no document");
             };
-            println!("{}", String::from_utf8_lossy(&record.value));
+            print_line(String::from_utf8_lossy(&record.value));
             eprintln!("revision {}", record.mod_revision);
             Ok(ExitCode::SUCCESS)
         }
@@ -100,7 +100,7 @@
             let proposed = serde_json::from_slice(&read(file)?)
                 .with_context(|| format!("{} is not JSON", file.display()))?;
             for line in diff::lines(&stored, &proposed) {
-                println!("{line}");
+                print_line(line);
             }
             Ok(ExitCode::SUCCESS)
         }
--- a/crates/ctl/src/key/mod.rs
+++ b/crates/ctl/src/key/mod.rs
@@ -1,6 +1,9 @@
 //! `carobctl key`: makes callers' keys and withdraws them.
 
-use crate::config::{self, StoreArgs};
+use crate::{
+    config::{self, StoreArgs},
+    options::print_line,
+};
 use anyhow::Context as _;
 use carobwheel_core::{
     document::{Document, Key},
@@ -59,7 +62,7 @@
             let code =
                 config::edit(&args.store, |document| add(document, &account, id, digest)).await?;
             if code == ExitCode::SUCCESS {
-                println!("{key}");
+                print_line(key);
             }
             Ok(code)
         }
--- a/crates/ctl/src/options/mod.rs
+++ b/crates/ctl/src/options/mod.rs
@@ -2,7 +2,11 @@
 
 use crate::{config, demo, experiment, key, load, status};
 use clap::{CommandFactory as _, Parser, Subcommand};
-use std::{future::Future, process::ExitCode};
+use std::{
+    future::Future,
+    io::{self, Write as _},
+    process::ExitCode,
+};
 use tokio::runtime;
 
 /// Exit code of a failure that is not a fault of the input.
@@ -54,7 +58,7 @@
         Command::Demo(args) => demo::run(&args).map(|()| ExitCode::SUCCESS),
         Command::Completions { shell } => {
             let mut command = Options::command();
-            clap_complete::generate(shell, &mut command, "carobctl", &mut std::io::stdout());
+            clap_complete::generate(shell, &mut command, "carobctl", &mut io::stdout());
             Ok(ExitCode::SUCCESS)
         }
     };
@@ -64,6 +68,12 @@
     })
 }
 
+/// Prints a line. A reader that has gone away, such as `head`, ends the output, not the command.
+pub fn print_line(line: impl std::fmt::Display) {
+    let mut out = io::stdout().lock();
+    let _ = writeln!(out, "{line}");
+}
+
 fn on_event_loop(task: impl Future<Output = anyhow::Result<ExitCode>>) -> anyhow::Result<ExitCode> {
     runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/ctl/src/status/mod.rs
+++ b/crates/ctl/src/status/mod.rs
@@ -1,5 +1,8 @@
 //! `carobctl status`: the fleet at a glance.
 
+mod text;
+
+use crate::options::print_line;
 use anyhow::Context as _;
 use std::{process::ExitCode, time::Duration};
 
@@ -37,9 +40,9 @@
         .await
         .context("the answer is not a status")?;
     if args.json {
-        println!("{status}");
+        print_line(status);
     } else {
-        println!("{status:#}");
+        print_line(text::of(&status));
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -100,7 +100,7 @@
         outlets,
         token,
     )?);
-    let (dispatch, dispatch_thread) = dispatch::start(cancel.child_token())?;
+    let (dispatch, dispatch_thread) = dispatch::start(clock, cancel.child_token())?;
     threads.push(dispatch_thread);
     let callers = &settings.callers;
     let body_units = callers.max_body_bytes_held / BODY_UNIT_BYTES;
--- a/crates/gateway/src/decide/ask.rs
+++ b/crates/gateway/src/decide/ask.rs
@@ -13,6 +13,7 @@
     admit::{Entry, Next},
     id::{ModelId, VersionId},
     route::{self, Placement, Request, Wanted},
+    slot::TOLERATED_PAUSE_MS,
     time::{Millis, UnixMillis},
 };
 use rand::Rng;
@@ -136,7 +137,7 @@
         let Chosen {
             placement,
             version,
-            trial,
+            mut trial,
         } = chosen;
         let Some(configured) = &mut self.configured else {
             return;
@@ -153,6 +154,7 @@
             url: spec.url.clone(),
             version,
             priority: priority(&configured.in_force, &ask),
+            send_before: now.plus(TOLERATED_PAUSE_MS / 2),
             charge: ask.charge,
         };
         let ticket = placed.ticket;
@@ -165,6 +167,9 @@
             return;
         }
         self.last_ticket = ticket;
+        if let Some(trial) = &mut trial {
+            self.rollouts.begin(trial, now);
+        }
         let open = Open {
             flight: configured.router.start(&placement, now),
             upstream: placement.upstream,
--- a/crates/gateway/src/decide/event.rs
+++ b/crates/gateway/src/decide/event.rs
@@ -104,6 +104,8 @@
     pub version: Option<VersionId>,
     /// Priority passed on to the engine; 0 is the most urgent.
     pub priority: u8,
+    /// Time from which the request may not be sent any more.
+    pub send_before: Millis,
     /// Charge of the request, to be settled when it ends; none on open routes.
     pub charge: Option<ChargeId>,
 }
--- a/crates/gateway/src/decide/rollouts.rs
+++ b/crates/gateway/src/decide/rollouts.rs
@@ -9,7 +9,7 @@
 use carobwheel_core::{
     document::Document,
     evidence::{
-        Change, Digest, Evidence, OriginTag, RolloutTag, RouteTag, Sample, Side, Suspicion,
+        Change, Digest, Evidence, OriginTag, RolloutTag, RouteTag, Sample, Side, Suspicion, Ticket,
     },
     id::{ClassId, InstanceId, ModelId, RegionId, RolloutId, VersionId},
     member::{MemberView, State as MemberState},
@@ -38,9 +38,11 @@
     rollout: RolloutTag,
     route: RouteTag,
     side: Side,
+    /// Present from the start of the request on.
+    ticket: Option<Ticket>,
     started_at: Millis,
     first_at: Option<Millis>,
-    was_overdue: bool,
+    is_reported: bool,
 }
 
 impl Trial {
@@ -48,6 +50,22 @@
     pub(super) fn first_token(&mut self, now: Millis) {
         self.first_at.get_or_insert(now);
     }
+
+    /// The request goes to the new version.
+    pub(super) fn is_of_new_version(&self) -> bool {
+        self.side == Side::New
+    }
+
+    /// What the request says so far, after `output_tokens`.
+    fn sample(&self, output_tokens: u64, now: Millis) -> Sample {
+        let gaps = output_tokens.saturating_sub(1);
+        let between = self.first_at.filter(|_| gaps > 0);
+        Sample {
+            failed: false,
+            first_token_ms: self.first_at.map(|at| at.since(self.started_at)),
+            between_tokens_ms: between.map(|at| now.since(at) / gaps),
+        }
+    }
 }
 
 struct Running {
@@ -103,13 +121,26 @@
             rollout: state.tag(),
             route,
             side,
+            ticket: None,
             started_at: now,
             first_at: None,
-            was_overdue: false,
+            is_reported: false,
         };
         Some((version_of(state, side), Some(trial)))
     }
 
+    /// Takes note that a request goes out.
+    pub(super) fn begin(&mut self, trial: &mut Trial, now: Millis) {
+        let Trial {
+            rollout,
+            route,
+            side,
+            ..
+        } = *trial;
+        trial.started_at = now;
+        trial.ticket = Some(self.evidence.begin(rollout, route, side, now));
+    }
+
     /// The version to use when the one of a rollout has no room; none once there is a verdict.
     pub(super) fn old_version(&self, model: &ModelId) -> Option<VersionId> {
         let state = &self.of_model(model)?.state;
@@ -159,13 +190,6 @@
     }
 }
 
-impl Trial {
-    /// The request goes to the new version.
-    pub(super) fn is_of_new_version(&self) -> bool {
-        self.side == Side::New
-    }
-}
-
 impl State {
     /// Takes over the rollouts of a newer document.
     pub(super) fn apply_rollouts(&mut self, document: &Document) {
@@ -193,46 +217,46 @@
         rollouts.evidence.retain(&tags);
     }
 
+    /// Counts what the first tokens of a long answer say about its version.
+    pub(super) fn judge_early(&mut self, ticket: u64, output_tokens: u64, now: Millis) {
+        let open = self.open.get_mut(&ticket);
+        let Some(trial) = open.and_then(|open| open.trial.as_mut()) else {
+            return;
+        };
+        let (Some(ticket), false) = (trial.ticket, trial.is_reported) else {
+            return;
+        };
+        trial.is_reported = true;
+        let sample = trial.sample(output_tokens, now);
+        self.rollouts.evidence.end(ticket, sample);
+    }
+
     /// Counts what the end of a request says about the version that it went to.
     pub(super) fn judge(&mut self, trial: &Trial, settlement: &Settlement, now: Millis) {
-        let Some(failed) = has_failed(settlement.ending) else {
+        let Some(ticket) = trial.ticket else {
             return;
         };
-        let first_token_ms = trial.first_at.map(|at| at.since(trial.started_at));
-        let gaps = settlement.output_tokens.saturating_sub(1);
-        let between_tokens_ms = trial
-            .first_at
-            .filter(|_| gaps > 0)
-            .map(|at| now.since(at) / gaps);
-        let sample = Sample {
-            failed,
-            first_token_ms: first_token_ms.filter(|_| !failed),
-            was_overdue: trial.was_overdue,
-            between_tokens_ms: between_tokens_ms.filter(|_| !failed),
-        };
         let evidence = &mut self.rollouts.evidence;
-        let change = evidence.record(trial.rollout, trial.route, trial.side, &sample);
-        self.assess(&change, now);
+        let sample = match has_failed(settlement.ending) {
+            Some(false) => trial.sample(settlement.output_tokens, now),
+            Some(true) => Sample {
+                failed: true,
+                ..Sample::default()
+            },
+            // The end says nothing, but requests that began later wait for their turn.
+            None => Sample::default(),
+        };
+        if !trial.is_reported {
+            evidence.end(ticket, sample);
+        } else if sample.failed {
+            evidence.fail_late(trial.rollout, trial.route, trial.side);
+        }
+        self.count_evidence(now);
     }
 
-    /// Counts requests as slow that have waited too long for their first token.
-    fn count_overdue(&mut self, now: Millis) {
-        let mut changes = Vec::new();
-        for open in self.open.values_mut() {
-            let Some(trial) = &mut open.trial else {
-                continue;
-            };
-            if trial.was_overdue || trial.first_at.is_some() {
-                continue;
-            }
-            let evidence = &mut self.rollouts.evidence;
-            let limit_ms = evidence.first_token_reference_ms(trial.rollout, trial.route);
-            if limit_ms.is_some_and(|limit_ms| now.since(trial.started_at) > limit_ms) {
-                trial.was_overdue = true;
-                changes.push(evidence.record_overdue(trial.rollout, trial.route, trial.side));
-            }
-        }
-        for change in changes {
+    /// Assesses the requests whose turn to be counted has come.
+    fn count_evidence(&mut self, now: Millis) {
+        for change in self.rollouts.evidence.count(now) {
             self.assess(&change, now);
         }
     }
@@ -266,7 +290,7 @@
         if self.rollouts.running.is_empty() {
             return;
         }
-        self.count_overdue(now);
+        self.count_evidence(now);
         self.propose_verdicts(now);
         self.send_due_calls(now);
     }
--- a/crates/gateway/src/decide/settle.rs
+++ b/crates/gateway/src/decide/settle.rs
@@ -23,6 +23,7 @@
         if let (Some(configured), Some(open)) = (&mut self.configured, self.open.get(&ticket)) {
             configured.router.progress(open.flight, output_tokens, now);
         }
+        self.judge_early(ticket, output_tokens, now);
     }
 
     /// Ends a placement and gives its room to those that wait.
--- a/crates/gateway/src/dispatch/exchange.rs
+++ b/crates/gateway/src/dispatch/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::{client::Clients, ExchangeError, Head, Job};
 use bytes::Bytes;
+use carobwheel_core::time::Clock;
 use reqwest::Response;
 use std::time::Duration;
 use tokio::{sync::mpsc, time};
@@ -14,7 +15,13 @@
 
 /// Runs `job`. Dropping the response on any early return closes its connection, so that a late
 /// answer can never be taken for that of another request.
-pub(super) async fn run(clients: Clients, job: Job) {
+pub(super) async fn run(clients: Clients, clock: Clock, job: Job) {
+    if clock.now() >= job.send_before {
+        let detail = "the decision to send is too old".to_owned();
+        // The receiver may be gone already.
+        let _ = job.reply.send(Err(ExchangeError::NotConnected(detail)));
+        return;
+    }
     let client = if job.fresh_connection {
         &clients.fresh
     } else {
--- a/crates/gateway/src/dispatch/job.rs
+++ b/crates/gateway/src/dispatch/job.rs
@@ -1,7 +1,7 @@
 //! A call to an upstream and its answer.
 
 use bytes::Bytes;
-use carobwheel_core::retry::Failure;
+use carobwheel_core::{retry::Failure, time::Millis};
 use reqwest::{header::HeaderMap, Method};
 use std::{fmt, time::Duration};
 use tokio::sync::{mpsc, oneshot};
@@ -19,6 +19,9 @@
     pub body: Bytes,
     /// Use a connection that has carried nothing before.
     pub fresh_connection: bool,
+    /// Time from which nothing is sent any more: the decision behind the job is too old, because
+    /// the process was paused.
+    pub send_before: Millis,
     /// Longest time until the head of the answer.
     pub head_timeout: Duration,
     /// Ends the exchange and closes its connection.
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::ring::{async_ring, Sender};
 use anyhow::Context as _;
+use carobwheel_core::time::Clock;
 use client::Clients;
 use std::thread;
 use tokio::{runtime, task};
@@ -25,7 +26,10 @@
 /// # Errors
 ///
 /// Fails if the thread, its event loop or its HTTP clients cannot be set up.
-pub fn start(cancel: CancellationToken) -> anyhow::Result<(Sender<Job>, thread::JoinHandle<()>)> {
+pub fn start(
+    clock: Clock,
+    cancel: CancellationToken,
+) -> anyhow::Result<(Sender<Job>, thread::JoinHandle<()>)> {
     let (sender, mut receiver) = async_ring::<Job>(RING_JOBS);
     let clients = Clients::new()?;
     let event_loop = runtime::Builder::new_current_thread()
@@ -42,7 +46,7 @@
                         job = receiver.recv() => job,
                         () = cancel.cancelled() => return,
                     };
-                    task::spawn_local(exchange::run(clients.clone(), job));
+                    task::spawn_local(exchange::run(clients.clone(), clock, job));
                 }
             });
         })
--- a/crates/gateway/src/intake/work.rs
+++ b/crates/gateway/src/intake/work.rs
@@ -144,6 +144,7 @@
         headers: upstream_headers::for_upstream(&work.headers, placed.priority, credential),
         body: work.body.clone(),
         fresh_connection,
+        send_before: placed.send_before,
         head_timeout: remaining(shared, work),
         cancel: place.cancel.clone(),
         reply,
