--- a/crates/gateway/tests/promise_outage.rs
+++ b/crates/gateway/tests/promise_outage.rs
@@ -38,6 +38,14 @@
     const QUESTIONS: usize = 60;
     let fleet = Fleet::start(FleetOptions::default()).await;
     let caller = Caller::of("insurers");
+    for instance in &fleet.instances {
+        let prompt = format!("before, to {}", instance.id);
+        eventually("an instance serves before the outage", PATIENCE, || async {
+            let reply = caller.chat(&instance.url, &prompt, true).await.unwrap();
+            (reply.status == 200).then_some(())
+        })
+        .await;
+    }
     fleet.store.set_availability(outage);
     for number in 0..QUESTIONS {
         let instance = &fleet.instances[number % fleet.instances.len()];
@@ -58,6 +66,23 @@
     assert_eq!(fleet.runs("a-1"), 1);
 }
 
+/// A region whose instances have never reached the store borrows from the others.
+#[tokio::test]
+async fn an_instance_that_is_ready_serves_though_its_region_never_reached_the_store() {
+    let mut fleet = Fleet::start(FleetOptions::default()).await;
+    let place = fleet.instances.iter().position(|it| it.region == "south");
+    fleet.remove_instance(place.unwrap());
+    let north = &fleet.instance("north").url;
+    let caller = Caller::of("insurers");
+    let reply = caller.chat(north, "to north", false).await.unwrap();
+    assert_eq!(reply.status, 200, "{reply:?}");
+    fleet.store_proxies["south"].set_both(Way::partitioned());
+    fleet.start_instance("south", "south-9").await;
+    let south = &fleet.instance("south").url;
+    let reply = caller.chat(south, "to south", false).await.unwrap();
+    assert_eq!(reply.status, 200, "{reply:?}");
+}
+
 /// An instance that is replaced during an outage takes the document from the others.
 #[tokio::test]
 async fn a_replaced_instance_gets_the_document_while_the_store_is_down() {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -105,9 +105,19 @@
                     .await;
             }
         }
+        fleet.slots_are_owned().await;
         fleet
     }
 
+    /// Waits until every region has told the store who owns its slots, as in normal operation.
+    async fn slots_are_owned(&self) {
+        eventually("every region's slots are owned", PATIENCE, || async {
+            let is_owned = |region: &&str| self.store.value(&format!("slots/{region}")).is_some();
+            REGIONS.iter().all(is_owned).then_some(())
+        })
+        .await;
+    }
+
     fn start_region(&mut self, region: &'static str, options: &FleetOptions) {
         let proxy = proxy::start_tcp(ProxyOptions::new(self.store.addr())).unwrap();
         self.store_proxies.insert(region, proxy);
