--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -15,6 +15,7 @@
 mod digest;
 mod flight;
 mod hops;
+mod knobs;
 mod life;
 mod load;
 mod news;
--- a/crates/gateway/tests/promise_rollout.rs
+++ b/crates/gateway/tests/promise_rollout.rs
@@ -53,7 +53,8 @@
 
 fn verdict(fleet: &Fleet) -> Option<String> {
     let rollout: RolloutId = "move-1".parse().unwrap();
-    let stored: Value = serde_json::from_slice(&fleet.store.value(&verdict_key(&rollout))?).unwrap();
+    let stored: Value =
+        serde_json::from_slice(&fleet.store.value(&verdict_key(&rollout))?).unwrap();
     Some(stored["value"]["verdict"].as_str().unwrap().to_owned())
 }
 
