Count trials of versions in the daemon in order of dispatch

The daemon counted at the end of requests, which is biased whenever a share changes, and its streams end minutes after they began. A trial now begins with the dispatch and is judged at its first token or failure; a stream that breaks later adds a failure; cancelled requests are left out. The time between tokens is not fed by the daemon yet.

--- a/crates/core/src/evidence/cohort.rs
+++ b/crates/core/src/evidence/cohort.rs
@@ -32,6 +32,7 @@
     side: Side,
     began_at: Millis,
     sample: Option<Sample>,
+    is_abandoned: bool,
 }
 
 /// The requests of one route that are not counted yet.
@@ -55,6 +56,7 @@
             side,
             began_at: now,
             sample: None,
+            is_abandoned: false,
         });
         Ticket {
             rollout,
@@ -77,8 +79,24 @@
         Some((pending.side, false))
     }
 
+    /// Leaves out a request that says nothing about its version.
+    pub(super) fn abandon(&mut self, ticket: Ticket) {
+        let Some(index) = ticket.number.checked_sub(self.front) else {
+            self.overdue.remove(&ticket.number);
+            return;
+        };
+        let index = usize::try_from(index).unwrap_or(usize::MAX);
+        if let Some(pending) = self.pending.get_mut(index) {
+            pending.is_abandoned = true;
+        }
+    }
+
     /// The next request to be counted, if its turn has come.
     pub(super) fn next_turn(&mut self, hold_ms: u64, now: Millis) -> Option<Turn> {
+        while self.pending.front().is_some_and(|it| it.is_abandoned) {
+            self.pending.pop_front();
+            self.front += 1;
+        }
         let front = self.pending.front()?;
         let age_ms = now.since(front.began_at);
         if front.sample.is_none() && age_ms < hold_ms {
--- a/crates/core/src/evidence/gathered.rs
+++ b/crates/core/src/evidence/gathered.rs
@@ -105,6 +105,15 @@
         }
     }
 
+    /// Leaves out a request that says nothing about its version, such as one whose caller has gone
+    /// before its first token.
+    pub fn abandon(&mut self, ticket: Ticket) {
+        let key = (ticket.rollout, ticket.route);
+        if let Some(cohort) = self.cohorts.get_mut(&key) {
+            cohort.abandon(ticket);
+        }
+    }
+
     /// Counts a failure of a request that has ended well before, such as a stream that broke.
     pub fn fail_late(&mut self, rollout: RolloutTag, route: RouteTag, side: Side) {
         let key = (Stratum::Origin(self.origin), (rollout, route));
--- a/crates/core/tests/rollout_cases.rs
+++ b/crates/core/tests/rollout_cases.rs
@@ -329,3 +329,15 @@
     let cells = evidence.snapshot().origins;
     assert_eq!(cells[0].cells[0].sides.new.failures, 1);
 }
+
+#[test]
+fn an_abandoned_request_holds_up_nobody_and_counts_nowhere() {
+    let mut evidence = evidence(1, "north");
+    let gone = evidence.begin(RolloutTag(1), ROUTE, Side::New, Millis(0));
+    let ended = evidence.begin(RolloutTag(1), ROUTE, Side::Old, Millis(1));
+    evidence.end(ended, Sample::default());
+    evidence.abandon(gone);
+    let changes = evidence.count(Millis(2));
+    assert_eq!(changes[0].sides.new.requests, 0);
+    assert_eq!(changes[0].sides.old.requests, 1);
+}
--- a/crates/gateway/src/decide/ask.rs
+++ b/crates/gateway/src/decide/ask.rs
@@ -136,7 +136,7 @@
         let Chosen {
             placement,
             version,
-            trial,
+            mut trial,
         } = chosen;
         let Some(configured) = &mut self.configured else {
             return;
@@ -165,6 +165,9 @@
             return;
         }
         self.last_ticket = ticket;
+        if let Some(trial) = &mut trial {
+            self.rollouts.begin(trial, now);
+        }
         let open = Open {
             flight: configured.router.start(&placement, now),
             upstream: placement.upstream,
--- a/crates/gateway/src/decide/rollouts.rs
+++ b/crates/gateway/src/decide/rollouts.rs
@@ -9,7 +9,7 @@
 use carobwheel_core::{
     document::Document,
     evidence::{
-        Change, Digest, Evidence, OriginTag, RolloutTag, RouteTag, Sample, Side, Suspicion,
+        Change, Digest, Evidence, OriginTag, RolloutTag, RouteTag, Sample, Side, Suspicion, Ticket,
     },
     id::{ClassId, InstanceId, ModelId, RegionId, RolloutId, VersionId},
     member::{MemberView, State as MemberState},
@@ -38,16 +38,10 @@
     rollout: RolloutTag,
     route: RouteTag,
     side: Side,
+    /// Counts the request, once it is dispatched.
+    ticket: Option<Ticket>,
     started_at: Millis,
-    first_at: Option<Millis>,
-    was_overdue: bool,
-}
-
-impl Trial {
-    /// Notes the first token.
-    pub(super) fn first_token(&mut self, now: Millis) {
-        self.first_at.get_or_insert(now);
-    }
+    has_begun: bool,
 }
 
 struct Running {
@@ -103,13 +97,33 @@
             rollout: state.tag(),
             route,
             side,
+            ticket: None,
             started_at: now,
-            first_at: None,
-            was_overdue: false,
+            has_begun: false,
         };
         Some((version_of(state, side), Some(trial)))
     }
 
+    /// Takes note that the request is dispatched.
+    pub(super) fn begin(&mut self, trial: &mut Trial, now: Millis) {
+        let (rollout, route) = (trial.rollout, trial.route);
+        trial.started_at = now;
+        trial.ticket = Some(self.evidence.begin(rollout, route, trial.side, now));
+    }
+
+    /// Takes note of the first token.
+    pub(super) fn first_token(&mut self, trial: &mut Trial, now: Millis) {
+        let Some(ticket) = trial.ticket.filter(|_| !trial.has_begun) else {
+            return;
+        };
+        trial.has_begun = true;
+        let sample = Sample {
+            first_token_ms: Some(now.since(trial.started_at)),
+            ..Sample::default()
+        };
+        self.evidence.end(ticket, sample);
+    }
+
     /// The version to use when the one of a rollout has no room; none once there is a verdict.
     pub(super) fn old_version(&self, model: &ModelId) -> Option<VersionId> {
         let state = &self.of_model(model)?.state;
@@ -195,44 +209,28 @@
 
     /// Counts what the end of a request says about the version that it went to.
     pub(super) fn judge(&mut self, trial: &Trial, settlement: &Settlement, now: Millis) {
-        let Some(failed) = has_failed(settlement.ending) else {
+        let Some(ticket) = trial.ticket else {
             return;
         };
-        let first_token_ms = trial.first_at.map(|at| at.since(trial.started_at));
-        let gaps = settlement.output_tokens.saturating_sub(1);
-        let between_tokens_ms = trial
-            .first_at
-            .filter(|_| gaps > 0)
-            .map(|at| now.since(at) / gaps);
-        let sample = Sample {
-            failed,
-            first_token_ms: first_token_ms.filter(|_| !failed),
-            was_overdue: trial.was_overdue,
-            between_tokens_ms: between_tokens_ms.filter(|_| !failed),
-        };
         let evidence = &mut self.rollouts.evidence;
-        let change = evidence.record(trial.rollout, trial.route, trial.side, &sample);
-        self.assess(&change, now);
-    }
-
-    /// Counts requests as slow that have waited too long for their first token.
-    fn count_overdue(&mut self, now: Millis) {
-        let mut changes = Vec::new();
-        for open in self.open.values_mut() {
-            let Some(trial) = &mut open.trial else {
-                continue;
-            };
-            if trial.was_overdue || trial.first_at.is_some() {
-                continue;
+        match has_failed(settlement.ending) {
+            Some(true) if trial.has_begun => {
+                evidence.fail_late(trial.rollout, trial.route, trial.side);
             }
-            let evidence = &mut self.rollouts.evidence;
-            let limit_ms = evidence.first_token_reference_ms(trial.rollout, trial.route);
-            if limit_ms.is_some_and(|limit_ms| now.since(trial.started_at) > limit_ms) {
-                trial.was_overdue = true;
-                changes.push(evidence.record_overdue(trial.rollout, trial.route, trial.side));
+            Some(failed) => {
+                let sample = Sample {
+                    failed,
+                    ..Sample::default()
+                };
+                evidence.end(ticket, sample);
             }
+            None => evidence.abandon(ticket),
         }
-        for change in changes {
+        self.count_evidence(now);
+    }
+
+    fn count_evidence(&mut self, now: Millis) {
+        for change in self.rollouts.evidence.count(now) {
             self.assess(&change, now);
         }
     }
@@ -266,7 +264,7 @@
         if self.rollouts.running.is_empty() {
             return;
         }
-        self.count_overdue(now);
+        self.count_evidence(now);
         self.propose_verdicts(now);
         self.send_due_calls(now);
     }
