--- a/crates/gateway/src/decide/rollouts.rs
+++ b/crates/gateway/src/decide/rollouts.rs
@@ -243,8 +243,10 @@
                 failed: true,
                 ..Sample::default()
             },
-            // The end says nothing, but requests that began later wait for their turn.
-            None => Sample::default(),
+            None => {
+                evidence.abandon(ticket);
+                return;
+            }
         };
         if !trial.is_reported {
             evidence.end(ticket, sample);
