--- a/crates/gateway/src/decide/settle.rs
+++ b/crates/gateway/src/decide/settle.rs
@@ -14,7 +14,7 @@
         if let (Some(configured), Some(open)) = (&mut self.configured, self.open.get_mut(&ticket)) {
             configured.router.first_token(open.flight, now);
             if let Some(trial) = &mut open.trial {
-                self.rollouts.first_token(trial, now);
+                trial.first_token(now);
             }
         }
     }
