--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -10,6 +10,5 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn every_request_is_accounted_for_under_random_faults() {
-    let faults = soak_support::run().await;
-    assert!(faults.is_empty(), "{} promises broken", faults.len());
+    soak_support::run().await;
 }
--- a/crates/gateway/tests/soak_support/faults.rs
+++ b/crates/gateway/tests/soak_support/faults.rs
@@ -8,6 +8,7 @@
 };
 use crate::support::{Instance, REGIONS, SECONDS};
 use carobwheel_standin::{engine::Fault, proxy::Way, service::ServiceFault, store::Availability};
+use futures::FutureExt as _;
 use rand::{rngs::StdRng, seq::SliceRandom, Rng, SeedableRng};
 use serde_json::json;
 use std::{
@@ -85,6 +86,8 @@
     /// Until then a publication has to get through, so the whole store stays up.
     store_up_until: Instant,
     pub(crate) stopping: Vec<Instance>,
+    /// Planned stops that have ended, with the exit code of each.
+    pub(crate) stopped: Vec<(String, Option<i32>)>,
     pub(crate) killed_at: BTreeMap<String, Instant>,
     pub(crate) withdrawn_at: Option<Instant>,
     /// Requests that engines and services answer with an error status without running them.
@@ -104,6 +107,7 @@
             leaving: None,
             store_up_until: Instant::now(),
             stopping: Vec::new(),
+            stopped: Vec::new(),
             killed_at: BTreeMap::new(),
             withdrawn_at: None,
             injected_statuses: 0,
@@ -133,6 +137,7 @@
         while let Some(is_due) = plan.is_step_due(step, start, board.answered()) {
             watch.look(stage);
             self.resume_paused(stage, false);
+            self.note_stopped(stage);
             if is_due {
                 step += 1;
                 self.take_step(stage, board, watch).await;
@@ -342,6 +347,28 @@
         set_targets(stage, board);
     }
 
+    /// Takes instances whose planned stop has ended off the live list.
+    fn note_stopped(&mut self, stage: &Stage) {
+        for mut instance in std::mem::take(&mut self.stopping) {
+            let ended = instance.exit_status().now_or_never();
+            match ended {
+                Some(status) => {
+                    stage.fleet.live_list.remove(&instance.id);
+                    self.stopped.push((instance.id.clone(), status.code()));
+                }
+                None => self.stopping.push(instance),
+            }
+        }
+    }
+
+    /// Waits for the end of all planned stops.
+    pub(crate) async fn await_stops(&mut self, stage: &Stage) {
+        for instance in &mut self.stopping {
+            instance.exit_status().await;
+        }
+        self.note_stopped(stage);
+    }
+
     fn resume_paused(&mut self, stage: &Stage, are_all: bool) {
         let now = Instant::now();
         self.paused.retain(|(id, until)| {
--- a/crates/gateway/tests/soak_support/mod.rs
+++ b/crates/gateway/tests/soak_support/mod.rs
@@ -24,8 +24,8 @@
 };
 use watch::Watch;
 
-/// Runs the soak and returns every promise that was broken.
-pub(crate) async fn run() -> Vec<String> {
+/// Runs the soak. It fails while the fleet is up if a promise was broken, so that the logs are kept.
+pub(crate) async fn run() {
     let plan = Plan::from_environment();
     let mut stage = Stage::start().await;
     let board = Arc::new(Board::default());
@@ -44,18 +44,15 @@
     load.await.unwrap();
     println!("load over after {} ms", start.elapsed().as_millis());
     let mut faults = Vec::new();
+    driver.await_stops(&stage).await;
     check_withdrawn(&driver, &board).await;
     watch.look(&stage);
-    check_serving(plan, &board).await;
+    faults.extend(check_serving(plan, &board).await);
     watch.sample(&stage);
     watch.end_leaving(&stage);
-    for instance in &mut driver.stopping {
-        let status = instance.exit_status().await;
-        if status.code() != Some(0) {
-            faults.push(format!(
-                "planned stop of {} ended with {status}",
-                instance.id
-            ));
+    for (id, code) in &driver.stopped {
+        if *code != Some(0) {
+            faults.push(format!("planned stop of {id} ended with {code:?}"));
         }
     }
     let rates = watch.check_rates();
@@ -70,7 +67,7 @@
     for fault in &faults {
         println!("BROKEN: {fault}");
     }
-    faults
+    assert!(faults.is_empty(), "{} promises broken", faults.len());
 }
 
 /// Seconds after its withdrawal a key is refused everywhere. These requests are accounted for like
@@ -95,11 +92,11 @@
 
 /// Once all faults are over every instance answers on the open route, which needs no account. A run
 /// bounded by time waits until an account without a low rate is served by each of them, too.
-async fn check_serving(plan: Plan, board: &Arc<Board>) {
+async fn check_serving(plan: Plan, board: &Arc<Board>) -> Vec<String> {
     let http = http_client();
+    let mut faults = Vec::new();
     for target in board.targets() {
         let (http, target) = (&http, &target);
-        let mark = &format!("last-{}", target.id);
         eventually("an instance serves again", PATIENCE, || async move {
             let open = http.get(format!("{}/open/hours", target.url)).send().await;
             open.is_ok_and(|answer| answer.status() == 200)
@@ -109,14 +106,23 @@
         if plan.duration.is_none() {
             continue;
         }
-        let record = eventually("an account is served again", PATIENCE, || async move {
-            let request = Request::question("insurers", mark);
+        let start = Instant::now();
+        loop {
+            let mark = format!("last-{}-{}", target.id, start.elapsed().as_millis());
+            let request = Request::question("insurers", &mark);
             let record = request.send(http, target).await;
-            (record.outcome == Outcome::Whole).then_some(record)
-        })
-        .await;
-        board.records.lock().unwrap().push(record);
+            board.records.lock().unwrap().push(record.clone());
+            if record.outcome == Outcome::Whole {
+                break;
+            }
+            if start.elapsed() > PATIENCE {
+                faults.push(format!("not served again in {PATIENCE:?}: {record:?}"));
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
     }
+    faults
 }
 
 /// Lines of the processes' logs that tell of a panic. Every process has a log of its own.
