Do not wait for lenders that are gone, keep the order of an account's requests

Cause: a new instance asked the dead owner in its own region, counted the unanswered ask as coming for a second, and refused with 429; a member that was gone but not confirmed gone kept newcomers from being ready for 20 s; a small request could overtake a large one that waited for tokens. Change: an ask counts as coming for 100 ms in the region and 400 ms beyond; readiness needs the fleet's settled revision only where nothing can be borrowed; slots are read and claimed only once every listed member is known; requests of one account keep their order while they wait.

--- a/crates/core/src/limit/borrow.rs
+++ b/crates/core/src/limit/borrow.rs
@@ -15,6 +15,10 @@
 const HOME_ANSWER_MS: u64 = 20;
 /// Time for an answer from another region, in milliseconds.
 const AWAY_ANSWER_MS: u64 = 250;
+/// Time after which an answer from the own region is no longer expected, in milliseconds.
+const HOME_LONGEST_ANSWER_MS: u64 = 100;
+/// Time after which an answer from another region is no longer expected, in milliseconds.
+const AWAY_LONGEST_ANSWER_MS: u64 = 400;
 /// Least time left to a request for which another region is asked, in milliseconds.
 const AWAY_LEAST_MS: u64 = 200;
 /// Longest time between two tries of a request that waits for refill, in milliseconds.
@@ -39,7 +43,7 @@
         now: Millis,
     ) -> Outcome {
         let left_ms = request.wait_until.since(now);
-        let pending_micro = self.pending_micro(request.account);
+        let pending_micro = self.pending_micro(request.account, now);
         let rate_per_ms = self.rate_micro_per_ms(request.account);
         let home = self.region.clone();
         let may_borrow = self.has_joined(now);
@@ -111,7 +115,7 @@
     fn asks_ahead(&mut self, id: &AccountId, now: Millis) -> Vec<Ask> {
         let home = self.region.clone();
         let rate_per_ms = self.rate_micro_per_ms(id);
-        let pending = self.pending_micro(id);
+        let pending = self.pending_micro(id, now);
         let available = self.available_micro(id, now);
         let Some(account) = self.accounts.get_mut(id) else {
             return Vec::new();
@@ -211,7 +215,9 @@
     }
 
     /// Tokens asked for and not answered yet.
-    fn pending_micro(&self, id: &AccountId) -> u64 {
+    /// Tokens that are asked for and whose answer is still to be expected. A lender that is gone
+    /// never answers, so others are asked in its place.
+    fn pending_micro(&self, id: &AccountId, now: Millis) -> u64 {
         let account = self.accounts.get(id);
         let active = account.and_then(|account| account.active.as_ref());
         active
@@ -219,10 +225,19 @@
             .flat_map(|active| &active.loans)
             .filter_map(|number| self.loans.get(number))
             .filter(|loan| loan.granted.is_none())
+            .filter(|loan| now.since(loan.asked) < self.longest_answer_ms(&loan.slot.region))
             .map(|loan| loan.wanted_micro)
             .sum()
     }
 
+    fn longest_answer_ms(&self, region: &RegionId) -> u64 {
+        if *region == self.region {
+            HOME_LONGEST_ANSWER_MS
+        } else {
+            AWAY_LONGEST_ANSWER_MS
+        }
+    }
+
     fn rate_micro_per_ms(&self, id: &AccountId) -> u64 {
         let table = self.tables.last();
         let limits = table.and_then(|table| table.accounts.get(id));
--- a/crates/gateway/src/decide/charge.rs
+++ b/crates/gateway/src/decide/charge.rs
@@ -8,13 +8,16 @@
 };
 use crate::refusal::{Cause, Refusal};
 use carobwheel_core::{
-    id::RegionId,
+    id::{AccountId, RegionId},
     limit::{ChargeId, ChargeRequest, Limiter, LoanMessage, Outcome, Outgoing},
     slot::Peer,
     time::Millis,
 };
 use carobwheel_wire::peer::Message;
-use std::{collections::HashMap, mem};
+use std::{
+    collections::{HashMap, HashSet},
+    mem,
+};
 use tokio_util::sync::CancellationToken;
 
 /// Longest time for which a request waits for tokens of its account, in milliseconds.
@@ -62,7 +65,14 @@
     /// Charges the request, then looks for a place.
     pub(super) fn charge(&mut self, ask: Box<Ask>, now: Millis) {
         let wait_ms = (ask.deadline.since(now) / WAIT_DIVISOR).min(MAX_WAIT_MS);
-        self.try_charge(ask, now.plus(wait_ms), now);
+        let until = now.plus(wait_ms);
+        let mut waiting = self.charging.waiting.iter();
+        if waiting.any(|other| account_of(&other.ask) == account_of(&ask)) {
+            // A small request does not overtake a large one of the same account.
+            self.wait_for_tokens(ask, until, now);
+            return;
+        }
+        self.try_charge(ask, until, now);
     }
 
     fn try_charge(&mut self, mut ask: Box<Ask>, until: Millis, now: Millis) {
@@ -119,18 +129,28 @@
         });
     }
 
-    /// Tries the waiting requests again that are due, or all of them after news of a loan.
+    /// Tries the waiting requests again that are due, or all of them after news of a loan. Those
+    /// of one account keep their order.
     fn retry_waiting(&mut self, all: bool, now: Millis) {
         let waiting = mem::take(&mut self.charging.waiting);
+        let mut behind: HashSet<AccountId> = HashSet::new();
         for entry in waiting {
             if entry.ask.reply.is_closed() {
                 continue;
             }
-            if all || entry.retry_at <= now {
+            let account = account_of(&entry.ask).cloned();
+            let is_behind = account.as_ref().is_some_and(|it| behind.contains(it));
+            let is_late = entry.until <= now;
+            let is_due = all || entry.retry_at <= now;
+            let before = self.charging.waiting.len();
+            if is_due && (!is_behind || is_late) {
                 self.try_charge(entry.ask, entry.until, now);
             } else {
                 self.charging.waiting.push(entry);
             }
+            if self.charging.waiting.len() > before {
+                behind.extend(account);
+            }
         }
     }
 
--- a/crates/gateway/src/decide/slots.rs
+++ b/crates/gateway/src/decide/slots.rs
@@ -9,7 +9,7 @@
     time::Millis,
 };
 use rand::Rng as _;
-use std::{collections::BTreeMap, sync::atomic::Ordering};
+use std::{collections::BTreeMap, mem, sync::atomic::Ordering};
 
 /// Time between two writes of the record, in milliseconds; jitter of the same length comes on top.
 const WRITE_PERIOD_MS: u64 = 500;
@@ -28,6 +28,8 @@
     pub(super) are_void: bool,
     /// Owners of the slots of all regions, as far as they are known.
     pub(super) owners: BTreeMap<SlotId, Peer>,
+    /// The own region's record has to be read again.
+    is_read_due: bool,
     /// There is a live list to read.
     pub(super) has_live_list: bool,
     /// Instances on the live list as last read.
@@ -44,6 +46,7 @@
             are_known: false,
             are_void: false,
             owners: BTreeMap::new(),
+            is_read_due: false,
             has_live_list,
             listed: None,
             records: BTreeMap::new(),
@@ -82,6 +85,12 @@
     /// Takes a record of slots as read from the store.
     pub(super) fn on_slots(&mut self, read: SlotsRead, now: Millis) {
         if read.region == self.identity.region {
+            if !self.knows_listed(&self.members.snapshot()) {
+                // A new owner asks every member what it may still use, so it has to know them.
+                self.slots.is_read_due = true;
+                return;
+            }
+            self.update_members(now);
             self.slots.presence.note_record(&read.record, now);
             let record = read.record.clone();
             match self.slots.keeper.on_read(read.revision, record, read.began) {
@@ -112,6 +121,12 @@
         if now < self.slots.write_at || !self.slots.are_known {
             return;
         }
+        if !self.knows_listed(&self.members.snapshot()) {
+            return;
+        }
+        if mem::take(&mut self.slots.is_read_due) {
+            self.outlets.command(Command::ReadSlots);
+        }
         let jitter_ms = self.rng.random_range(0..WRITE_PERIOD_MS);
         self.slots.write_at = now.plus(WRITE_PERIOD_MS + jitter_ms);
         self.write_slots(now);
@@ -168,7 +183,7 @@
         self.tell_settled_revision();
         let is_settled = settled.is_some_and(|settled| settled > 0);
         let can_borrow = self.charging.limiter.has_joined(now);
-        let can_charge = is_settled && (can_borrow || self.owns_region());
+        let can_charge = can_borrow || (is_settled && self.owns_region());
         self.judge_readiness(can_charge, now);
     }
 
