--- a/crates/core/tests/rollout_cases.rs
+++ b/crates/core/tests/rollout_cases.rs
@@ -341,3 +341,18 @@
     assert_eq!(changes[0].sides.new.requests, 0);
     assert_eq!(changes[0].sides.old.requests, 1);
 }
+
+#[test]
+fn no_choice_exceeds_the_step_whatever_the_evidence() {
+    let mut state = state();
+    let mut sides = Sides::default();
+    let mut rng = StdRng::seed_from_u64(5);
+    for n in 0..2_000 {
+        feed(&mut state, &mut sides, 1, rng.random_range(1..500));
+        let unix_now = UnixMillis(rng.random_range(0..4_000));
+        // The choice asserts the step and the stop.
+        let side = state.choose(ROUTE, &format!("request-{n}"), unix_now);
+        let is_early = unix_now < UnixMillis(1_000);
+        assert!(side == Side::Old || !is_early, "before the first step");
+    }
+}
