--- a/crates/gateway/src/decide/ask.rs
+++ b/crates/gateway/src/decide/ask.rs
@@ -13,6 +13,7 @@
     admit::{Entry, Next},
     id::{ModelId, VersionId},
     route::{self, Placement, Request, Wanted},
+    slot::TOLERATED_PAUSE_MS,
     time::{Millis, UnixMillis},
 };
 use rand::Rng;
@@ -153,6 +154,7 @@
             url: spec.url.clone(),
             version,
             priority: priority(&configured.in_force, &ask),
+            send_before: now.plus(TOLERATED_PAUSE_MS / 2),
             charge: ask.charge,
         };
         let ticket = placed.ticket;
--- a/crates/gateway/src/decide/rollouts.rs
+++ b/crates/gateway/src/decide/rollouts.rs
@@ -38,10 +38,34 @@
     rollout: RolloutTag,
     route: RouteTag,
     side: Side,
-    /// Counts the request, once it is dispatched.
+    /// Present from the start of the request on.
     ticket: Option<Ticket>,
     started_at: Millis,
-    has_begun: bool,
+    first_at: Option<Millis>,
+    is_reported: bool,
+}
+
+impl Trial {
+    /// Notes the first token.
+    pub(super) fn first_token(&mut self, now: Millis) {
+        self.first_at.get_or_insert(now);
+    }
+
+    /// The request goes to the new version.
+    pub(super) fn is_of_new_version(&self) -> bool {
+        self.side == Side::New
+    }
+
+    /// What the request says so far, after `output_tokens`.
+    fn sample(&self, output_tokens: u64, now: Millis) -> Sample {
+        let gaps = output_tokens.saturating_sub(1);
+        let between = self.first_at.filter(|_| gaps > 0);
+        Sample {
+            failed: false,
+            first_token_ms: self.first_at.map(|at| at.since(self.started_at)),
+            between_tokens_ms: between.map(|at| now.since(at) / gaps),
+        }
+    }
 }
 
 struct Running {
@@ -99,29 +123,22 @@
             side,
             ticket: None,
             started_at: now,
-            has_begun: false,
+            first_at: None,
+            is_reported: false,
         };
         Some((version_of(state, side), Some(trial)))
     }
 
-    /// Takes note that the request is dispatched.
+    /// Takes note that a request goes out.
     pub(super) fn begin(&mut self, trial: &mut Trial, now: Millis) {
-        let (rollout, route) = (trial.rollout, trial.route);
+        let Trial {
+            rollout,
+            route,
+            side,
+            ..
+        } = *trial;
         trial.started_at = now;
-        trial.ticket = Some(self.evidence.begin(rollout, route, trial.side, now));
-    }
-
-    /// Takes note of the first token.
-    pub(super) fn first_token(&mut self, trial: &mut Trial, now: Millis) {
-        let Some(ticket) = trial.ticket.filter(|_| !trial.has_begun) else {
-            return;
-        };
-        trial.has_begun = true;
-        let sample = Sample {
-            first_token_ms: Some(now.since(trial.started_at)),
-            ..Sample::default()
-        };
-        self.evidence.end(ticket, sample);
+        trial.ticket = Some(self.evidence.begin(rollout, route, side, now));
     }
 
     /// The version to use when the one of a rollout has no room; none once there is a verdict.
@@ -173,13 +190,6 @@
     }
 }
 
-impl Trial {
-    /// The request goes to the new version.
-    pub(super) fn is_of_new_version(&self) -> bool {
-        self.side == Side::New
-    }
-}
-
 impl State {
     /// Takes over the rollouts of a newer document.
     pub(super) fn apply_rollouts(&mut self, document: &Document) {
@@ -207,28 +217,46 @@
         rollouts.evidence.retain(&tags);
     }
 
+    /// Counts what the first tokens of a long answer say about its version.
+    pub(super) fn judge_early(&mut self, ticket: u64, output_tokens: u64, now: Millis) {
+        let open = self.open.get_mut(&ticket);
+        let Some(trial) = open.and_then(|open| open.trial.as_mut()) else {
+            return;
+        };
+        let (Some(ticket), false) = (trial.ticket, trial.is_reported) else {
+            return;
+        };
+        trial.is_reported = true;
+        let sample = trial.sample(output_tokens, now);
+        self.rollouts.evidence.end(ticket, sample);
+    }
+
     /// Counts what the end of a request says about the version that it went to.
     pub(super) fn judge(&mut self, trial: &Trial, settlement: &Settlement, now: Millis) {
         let Some(ticket) = trial.ticket else {
             return;
         };
         let evidence = &mut self.rollouts.evidence;
-        match has_failed(settlement.ending) {
-            Some(true) if trial.has_begun => {
-                evidence.fail_late(trial.rollout, trial.route, trial.side);
-            }
-            Some(failed) => {
-                let sample = Sample {
-                    failed,
-                    ..Sample::default()
-                };
-                evidence.end(ticket, sample);
+        let sample = match has_failed(settlement.ending) {
+            Some(false) => trial.sample(settlement.output_tokens, now),
+            Some(true) => Sample {
+                failed: true,
+                ..Sample::default()
+            },
+            None => {
+                evidence.abandon(ticket);
+                return;
             }
-            None => evidence.abandon(ticket),
+        };
+        if !trial.is_reported {
+            evidence.end(ticket, sample);
+        } else if sample.failed {
+            evidence.fail_late(trial.rollout, trial.route, trial.side);
         }
         self.count_evidence(now);
     }
 
+    /// Assesses the requests whose turn to be counted has come.
     fn count_evidence(&mut self, now: Millis) {
         for change in self.rollouts.evidence.count(now) {
             self.assess(&change, now);
