--- /dev/null
+++ b/crates/core/src/member/hear.rs
@@ -0,0 +1,189 @@
+//! What is taken in from a packet.
+
+use super::entry::is_fleet_topic;
+use super::rumor::Change;
+use super::table::{Member, Merged};
+use super::{
+    Body, Event, Health, Incarnation, KeyedEntry, Members, Packet, Record, Revised, Status, Update,
+};
+use crate::id::InstanceId;
+use crate::time::Millis;
+
+impl Members {
+    /// Takes in everything that a packet carries beside its purpose.
+    pub(super) fn take_gossip(&mut self, packet: &Packet, now: Millis) {
+        for update in &packet.updates {
+            match update {
+                Update::Record(record) => {
+                    self.take_record(record, true, now);
+                }
+                Update::Status {
+                    instance,
+                    incarnation,
+                    status,
+                } => {
+                    if *instance == self.own {
+                        self.hear_about_self(*incarnation, status);
+                        continue;
+                    }
+                    let merged = self.table.merge_status(instance, *incarnation, status, now);
+                    self.after_merge(instance, merged, true, now);
+                }
+            }
+        }
+        for beat in &packet.beats {
+            self.regions.merge_beat(*beat, now);
+        }
+        for revised in &packet.revised {
+            self.take_revised(revised, now);
+        }
+        for entry in &packet.entries {
+            self.take_entry(entry);
+        }
+    }
+
+    /// Merges a record; tells whether it changed anything.
+    pub(super) fn take_record(&mut self, record: &Record, is_rumor: bool, now: Millis) -> bool {
+        let instance = &record.identity.instance;
+        if *instance == self.own {
+            self.hear_about_self(record.identity.incarnation, &record.status);
+            return false;
+        }
+        let merged = self.table.merge_record(record, now);
+        self.after_merge(instance, merged, is_rumor, now);
+        let mut is_changed = merged.is_change();
+        let incarnation = record.identity.incarnation;
+        let member = self.table.members.get_mut(instance);
+        let Some(member) = member.filter(|m| m.identity.incarnation == incarnation) else {
+            return is_changed;
+        };
+        let mut newer = Vec::new();
+        for (topic, version, bytes) in &record.entries {
+            if is_fleet_topic(*topic) && member.put_entry(*topic, *version, bytes) {
+                newer.push(*topic);
+            }
+        }
+        is_changed |= !newer.is_empty();
+        if is_rumor && !merged.is_new {
+            for topic in newer {
+                self.rumors.add(instance, Change::Entry(topic));
+            }
+        }
+        is_changed
+    }
+
+    fn after_merge(&mut self, instance: &InstanceId, merged: Merged, is_rumor: bool, now: Millis) {
+        let is_transition = merged.states.is_some();
+        if merged.is_new {
+            // While this instance starts everyone is new to it, and digests bring the rest.
+            if is_rumor && !self.is_starting(now) {
+                self.rumors.add(instance, Change::Record);
+            }
+        } else if merged.is_status_changed && (is_rumor || is_transition) {
+            self.rumors.add(instance, Change::Status);
+        } else if merged.is_revision_changed && is_rumor {
+            self.rumors.add(instance, Change::Revision);
+        }
+        self.note_merge(instance, merged, now);
+        let is_suspect = |m: &Member| m.status.health == Health::Suspect;
+        if is_transition && self.table.get(instance).is_some_and(is_suspect) {
+            self.tell_suspected(instance, now);
+        }
+    }
+
+    /// Takes in what others believe about this instance, and refutes what is wrong.
+    fn hear_about_self(&mut self, incarnation: Incarnation, status: &Status) {
+        if incarnation > self.own_incarnation {
+            self.report(Event::Superseded { incarnation });
+        }
+        if incarnation != self.own_incarnation {
+            return;
+        }
+        if status.is_leaving && !self.own_member().status.is_leaving {
+            self.set_leaving();
+            self.report(Event::ToldToLeave);
+        }
+        let own = &mut self.own_member_mut().status;
+        let is_refuted = status.health != Health::Alive && status.sequence >= own.sequence;
+        if is_refuted {
+            own.sequence = status.sequence.saturating_add(1);
+            let instance = self.own.clone();
+            self.rumors.add(&instance, Change::Status);
+        }
+    }
+
+    fn take_revised(&mut self, revised: &Revised, now: Millis) {
+        for key in &revised.member_keys {
+            let Some(instance) = self.table.by_key(*key) else {
+                continue;
+            };
+            if instance == self.own {
+                continue;
+            }
+            let Some(member) = self.table.members.get_mut(&instance) else {
+                continue;
+            };
+            if member.status.revision < revised.revision {
+                member.status.revision = revised.revision;
+                self.sync.note_change(now);
+                self.rumors.add(&instance, Change::Revision);
+            }
+        }
+    }
+
+    fn take_entry(&mut self, entry: &KeyedEntry) {
+        let Some(instance) = self.table.by_key(entry.member_key) else {
+            return;
+        };
+        if instance == self.own {
+            return;
+        }
+        let Some(member) = self.table.members.get_mut(&instance) else {
+            return;
+        };
+        if member.put_entry(entry.topic, entry.version, &entry.bytes) {
+            self.rumors.add(&instance, Change::Entry(entry.topic));
+        }
+    }
+
+    /// Takes in that the sender itself is there.
+    pub(super) fn hear_from(&mut self, from: &InstanceId, packet: &Packet, now: Millis) {
+        let merged = self
+            .table
+            .merge_status(from, packet.incarnation, &packet.status, now);
+        self.after_merge(from, merged, true, now);
+        let Some(member) = self.table.members.get_mut(from) else {
+            return;
+        };
+        if member.identity.incarnation != packet.incarnation {
+            return;
+        }
+        member.heard_at = Some(now);
+        let region = member.identity.region.clone();
+        let is_doubted = member.status.health != Health::Alive;
+        self.regions.hear(&region, now);
+        if is_doubted && !matches!(packet.body, Body::Ping { .. }) {
+            self.send_untracked_ping(from, now);
+        }
+    }
+
+    /// Acts on the purpose of a packet.
+    pub(super) fn handle_body(&mut self, from: &InstanceId, salt: u16, body: Body, now: Millis) {
+        match body {
+            Body::Ping { probe } => self.send(from, Body::Ack { probe }, now),
+            Body::Ack { probe } => self.on_ack(from, probe, now),
+            Body::Relay { probe, target } => {
+                if target != self.own && self.table.get(&target).is_some() {
+                    self.start_probe(&target, Some((from.clone(), probe)), now);
+                }
+            }
+            Body::RelayedAck { probe, target } => self.on_relayed_ack(probe, &target),
+            Body::Digest { buckets } => self.on_digest(from, salt, &buckets, now),
+            Body::Records {
+                differing,
+                records,
+                wants_reply,
+            } => self.on_records(from, differing, &records, wants_reply, now),
+        }
+    }
+}
--- a/crates/core/src/member/members.rs
+++ b/crates/core/src/member/members.rs
@@ -142,8 +142,8 @@
         self.hear_from(from, &packet, now);
         let has_hash_of_sender = !matches!(packet.body, Body::Digest { .. } | Body::Records { .. });
         self.handle_body(from, packet.salt, packet.body, now);
-        if has_hash_of_sender && packet.table_hash != self.table.hash(packet.salt) {
-            self.begin_sync(from, now);
+        if has_hash_of_sender {
+            self.compare_tables(from, packet.salt, packet.table_hash, now);
         }
         mem::take(&mut self.out)
     }
@@ -284,9 +284,7 @@
         };
         let incarnation = member.identity.incarnation;
         let region = member.identity.region.clone();
-        if merged.is_status_changed || merged.is_new {
-            self.sync.note_change(now);
-        }
+        self.sync.note_change(now);
         if merged.is_new {
             let instance = instance.clone();
             self.report(Event::Joined {
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -16,6 +16,7 @@
 mod event;
 mod fetch;
 mod gossip;
+mod hear;
 mod members;
 mod packet;
 mod record;
--- a/crates/core/src/member/rumor.rs
+++ b/crates/core/src/member/rumor.rs
@@ -1,8 +1,12 @@
 //! Recent changes and how often each was passed on.
 
+use super::entry::is_fleet_topic;
 use crate::id::InstanceId;
 use std::collections::BTreeMap;
 
+/// Equal tables in a row after which changes are no longer passed on.
+const MIN_EQUAL_TABLES: u32 = 6;
+
 /// What changed about a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Change {
@@ -20,6 +24,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Rumors {
     sent: BTreeMap<(InstanceId, Change), u32>,
+    /// Equal tables that were met in a row since the latest change.
+    equal_tables: u32,
 }
 
 impl Rumors {
@@ -30,6 +36,7 @@
             self.sent.remove(&(instance.clone(), Change::Revision));
         }
         self.sent.insert((instance.clone(), change), 0);
+        self.equal_tables = 0;
     }
 
     /// Changes for which `is_wanted` holds, the least often sent first.
@@ -58,6 +65,29 @@
         }
     }
 
+    /// Notes that a member's table differs from the own one.
+    pub(super) fn note_different_table(&mut self) {
+        self.equal_tables = 0;
+    }
+
+    /// Notes that a member's table equals the own one. After several in a row the changes have
+    /// most likely reached everyone.
+    pub(super) fn note_equal_table(&mut self) {
+        self.equal_tables += 1;
+        if self.equal_tables >= MIN_EQUAL_TABLES {
+            self.forget_hashed();
+        }
+    }
+
+    /// Drops all changes that the hash of the table covers.
+    fn forget_hashed(&mut self) {
+        let is_hashed = |change: &Change| match change {
+            Change::Record | Change::Status | Change::Revision => true,
+            Change::Entry(topic) => is_fleet_topic(*topic),
+        };
+        self.sent.retain(|(_, change), _| !is_hashed(change));
+    }
+
     /// Drops all changes about a member.
     pub(super) fn forget(&mut self, instance: &InstanceId) {
         self.sent.retain(|(origin, _), _| origin != instance);
--- a/crates/core/src/member/sync.rs
+++ b/crates/core/src/member/sync.rs
@@ -49,6 +49,23 @@
 }
 
 impl Members {
+    /// Acts on the hash of a sender's table: repairs a difference, and stops passing on changes that
+    /// several members in a row know already.
+    pub(super) fn compare_tables(
+        &mut self,
+        from: &InstanceId,
+        salt: u16,
+        table_hash: u32,
+        now: Millis,
+    ) {
+        if table_hash != self.table.hash(salt) {
+            self.rumors.note_different_table();
+            self.begin_sync(from, now);
+        } else {
+            self.rumors.note_equal_table();
+        }
+    }
+
     /// Sends the hashes by bucket to an instance whose table differs, if a digest is due.
     pub(super) fn begin_sync(&mut self, with: &InstanceId, now: Millis) {
         if !self.sync.is_due(self.is_starting(now), now) {
