--- /dev/null
+++ b/crates/gateway/tests/soak_findings.rs
@@ -0,0 +1,66 @@
+//! Faults of the daemon that the soak has found, each in its smallest form.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use support::{eventually, Caller, Fleet, FleetOptions, SECONDS};
+use test_case::test_case;
+
+/// How an instance goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Going {
+    Killed,
+    Stopped,
+}
+
+/// The other instance of the region has a part of every account's rate, and the store is up.
+#[test_case(Going::Killed, "insurers"; "killed free")]
+#[test_case(Going::Killed, "central-office"; "killed bound")]
+#[test_case(Going::Stopped, "insurers"; "stopped free")]
+#[test_case(Going::Stopped, "central-office"; "stopped bound")]
+#[tokio::test]
+async fn an_account_within_its_rate_is_served_seconds_after_an_instance_is_replaced(
+    going: Going,
+    account: &str,
+) {
+    const QUESTIONS: usize = 20;
+    let mut fleet = Fleet::start(FleetOptions {
+        instances_in_region: 2,
+        ..FleetOptions::default()
+    })
+    .await;
+    let caller = Caller::of(account);
+    for instance in fleet.instances.iter().filter(|it| it.region == "central") {
+        eventually("the account is served", SECONDS, || async {
+            let reply = caller.chat(&instance.url, "before", false).await.unwrap();
+            (reply.status == 200).then_some(())
+        })
+        .await;
+    }
+    let place = fleet
+        .instances
+        .iter()
+        .position(|it| it.id == "central-1")
+        .unwrap();
+    if going == Going::Stopped {
+        fleet.live_list.set_leaving("central-1");
+        fleet.instances[place].terminate();
+        fleet.instances[place].exit_status().await;
+    }
+    fleet.remove_instance(place);
+    fleet.start_instance("central", "central-2").await;
+    for instance in fleet.instances.iter().filter(|it| it.region == "central") {
+        eventually("all questions are answered", SECONDS, || async {
+            for number in 0..QUESTIONS {
+                let prompt = format!("question {number}");
+                let reply = caller.chat(&instance.url, &prompt, false).await.unwrap();
+                if reply.status != 200 {
+                    return None;
+                }
+            }
+            Some(())
+        })
+        .await;
+    }
+}
