Let a few instances of each region watch the document

Change: the first two instances of a region by name watch; the others hear of a revision by heartbeats, fetch the difference from a peer and read the store every 30 minutes; unchanged work is told every 3 s, none at all when idle; a second process under the same name leaves.

--- a/crates/ctl/src/config/mod.rs
+++ b/crates/ctl/src/config/mod.rs
@@ -173,7 +173,7 @@
         Err(faults) => return Ok(faulty(&faults)),
     };
     change(&mut document)?;
-    let bytes = serde_json::to_vec_pretty(&document)?;
+    let bytes = serde_json::to_vec(&document)?;
     if let Err(faults) = Document::parse(&bytes) {
         return Ok(faulty(&faults));
     }
--- a/crates/gateway/src/decide/gossip.rs
+++ b/crates/gateway/src/decide/gossip.rs
@@ -22,7 +22,9 @@
 /// Topic of the work in flight; stays inside the region.
 const LOAD_TOPIC: u8 = 200;
 const _: () = assert!(LOAD_TOPIC > carobwheel_core::member::MAX_FLEET_TOPIC);
-const _: () = assert!(DIGEST_LIFETIME_MS > 1_000);
+/// Time after which unchanged work is told again, in milliseconds.
+const LOAD_REPEAT_MS: u64 = 3_000;
+const _: () = assert!(DIGEST_LIFETIME_MS > LOAD_REPEAT_MS);
 
 /// The slots that one member owns: a bit for each shard.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,7 +56,7 @@
 impl State {
     /// Tells the peers what has changed here, and takes in what has changed there.
     pub(super) fn gossip(&mut self, now: Millis) {
-        self.tell_load();
+        self.tell_load(now);
         self.hear_owners();
         self.hear_loads(now);
         self.tell_evidence(now);
@@ -102,13 +104,24 @@
         }
     }
 
-    fn tell_load(&mut self) {
+    /// Tells the region which work this instance has in flight, if that is news or the peers are
+    /// about to forget it.
+    fn tell_load(&mut self, now: Millis) {
         let Some(configured) = &self.configured else {
             return;
         };
+        let digest = configured.router.digest(self.digest_sequence + 1);
+        let is_same =
+            digest.entries == self.told_load.entries && digest.leaving == self.told_load.leaving;
+        let is_idle = digest.entries.is_empty() && digest.leaving.is_empty();
+        let is_fresh = now.since(self.told_load_at) < LOAD_REPEAT_MS;
+        if is_same && (is_idle || is_fresh) {
+            return;
+        }
         self.digest_sequence += 1;
-        let digest = configured.router.digest(self.digest_sequence);
         self.set_entry(LOAD_TOPIC, &digest);
+        self.told_load = digest;
+        self.told_load_at = now;
     }
 
     fn set_entry<T: Serialize>(&mut self, topic: u8, value: &T) {
--- a/crates/gateway/src/decide/membership.rs
+++ b/crates/gateway/src/decide/membership.rs
@@ -19,6 +19,9 @@
 };
 use std::net::{Ipv4Addr, SocketAddr};
 
+/// Instances of a region that watch the document in the store.
+const WATCHERS_IN_REGION: usize = 2;
+
 /// This instance as its peers see it.
 pub(super) fn own_identity(settings: &Settings, incarnation: u64) -> Identity {
     let nowhere = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
@@ -97,6 +100,23 @@
             .command(Command::SetInstances(instances.max(1)));
     }
 
+    /// Decides whether this instance watches the document in the store: the first few of the
+    /// region do, by name.
+    pub(super) fn share_watching(&self) {
+        let mut names: Vec<&InstanceId> = self
+            .members
+            .alive_in(&self.identity.region)
+            .into_iter()
+            .map(|identity| &identity.instance)
+            .collect();
+        names.sort();
+        let is_watcher = names
+            .iter()
+            .take(WATCHERS_IN_REGION)
+            .any(|name| **name == self.identity.id);
+        self.outlets.command(Command::WatchDocument(is_watcher));
+    }
+
     // A platform that does not know incarnations means the one that runs now.
     fn live_entry(&self, instance: &LiveInstance) -> LiveEntry {
         let known = self.members.member(&instance.id);
@@ -144,8 +164,13 @@
     fn log_member_events(&mut self, now: Millis) {
         for event in self.members.take_events() {
             log::info!("membership: {event:?}");
-            if event == MemberEvent::ToldToLeave {
-                self.leave(now);
+            match event {
+                MemberEvent::ToldToLeave => self.leave(now),
+                MemberEvent::Superseded { .. } => {
+                    log::error!("another process has this instance's name: this one leaves");
+                    self.leave(now);
+                }
+                _ => {}
             }
         }
     }
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -18,7 +18,7 @@
     identity::Caller,
     member::Members,
     retry::{Outliers, Retrier, RetrySettings},
-    route::{FlightId, Router},
+    route::{FlightId, LoadDigest, Router},
     slot::Peer,
     time::{Clock, Millis, UnixMillis},
 };
@@ -26,6 +26,8 @@
 use std::{collections::HashMap, sync::Arc};
 
 const MEMBER_TICK_MS: u64 = 50;
+/// Every member is looked at each time, which costs in a large fleet.
+const SLOTS_TICK_MS: u64 = 250;
 const EXPIRY_PERIOD_MS: u64 = 250;
 const GOSSIP_PERIOD_MS: u64 = 1_000;
 
@@ -59,6 +61,8 @@
     pub(super) open: HashMap<u64, Open>,
     pub(super) last_ticket: u64,
     pub(super) digest_sequence: u64,
+    pub(super) told_load: LoadDigest,
+    pub(super) told_load_at: Millis,
     pub(super) told_settled_revision: u64,
     pub(super) is_leaving: bool,
     pub(super) rng: StdRng,
@@ -70,6 +74,7 @@
 #[derive(Default)]
 struct Due {
     members: Millis,
+    slots: Millis,
     expiry: Millis,
     gossip: Millis,
 }
@@ -111,6 +116,8 @@
             open: HashMap::new(),
             last_ticket: 0,
             digest_sequence: 0,
+            told_load: LoadDigest::default(),
+            told_load_at: Millis::default(),
             told_settled_revision: 0,
             is_leaving: false,
             rng,
@@ -160,13 +167,16 @@
         self.guard_pause(now);
         if is_due(&mut self.due.members, MEMBER_TICK_MS, now) {
             self.tick_members(now);
-            self.tick_slots(now);
             self.tick_charging(now);
             self.tick_rollouts(now);
         }
+        if is_due(&mut self.due.slots, SLOTS_TICK_MS, now) {
+            self.tick_slots(now);
+        }
         if is_due(&mut self.due.gossip, GOSSIP_PERIOD_MS, now) {
             self.gossip(now);
             self.publish_entries();
+            self.share_watching();
             self.publish_status(now);
         }
         if is_due(&mut self.due.expiry, EXPIRY_PERIOD_MS, now) {
--- a/crates/gateway/src/platform/document.rs
+++ b/crates/gateway/src/platform/document.rs
@@ -8,26 +8,65 @@
     store::{Change, Record, Scope, StoreClient, WatchUpdate},
 };
 use std::{sync::Arc, time::Duration};
-use tokio::time;
+use tokio::{sync::watch, time};
 
 /// Key of the document. Operators and consoles write it too, so the value stands bare.
 pub const DOCUMENT_KEY: &str = "config/document";
+/// Time between two reads of an instance that does not watch.
+const REREAD_PERIOD: Duration = Duration::from_secs(1_800);
 const READ_PAUSE: Duration = Duration::from_millis(200);
 
 /// Reads the document and reports every later one, for ever.
-pub(super) async fn follow(store: &StoreClient, decide: &Sender<decide::Event>) {
+///
+/// A change goes to every instance that watches, whole, so only a few in each region do; the
+/// others hear of a new revision by heartbeats, fetch from a peer what has changed, and read the
+/// store now and then in case that all fails.
+pub(super) async fn follow(
+    store: &StoreClient,
+    decide: &Sender<decide::Event>,
+    mut is_watcher: watch::Receiver<bool>,
+) {
+    loop {
+        let next_revision = read(store, decide).await;
+        if *is_watcher.borrow_and_update() {
+            tokio::select! {
+                () = watch_from(next_revision, store, decide) => {}
+                () = changed(&mut is_watcher) => {}
+            }
+        } else {
+            tokio::select! {
+                () = time::sleep(REREAD_PERIOD) => {}
+                () = changed(&mut is_watcher) => {}
+            }
+        }
+    }
+}
+
+async fn changed(is_watcher: &mut watch::Receiver<bool>) {
+    if is_watcher.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Reads the document as soon as the store answers; returns the revision to watch from.
+async fn read(store: &StoreClient, decide: &Sender<decide::Event>) -> i64 {
     let scope = Scope::Key(DOCUMENT_KEY.to_owned());
-    let snapshot = loop {
+    loop {
         match store.read(&scope).await {
-            Ok(snapshot) => break snapshot,
+            Ok(snapshot) => {
+                for record in &snapshot.records {
+                    take(record, decide).await;
+                }
+                return snapshot.revision + 1;
+            }
             Err(err) => log::debug!("cannot read the document: {err}"),
         }
         time::sleep(READ_PAUSE).await;
-    };
-    for record in &snapshot.records {
-        take(record, decide).await;
     }
-    let mut watch = store.watch(scope, snapshot.revision + 1);
+}
+
+async fn watch_from(revision: i64, store: &StoreClient, decide: &Sender<decide::Event>) {
+    let mut watch = store.watch(Scope::Key(DOCUMENT_KEY.to_owned()), revision);
     loop {
         match watch.next().await {
             WatchUpdate::Changes(changes) => {
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -25,7 +25,7 @@
 };
 use reqwest::{redirect, retry, Client};
 use std::{thread, time::Duration};
-use tokio::{runtime, time};
+use tokio::{runtime, sync::watch, time};
 use tokio_util::sync::CancellationToken;
 
 /// Commands that wait for the platform thread at most.
@@ -57,6 +57,8 @@
         /// Number of the call.
         call: u32,
     },
+    /// Watch the document in the store, or leave that to others.
+    WatchDocument(bool),
     /// So many instances share the store's rates.
     SetInstances(u32),
     /// This instance is leaving: take its entry out of the directory.
@@ -133,10 +135,12 @@
 impl Duties {
     async fn run(&self, commands: AsyncReceiver<Command>) {
         let leave = CancellationToken::new();
+        // An instance that knows nobody yet watches for itself.
+        let (watching, is_watcher) = watch::channel(true);
         tokio::join!(
-            document::follow(&self.store, &self.decide),
+            document::follow(&self.store, &self.decide, is_watcher),
             slots::follow(&self.store, self.clock, &self.decide),
-            self.obey(commands, &leave),
+            self.obey(commands, &leave, &watching),
             self.follow_platform(&leave),
         );
     }
@@ -151,7 +155,12 @@
         }
     }
 
-    async fn obey(&self, mut commands: AsyncReceiver<Command>, leave: &CancellationToken) {
+    async fn obey(
+        &self,
+        mut commands: AsyncReceiver<Command>,
+        leave: &CancellationToken,
+        watching: &watch::Sender<bool>,
+    ) {
         let region: &RegionId = &self.settings.instance.region;
         loop {
             match commands.recv().await {
@@ -175,6 +184,11 @@
                     let (store, decide) = (self.store.clone(), self.decide.clone());
                     tokio::spawn(verdicts::read(store, decide, rollout, call));
                 }
+                Command::WatchDocument(is_watcher) => {
+                    watching.send_if_modified(|before| {
+                        std::mem::replace(before, is_watcher) != is_watcher
+                    });
+                }
                 Command::SetInstances(instances) => self.store.set_instances(instances),
                 Command::Leave => leave.cancel(),
             }
