Hand slots over only while every member answers, and before a stop

Cause: after a kill, accounts far within their rate got 429 for over 10 s: the survivor handed healthy slots to the newcomer, whose parts stay empty until every member has answered for them, the dead one included (30 s). An idle instance could stop before it handed over. Instances that stay on the live list as leaving held up readiness. Change: slots go to their preferred owners only when all members have answered and none has come or changed for 10 s; a stop hands over at once and waits for it for up to 2 s; instances listed as leaving are not waited for.

--- a/crates/core/src/slot/plan.rs
+++ b/crates/core/src/slot/plan.rs
@@ -26,6 +26,9 @@
     pub me: &'a Peer,
     /// This instance is about to stop: it hands over everything and claims nothing.
     pub is_leaving: bool,
+    /// Every member that is not confirmed gone answers. As long as one does not, a slot that is
+    /// handed over stays empty, because its new owner waits for that member's answer.
+    pub is_complete: bool,
     /// Members of the region that are alive and not leaving, this instance included.
     pub alive: &'a [Peer],
     /// What is known of an owner that is not alive.
@@ -48,7 +51,7 @@
 ///
 /// An instance claims slots without an owner and slots whose owner is gone, when it is the
 /// preferred one among the members alive. It hands over a slot of its own to the preferred
-/// member. It never takes a slot from an owner that may be alive.
+/// member, when it leaves or every member answers. It never takes a slot from an owner that may be alive.
 pub fn plan(record: &Record, view: &View<'_>) -> Option<Plan> {
     let mut plan = Plan {
         next: record.clone(),
@@ -100,7 +103,7 @@
     let is_mine = owners
         .get(&shard)
         .is_some_and(|ownership| ownership.owner == *view.me);
-    if is_mine {
+    if is_mine && (view.is_complete || view.is_leaving) {
         plan.given.push((shard, role));
     } else if may_take {
         plan.taken.push((shard, role));
--- a/crates/core/tests/limit_slot.rs
+++ b/crates/core/tests/limit_slot.rs
@@ -34,6 +34,7 @@
             let view = View {
                 me,
                 is_leaving: false,
+                is_complete: true,
                 alive,
                 absence: &|_| absence,
             };
@@ -121,6 +122,7 @@
     let view = View {
         me: &me,
         is_leaving: true,
+        is_complete: true,
         alive: &["a", "b"].map(peer),
         absence: &|_| ALIVE,
     };
@@ -149,6 +151,7 @@
     let view = View {
         me: &me,
         is_leaving: false,
+        is_complete: true,
         alive: &alive,
         absence: &|_| ALIVE,
     };
@@ -176,6 +179,7 @@
     let view = View {
         me: &me,
         is_leaving: false,
+        is_complete: true,
         alive: &alive,
         absence: &|_| ALIVE,
     };
@@ -230,3 +234,24 @@
     let absence = presence.absence(&peer("b"), Millis(1_000_000));
     assert!(!absence.is_gone());
 }
+
+/// The new owner of a slot would wait for the member that does not answer.
+#[test]
+fn nothing_is_handed_over_while_a_member_does_not_answer_unless_the_owner_leaves() {
+    let old = peer("a");
+    let record = settle(Record::default(), std::slice::from_ref(&old), ALIVE);
+    let alive = [old.clone(), peer("b")];
+    let planned = |is_complete, is_leaving| {
+        let view = View {
+            me: &old,
+            is_leaving,
+            is_complete,
+            alive: &alive,
+            absence: &|_| ALIVE,
+        };
+        plan(&record, &view).map_or(0, |plan| plan.given.len())
+    };
+    assert_eq!(planned(false, false), 0);
+    assert!(planned(true, false) > 0);
+    assert_eq!(planned(false, true), 2 * usize::from(SHARDS));
+}
--- a/crates/ctl/src/experiment/limits/world/node.rs
+++ b/crates/ctl/src/experiment/limits/world/node.rs
@@ -200,6 +200,8 @@
         let view = View {
             me: &self.peer,
             is_leaving: false,
+            // More hand-overs than the daemon makes, which is the harder case.
+            is_complete: true,
             alive: &alive,
             absence: &absence,
         };
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -31,6 +31,9 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+/// Longest time for which the hand-over of slots is waited for, in milliseconds. The store may be
+/// down, and then the slots are taken over once this instance is known to be gone.
+const HAND_OVER_MS: u64 = 2_000;
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
 /// A running instance.
@@ -40,6 +43,7 @@
     operators: Option<Server>,
     peers: Option<peers::Handle>,
     decide: Sender<decide::Event>,
+    has_handed_over: Arc<AtomicBool>,
     clock: Clock,
     shutdown: Shutdown,
     cancel: CancellationToken,
@@ -61,6 +65,7 @@
     let current = Current::default();
     let entries = Entries::default();
     let is_ready = Arc::new(AtomicBool::new(false));
+    let has_handed_over = Arc::new(AtomicBool::new(false));
     let store = platform::store_client(settings, incarnation)?;
     let (decide, events) = ring::ring(decide::RING_EVENTS);
     let (commands, platform_commands) = ring::async_ring(platform::RING_COMMANDS);
@@ -88,6 +93,7 @@
         entries: entries.clone(),
         board: board.clone(),
         is_ready: Arc::clone(&is_ready),
+        has_handed_over: Arc::clone(&has_handed_over),
         peers: peers.clone(),
         platform: commands,
     };
@@ -143,6 +149,7 @@
         operators,
         peers,
         decide,
+        has_handed_over,
         clock,
         shutdown: settings.shutdown.clone(),
         cancel: guard.disarm(),
@@ -187,6 +194,11 @@
             thread::sleep(DRAIN_POLL);
         }
         let cut = self.shared.in_flight.count();
+        while !self.has_handed_over.load(Ordering::Relaxed)
+            && self.clock.now().since(began) < HAND_OVER_MS
+        {
+            thread::sleep(DRAIN_POLL);
+        }
         self.server.stop();
         if let Some(operators) = self.operators {
             operators.stop();
--- a/crates/gateway/src/decide/membership.rs
+++ b/crates/gateway/src/decide/membership.rs
@@ -86,8 +86,9 @@
             .iter()
             .map(|instance| self.live_entry(instance))
             .collect();
-        let listed: Vec<Peer> = lines
-            .iter()
+        // An instance that the platform stops is on the list for as long as the platform likes.
+        let staying = lines.iter().filter(|line| !line.is_leaving);
+        let listed: Vec<Peer> = staying
             .map(|line| peer_of_identity(&line.identity))
             .collect();
         let names = listed.iter().map(|peer| peer.instance.clone());
@@ -157,6 +158,7 @@
         self.is_leaving = true;
         let packets = self.members.leave(now);
         self.outlets.send_packets(packets);
+        self.hand_over(now);
         self.outlets.command(Command::Leave);
         self.publish_entries();
     }
--- a/crates/gateway/src/decide/outlets.rs
+++ b/crates/gateway/src/decide/outlets.rs
@@ -20,6 +20,8 @@
     pub board: StatusBoard,
     /// The instance can serve requests.
     pub is_ready: Arc<AtomicBool>,
+    /// The instance is leaving and owns no slots any more.
+    pub has_handed_over: Arc<AtomicBool>,
     /// Links to other instances; none for an instance that stands alone.
     pub peers: Option<peers::Handle>,
     /// The platform thread.
--- a/crates/gateway/src/decide/slots.rs
+++ b/crates/gateway/src/decide/slots.rs
@@ -16,6 +16,10 @@
 /// Time between two reads while the slots wait for their confirmation, in milliseconds.
 const CONFIRM_PERIOD_MS: u64 = 500;
 
+/// Time without a change of the members after which slots are handed to their preferred owners,
+/// in milliseconds.
+const HAND_OVER_DELAY_MS: u64 = 10_000;
+
 /// Time after its start at which an instance with a document is ready in any case, in milliseconds.
 const READY_AT_LATEST_MS: u64 = 20_000;
 
@@ -76,6 +80,12 @@
         self.outlets.command(Command::ReadSlots);
     }
 
+    /// Hands the slots over as soon as the platform thread can.
+    pub(super) fn hand_over(&mut self, now: Millis) {
+        self.slots.write_at = now;
+        self.tick_slots(now);
+    }
+
     /// The store has answered. A region without a record shows only when its key is read.
     pub(super) fn slots_known(&mut self) {
         self.slots.are_known = true;
@@ -143,11 +153,13 @@
                 incarnation: identity.incarnation.0,
             })
             .collect();
+        let is_complete = self.are_all_answering(now);
         let slots = &mut self.slots;
         let presence = &slots.presence;
         let view = View {
             me: &self.me,
             is_leaving: self.is_leaving,
+            is_complete,
             alive: &alive,
             absence: &|peer| presence.absence(peer, now),
         };
@@ -164,6 +176,24 @@
         }
     }
 
+    /// Whether every member that may still spend tokens answers, and none has come or changed
+    /// lately: a member that dies looks alive until its heartbeats are missed.
+    fn are_all_answering(&self, now: Millis) -> bool {
+        let members = self.members.snapshot();
+        members.iter().all(|member| {
+            let is_alive = member.state == MemberState::Alive && member.is_reachable;
+            let is_steady = now.since(member.changed_at) >= HAND_OVER_DELAY_MS;
+            is_alive && is_steady || self.is_confirmed_gone(member, now)
+        })
+    }
+
+    /// Whether nothing is left to hand over before this instance stops.
+    fn has_handed_over(&self) -> bool {
+        let is_alone = self.members.alive_in(&self.identity.region).is_empty();
+        let record = self.slots.keeper.record();
+        is_alone || record.owned_by(&self.me).is_empty()
+    }
+
     /// Tells the limiter which members may still spend tokens, and what all of them have settled.
     fn update_members(&mut self, now: Millis) {
         let members = self.members.snapshot();
@@ -172,6 +202,9 @@
             .filter(|member| !self.is_confirmed_gone(member, now))
             .map(peer_of)
             .collect();
+        if self.is_leaving && self.has_handed_over() {
+            self.outlets.has_handed_over.store(true, Ordering::Relaxed);
+        }
         let settled = self
             .knows_listed(&members)
             .then(|| self.fleet_settled_revision(&present))
