Test forwarded requests with real processes

Cause: the forwarding of bound requests had no test of its own. Change: streamed, whole and action requests through every region's instance, the same key from all regions at the same moment, and a home that is gone.

--- /dev/null
+++ b/crates/gateway/tests/promise_forward.rs
@@ -0,0 +1,103 @@
+//! Requests of bound accounts that reach an instance of another region.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use carobwheel_standin::engine::EngineOptions;
+use futures::future::join_all;
+use support::{eventually, expected_answer, Caller, Fleet, FleetOptions, SECONDS};
+use test_case::test_case;
+
+const TOKENS: u64 = 50;
+
+async fn fleet() -> Fleet {
+    let engine = EngineOptions {
+        answer_tokens: TOKENS,
+        ..EngineOptions::default()
+    };
+    Fleet::start(FleetOptions {
+        engine,
+        ..FleetOptions::default()
+    })
+    .await
+}
+
+#[test_case(true; "streamed")]
+#[test_case(false; "whole")]
+#[tokio::test]
+async fn a_bound_request_is_served_at_home_whichever_instance_it_reaches(stream: bool) {
+    let fleet = fleet().await;
+    let caller = Caller::of("south-office");
+    for instance in &fleet.instances {
+        let prompt = format!("through {}", instance.id);
+        // An instance that has just started hears of the others within seconds.
+        let reply = eventually("the home region is known", SECONDS, || async {
+            let reply = caller.chat(&instance.url, &prompt, stream).await.unwrap();
+            (reply.status != 421).then_some(reply)
+        })
+        .await;
+        let text = if stream {
+            reply.streamed_text()
+        } else {
+            reply.whole_text()
+        };
+        assert_eq!(text, Some(expected_answer(&prompt, TOKENS)), "{reply:?}");
+        assert_eq!(reply.run, "ran");
+    }
+    assert_eq!(fleet.engines["north"].counts().requests, 0);
+    assert_eq!(fleet.engines["central"].counts().requests, 0);
+    assert_eq!(fleet.engine_requests(), 3, "no request went round");
+    assert_eq!(
+        fleet.engines["south"].count_containing("secret-key-of"),
+        0,
+        "the key stays where the caller presented it"
+    );
+}
+
+#[tokio::test]
+async fn an_action_forwarded_from_two_regions_at_the_same_moment_runs_once() {
+    let fleet = fleet().await;
+    let caller = Caller::of("south-office");
+    for instance in &fleet.instances {
+        eventually("the home region is known", SECONDS, || async {
+            let reply = caller.chat(&instance.url, "hello", false).await.unwrap();
+            (reply.status == 200).then_some(())
+        })
+        .await;
+    }
+    for number in 0..10 {
+        let action = format!("action-{number}");
+        let sent = fleet
+            .instances
+            .iter()
+            .map(|instance| caller.confirm(&instance.url, &action));
+        let replies = join_all(sent).await;
+        assert_eq!(fleet.runs(&action), 1, "{replies:?}");
+        for reply in replies {
+            let reply = reply.unwrap();
+            assert!(
+                reply.status == 200 || reply.run == "may-have-run",
+                "{reply:?}"
+            );
+        }
+    }
+    assert_eq!(fleet.services["north"].request_count(), 0);
+    assert_eq!(fleet.services["central"].request_count(), 0);
+}
+
+#[tokio::test]
+async fn a_bound_request_whose_home_is_gone_is_refused_as_not_run() {
+    let mut fleet = fleet().await;
+    let place = fleet.instances.iter().position(|it| it.region == "south");
+    fleet.remove_instance(place.unwrap());
+    let north = fleet.instance("north").url.clone();
+    let caller = Caller::of("south-office");
+    let reply = eventually("a refusal", SECONDS, || async {
+        let reply = caller.chat(&north, "hello", false).await.unwrap();
+        (reply.run == "not-run").then_some(reply)
+    })
+    .await;
+    assert_eq!(reply.status, 421, "{reply:?}");
+    assert_eq!(fleet.engine_requests(), 0);
+}
