Stop when a thread has ended by itself; time placements; pace the demo's engines

Cause: a broken invariant would have ended one thread and left an instance that only seemed to be alive; the cost of a placement among 600 engines was not known; streams of the demo came at once.

--- a/crates/ctl/src/demo/mod.rs
+++ b/crates/ctl/src/demo/mod.rs
@@ -43,6 +43,9 @@
     /// them as processes of their own.
     #[arg(long)]
     pub settings_dir: Option<PathBuf>,
+    /// Time that the engines take for a token, in milliseconds.
+    #[arg(long, default_value_t = 20)]
+    pub token_ms: u64,
     /// Send the printed requests, print the answers and exit.
     #[arg(long)]
     pub once: bool,
@@ -58,7 +61,7 @@
         .enable_all()
         .build()
         .context("cannot set up an event loop")?;
-    let stage = Stage::start(args.deployment)?;
+    let stage = Stage::start(args.deployment, args.token_ms)?;
     if let Some(folder) = &args.settings_dir {
         let files = stage.write_settings(folder)?;
         print!("{}", text::settings(&stage, &files));
--- a/crates/ctl/src/demo/stage.rs
+++ b/crates/ctl/src/demo/stage.rs
@@ -38,7 +38,7 @@
 
 impl Stage {
     /// Starts the stand-ins and publishes the document.
-    pub(super) fn start(deployment: Deployment) -> anyhow::Result<Self> {
+    pub(super) fn start(deployment: Deployment, token_ms: u64) -> anyhow::Result<Self> {
         let mut document = Document::parse(deployment.document().as_bytes())
             .map_err(|faults| anyhow!("the example has faults: {faults:?}"))?;
         let store = store::start(&store::StoreOptions::default())?;
@@ -50,7 +50,8 @@
             let credential = format!("upstream-{}", upstream.id);
             upstream.url = match &upstream.serves {
                 Serves::Engine { .. } => {
-                    let engine = engine::start(engine_options(&upstream.serves, &credential))?;
+                    let engine =
+                        engine::start(engine_options(&upstream.serves, &credential, token_ms))?;
                     let url = engine.url();
                     engines.push(engine);
                     url
@@ -193,9 +194,10 @@
     Ok(file.display().to_string())
 }
 
-fn engine_options(serves: &Serves, credential: &str) -> engine::EngineOptions {
+fn engine_options(serves: &Serves, credential: &str, token_ms: u64) -> engine::EngineOptions {
     let mut options = engine::EngineOptions {
         credential: Some(credential.to_owned()),
+        token_ms,
         ..engine::EngineOptions::default()
     };
     if let Serves::Engine {
--- a/crates/ctl/src/experiment/mod.rs
+++ b/crates/ctl/src/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod gossip;
 pub mod limits;
+pub mod placement;
 pub mod rollout;
 pub mod routing;
 
@@ -22,6 +23,8 @@
     Gossip(gossip::Args),
     /// Wrongful refusals of the fleet's limits, against a static split and a central counter.
     Limits(limits::Args),
+    /// Processor time of one placement in a fleet of many engines.
+    Placement(placement::Args),
     /// Right and wrong verdicts on bad and good versions, and the traffic that bad ones got.
     Rollout(rollout::Args),
     /// Routing, admission and retries under load, against the usual baselines.
@@ -37,6 +40,7 @@
     match args.topic {
         Topic::Gossip(args) => gossip::run(args),
         Topic::Limits(args) => limits::run(args),
+        Topic::Placement(args) => placement::run(args),
         Topic::Rollout(args) => rollout::run(args),
         Topic::Routing(args) => routing::run(args),
     }
--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -168,6 +168,11 @@
         Arc::clone(&self.shared.in_flight)
     }
 
+    /// Whether a thread has ended by itself, which only a broken invariant makes it do.
+    pub fn is_broken(&self) -> bool {
+        self.threads.iter().any(thread::JoinHandle::is_finished)
+    }
+
     /// Links to other instances; none for an instance that stands alone.
     pub fn peers(&self) -> Option<peers::Handle> {
         self.peers.clone()
--- a/crates/gateway/src/options/mod.rs
+++ b/crates/gateway/src/options/mod.rs
@@ -38,7 +38,7 @@
 
 /// Exit code of a faulty command line or settings file.
 pub const EXIT_FAULTY_INPUT: u8 = 2;
-/// Exit code of an instance that could not start.
+/// Exit code of an instance that could not start, or that a broken invariant has stopped.
 pub const EXIT_NOT_STARTED: u8 = 1;
 /// Exit code of an instance that stopped before its requests had ended.
 pub const EXIT_CUT: u8 = 3;
--- a/crates/gateway/src/options/serve.rs
+++ b/crates/gateway/src/options/serve.rs
@@ -7,15 +7,19 @@
     report,
     settings::Settings,
 };
-use anyhow::Context as _;
+use anyhow::{ensure, Context as _};
 use carobwheel_core::document::Fault;
-use std::{path::Path, process::ExitCode, thread};
+use std::{path::Path, process::ExitCode, thread, time::Duration};
 use tokio::{
     runtime,
     signal::unix::{signal, SignalKind},
     sync::oneshot,
+    time,
 };
 
+/// Time between two looks at the threads.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
+
 /// Runs the instance that the file at `path` describes.
 pub(super) fn run(path: &Path) -> ExitCode {
     let (settings, tls) = match read(path) {
@@ -30,6 +34,7 @@
             ExitCode::from(EXIT_CUT)
         }
         Err(err) => {
+            log::error!("{err:#}");
             eprintln!("carobwheel: {err:#}");
             ExitCode::from(EXIT_NOT_STARTED)
         }
@@ -57,8 +62,11 @@
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut hangup = signal(SignalKind::hangup())?;
         let daemon = daemon::start(settings, tls)?;
+        let mut look = time::interval(LOOK_PERIOD);
         loop {
             tokio::select! {
+                // Without one of its threads the instance would only seem to be alive.
+                _ = look.tick() => ensure!(!daemon.is_broken(), "a thread has ended by itself"),
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
                 _ = hangup.recv() => rotate(settings, &daemon),
