--- a/crates/core/src/document/validate.rs
+++ b/crates/core/src/document/validate.rs
@@ -118,12 +118,16 @@
     check.unique("accounts", document.accounts.iter().map(|a| a.id.as_str()));
     let keys = || document.accounts.iter().flat_map(|a| &a.keys);
     check.unique("accounts.keys.id", keys().map(|key| key.id.as_str()));
-    check.unique("accounts.keys.sha256", keys().map(|key| key.sha256));
+    check.unique("accounts.keys.sha256", keys().map(|key| hex(&key.sha256)));
     for (index, account) in document.accounts.iter().enumerate() {
         account_faults(document, account, &format!("accounts[{index}]"), check);
     }
 }
 
+fn hex(digest: &[u8]) -> String {
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 fn account_faults(document: &Document, account: &Account, path: &str, check: &mut Check) {
     let rate_path = format!("{path}.rate_tokens_per_s");
     check.range(rate_path, account.rate_tokens_per_s, &RATE_TOKENS_PER_S);
--- a/crates/gateway/src/decide/apply.rs
+++ b/crates/gateway/src/decide/apply.rs
@@ -4,6 +4,7 @@
 use crate::in_force::InForce;
 use carobwheel_core::{
     document::{Serves, Upstream},
+    id::UpstreamId,
     retry::{Ejection, Group, Outliers, Retrier},
     route::{Delays, Router, Settings},
     time::Millis,
@@ -87,7 +88,7 @@
     }
 }
 
-fn group_of(upstream: &Upstream) -> (carobwheel_core::id::UpstreamId, Group) {
+fn group_of(upstream: &Upstream) -> (UpstreamId, Group) {
     let serves = match &upstream.serves {
         Serves::Engine { model, version, .. } => format!("{model}/{version}"),
         Serves::Service { service, .. } => service.to_string(),
--- a/crates/gateway/src/decide/gossip.rs
+++ b/crates/gateway/src/decide/gossip.rs
@@ -10,6 +10,7 @@
     time::Millis,
 };
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 
 /// Channel of messages about loans.
 pub(super) const LOAN_CHANNEL: u8 = 1;
@@ -151,7 +152,7 @@
     /// The lowest settled revision of all `present` members; none as long as one has said nothing.
     pub(super) fn fleet_settled_revision(&self, present: &[Peer]) -> Option<u64> {
         let mut lowest = self.charging.limiter.settled_revision();
-        let told: std::collections::HashMap<_, u64> = self
+        let told: HashMap<_, u64> = self
             .members
             .entries(SETTLED_TOPIC)
             .filter_map(|entry| Some((entry.origin, postcard::from_bytes(entry.bytes).ok()?)))
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -14,7 +14,7 @@
 };
 use carobwheel_core::{
     admit::{Admit, AdmitSettings},
-    id::UpstreamId,
+    id::{AccountId, UpstreamId},
     identity::Caller,
     member::Members,
     retry::{Outliers, Retrier, RetrySettings},
@@ -202,7 +202,7 @@
 }
 
 /// Account that a request runs for.
-pub(super) fn account_of(ask: &Ask) -> Option<&carobwheel_core::id::AccountId> {
+pub(super) fn account_of(ask: &Ask) -> Option<&AccountId> {
     match &ask.caller {
         Caller::Account(credential) => Some(&credential.account),
         Caller::Open => None,
--- a/crates/gateway/src/decide/status.rs
+++ b/crates/gateway/src/decide/status.rs
@@ -2,7 +2,7 @@
 
 use super::{slots::peer_of, state::State};
 use crate::report::{Decisions, MemberStatus, UpstreamStatus};
-use carobwheel_core::time::Millis;
+use carobwheel_core::{document::Upstream, member::MemberView, time::Millis};
 use std::{collections::BTreeMap, sync::Arc};
 
 impl State {
@@ -29,7 +29,7 @@
         for owner in self.slots.owners.values() {
             *slots.entry(owner).or_default() += 1;
         }
-        let status = |member: carobwheel_core::member::MemberView| {
+        let status = |member: MemberView| {
             let peer = peer_of(&member);
             MemberStatus {
                 slots: slots.get(&peer).copied().unwrap_or(0),
@@ -49,7 +49,7 @@
         let Some(configured) = &self.configured else {
             return Vec::new();
         };
-        let status = |upstream: &carobwheel_core::document::Upstream| {
+        let status = |upstream: &Upstream| {
             let load = configured.router.load(&upstream.id, now);
             UpstreamStatus {
                 upstream: upstream.id.to_string(),
--- a/crates/gateway/src/intake/forward.rs
+++ b/crates/gateway/src/intake/forward.rs
@@ -11,7 +11,7 @@
 };
 use bytes::Bytes;
 use carobwheel_core::{
-    id::RequestId,
+    id::{AccountId, KeyId, RequestId},
     identity::{Caller, Credential},
     route::Hops,
 };
@@ -29,8 +29,8 @@
 /// itself stays where the caller presented it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct ForwardedCredential {
-    pub(super) account: carobwheel_core::id::AccountId,
-    pub(super) key: carobwheel_core::id::KeyId,
+    pub(super) account: AccountId,
+    pub(super) key: KeyId,
     pub(super) sha256: [u8; 32],
 }
 
