--- a/crates/ctl/src/demo/stage.rs
+++ b/crates/ctl/src/demo/stage.rs
@@ -141,6 +141,7 @@
             operators_address: Some(SocketAddr::from((LOOPBACK, free_port()?))),
             peers: Some(Peers {
                 address: SocketAddr::from((LOOPBACK, free_udp_port()?)),
+                advertised_address: None,
                 ca_pem_file: format!("{id}.ca.pem"),
                 certificate_pem_file: format!("{id}.cert.pem"),
                 key_pem_file: format!("{id}.key.pem"),
--- a/crates/gateway/src/decide/membership.rs
+++ b/crates/gateway/src/decide/membership.rs
@@ -5,7 +5,7 @@
     intake::{Entry, EntryList, LIFETIME_S},
     peers::Inbound,
     platform::Command,
-    settings::Settings,
+    settings::{Peers, Settings},
 };
 use carobwheel_core::{
     id::InstanceId,
@@ -33,7 +33,7 @@
         peer_addr: settings
             .peers
             .as_ref()
-            .map_or(nowhere, |peers| peers.address),
+            .map_or(nowhere, Peers::dialled_address),
         caller_addr: settings.callers.address,
     }
 }
--- a/crates/gateway/src/settings/check.rs
+++ b/crates/gateway/src/settings/check.rs
@@ -19,7 +19,11 @@
     callers(settings, &mut faults);
     addresses(settings, &mut faults);
     if let Some(peers) = &settings.peers {
-        reachable("peers.address", peers.address, &mut faults);
+        let path = match peers.advertised_address {
+            Some(_) => "peers.advertised_address",
+            None => "peers.address",
+        };
+        reachable(path, peers.dialled_address(), &mut faults);
     }
     url("store.url", &settings.store.url, &mut faults);
     let timeout_ms = settings.store.timeout_ms;
--- a/crates/gateway/src/settings/mod.rs
+++ b/crates/gateway/src/settings/mod.rs
@@ -49,8 +49,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Peers {
-    /// UDP address to listen on; other instances dial it.
+    /// UDP address to listen on.
     pub address: SocketAddr,
+    /// Address that other instances dial, where it is not the one listened on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advertised_address: Option<SocketAddr>,
     /// File with the certificates of the authorities that sign instances, as PEM.
     pub ca_pem_file: String,
     /// File with this instance's certificate chain, as PEM.
@@ -60,6 +63,11 @@
 }
 
 impl Peers {
+    /// Address that other instances dial.
+    pub fn dialled_address(&self) -> SocketAddr {
+        self.advertised_address.unwrap_or(self.address)
+    }
+
     /// Reads the files of the material for mutual TLS.
     ///
     /// # Errors
--- a/crates/gateway/tests/soak_support/stage.rs
+++ b/crates/gateway/tests/soak_support/stage.rs
@@ -75,6 +75,7 @@
                 document.list("accounts").push(account(WITHDRAWN, None));
                 document.entry("models", "appraiser")["default_max_output_tokens"] = json!(TOKENS);
             },
+            ..FleetOptions::default()
         })
         .await;
         fleet.live_list.set_lag_ms(LIVE_LIST_LAG_MS);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -15,7 +15,7 @@
 use carobwheel_standin::{
     engine::{self, Engine, EngineOptions},
     livelist::{self, LiveList, LiveListOptions},
-    proxy::{self, Proxy, ProxyOptions},
+    proxy::{self, Proxy, ProxyOptions, Way},
     service::{self, Service, ServiceOptions},
     store::{self, Store, StoreOptions},
     tls::Authority,
@@ -23,6 +23,7 @@
 use carobwheel_wire::platform::{InstanceState, LiveInstance};
 use serde_json::{json, Value};
 use std::{
+    cell::RefCell,
     collections::BTreeMap,
     future::Future,
     path::PathBuf,
@@ -51,6 +52,9 @@
     pub(crate) service: ServiceOptions,
     /// Changes the document before it is published.
     pub(crate) document: fn(&mut DocumentBuilder),
+    /// Other instances reach each instance through a proxy of its own that delays datagrams by
+    /// this time each way, in milliseconds; none for direct links.
+    pub(crate) link_delay_ms: Option<u64>,
 }
 
 impl Default for FleetOptions {
@@ -60,6 +64,7 @@
             engine: EngineOptions::default(),
             service: ServiceOptions::default(),
             document: |_| {},
+            link_delay_ms: None,
         }
     }
 }
@@ -73,6 +78,9 @@
     pub(crate) engines: BTreeMap<&'static str, Engine>,
     pub(crate) services: BTreeMap<&'static str, Service>,
     pub(crate) document: DocumentBuilder,
+    /// Proxies before the links of each instance, if they are delayed.
+    pub(crate) links: BTreeMap<String, Proxy>,
+    link_delay_ms: Option<u64>,
     authority: Authority,
     folder: PathBuf,
 }
@@ -88,6 +96,8 @@
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
             document: DocumentBuilder::default(),
+            links: BTreeMap::new(),
+            link_delay_ms: options.link_delay_ms,
             live_list: livelist::start(LiveListOptions::default()).unwrap(),
             authority: Authority::new("fleet").unwrap(),
             folder: new_folder(),
@@ -140,12 +150,20 @@
     /// Starts an instance and waits until it is ready.
     pub(crate) async fn start_instance(&mut self, region: &'static str, id: &str) {
         let tls = self.write_tls(id);
+        let delay_ms = self.link_delay_ms;
+        let link = RefCell::new(None);
         let settings = |caller_address: &str, peer_address: &str| {
+            let proxy = delay_ms.map(|delay_ms| start_link(peer_address, delay_ms));
+            let dialled = match &proxy {
+                Some(proxy) => proxy.addr(),
+                None => peer_address.parse().unwrap(),
+            };
+            *link.borrow_mut() = proxy;
             self.live_list.add(LiveInstance {
                 id: id.parse().unwrap(),
                 region: region.parse().unwrap(),
                 data_centre: format!("{region}-a").parse().unwrap(),
-                peer_address: peer_address.parse().unwrap(),
+                peer_address: dialled,
                 caller_address: caller_address.parse().unwrap(),
                 state: InstanceState::Live,
                 incarnation: None,
@@ -153,10 +171,13 @@
             let mut settings = self.settings(region, id, caller_address);
             settings["peers"] = tls.clone();
             settings["peers"]["address"] = json!(peer_address);
+            settings["peers"]["advertised_address"] = json!(dialled);
             settings
         };
         let instance = Instance::start(&self.folder, id, region, settings).await;
         self.instances.push(instance);
+        let link = link.into_inner();
+        self.links.extend(link.map(|link| (id.to_owned(), link)));
     }
 
     fn settings(&self, region: &str, id: &str, caller_address: &str) -> Value {
@@ -229,6 +250,14 @@
     }
 }
 
+/// A proxy before the links of the instance at `peer_address`.
+fn start_link(peer_address: &str, delay_ms: u64) -> Proxy {
+    let options = ProxyOptions::new(peer_address.parse().unwrap());
+    let proxy = proxy::start_udp(options).unwrap();
+    proxy.set_both(Way::delayed(delay_ms));
+    proxy
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.instances.clear();
