--- /dev/null
+++ b/crates/edge/src/daemon/mod.rs
@@ -0,0 +1,261 @@
+//! One instance from its start to its end.
+
+use crate::{
+    dispatch::Pools,
+    front::{bind, serve_callers, serve_side, Connections, Interface, SideHandler},
+    log::{Event, Log},
+    member::MemberEntry,
+    metrics::Metrics,
+    names::HeaderNames,
+    node::Node,
+    peers::{Identity, Links},
+    settings::Settings,
+    store::{self, Decoder, Keys, News, StoreOps, StoreSettings},
+};
+use anyhow::Context as _;
+use carobwheel_core::time::Clock;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    path::PathBuf,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    runtime,
+    signal::unix::{signal, SignalKind},
+    sync::mpsc::Receiver,
+    task::LocalSet,
+    time::{interval, sleep, MissedTickBehavior},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Time between two looks at what changes with time alone.
+const TICK: Duration = Duration::from_millis(100);
+/// Ticks between two sweeps of connections.
+const SWEEP_TICKS: u64 = 10;
+/// Time after a signal to stop in which callers learn that the instance leaves.
+const LEAVING: Duration = Duration::from_millis(1_500);
+/// Shortest time from a signal to stop to the end, while no requests are left.
+const QUIET_END: Duration = Duration::from_millis(3_200);
+/// Time between two looks for requests that are left.
+const END_LOOK: Duration = Duration::from_millis(50);
+/// Part of the time to stop after which requests that are left are cut.
+const GRACE_PART: f64 = 0.93;
+
+/// What a deployment's adapter supplies.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Header names.
+    pub names: HeaderNames,
+    /// The directory's spelling.
+    pub interface: Interface,
+    /// Makes the store's operations.
+    pub connect: fn(SocketAddr) -> StoreOps,
+    /// Turns items of the store into news.
+    pub decoder: Decoder,
+    /// Where things stand in the store.
+    pub keys: Keys,
+    /// Settings file, read again when it may have changed.
+    pub settings_path: PathBuf,
+}
+
+/// Runs one instance until it is told to stop. Returns the number of requests that were cut.
+///
+/// # Errors
+///
+/// Fails if the instance cannot start.
+pub fn run(settings: Settings, deployment: Deployment) -> anyhow::Result<usize> {
+    let event_loop = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("cannot start the event loop")?;
+    LocalSet::new().block_on(&event_loop, serve(settings, deployment))
+}
+
+async fn serve(settings: Settings, deployment: Deployment) -> anyhow::Result<usize> {
+    let clock = Clock::default();
+    let (log, log_end) = Log::start(&settings.instance, clock).context("cannot start the logs")?;
+    let identity = Identity::generate().context("cannot make a certificate")?;
+    let entry = entry(&settings, clock, &identity);
+    let (links, dialled) = Links::bind(identity, settings.listen.peers)
+        .with_context(|| format!("cannot listen on {}", settings.listen.peers))?;
+    let listeners = Listeners::bind(&settings)?;
+    let stop_store = CancellationToken::new();
+    let asks = store::start(
+        StoreSettings {
+            connect: deployment.connect,
+            address: settings.store,
+            decoder: deployment.decoder,
+            keys: deployment.keys.clone(),
+            entry: entry.clone(),
+        },
+        stop_store.clone(),
+    )
+    .context("cannot start the thread of the store")?;
+    let node = Rc::new(Node {
+        name: entry.name,
+        region: entry.region,
+        life: entry.life,
+        names: deployment.names.clone(),
+        clock,
+        log,
+        metrics: Metrics::default(),
+        pools: Pools::default(),
+        links,
+        record: asks.record,
+        in_flight: Cell::new(0),
+        state: RefCell::default(),
+        settings,
+    });
+    node.log.event(Event::Started {
+        region: &node.region,
+        life: node.life,
+    });
+    let drain = CancellationToken::new();
+    let connections = Rc::new(Connections::default());
+    tokio::task::spawn_local(apply_all(Rc::clone(&node), asks.news));
+    tokio::task::spawn_local(Links::dial_all(Rc::clone(&node), dialled));
+    tokio::task::spawn_local(Links::accept_all(Rc::clone(&node)));
+    tokio::task::spawn_local(tick_all(Rc::clone(&node), Rc::clone(&connections)));
+    listeners.serve(&node, &connections, &drain, deployment.interface);
+    wait_for_stop(&node, &deployment).await?;
+    let cut = leave(&node, &connections, &drain, &stop_store).await;
+    drop(asks.thread);
+    drop(node);
+    // Tasks that still hold the node end with the event loop, so the writer is not waited for.
+    drop(log_end);
+    Ok(cut)
+}
+
+fn entry(settings: &Settings, clock: Clock, identity: &Identity) -> MemberEntry {
+    MemberEntry {
+        name: settings.instance.as_str().into(),
+        life: clock.unix_now().0,
+        region: settings.region.as_str().into(),
+        data_centre: settings.data_centre.as_str().into(),
+        callers: settings.listen.callers,
+        peers: settings.listen.peers,
+        certificate_digest: identity.digest(),
+    }
+}
+
+struct Listeners {
+    callers: tokio::net::TcpListener,
+    sides: Vec<(tokio::net::TcpListener, SideHandler)>,
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> anyhow::Result<Self> {
+        let listen = &settings.listen;
+        let open = |address: SocketAddr| {
+            bind(address).with_context(|| format!("cannot listen on {address}"))
+        };
+        Ok(Self {
+            callers: open(listen.callers)?,
+            sides: vec![
+                (open(listen.ready)?, SideHandler::Ready),
+                (open(listen.directory)?, SideHandler::Directory),
+                (open(listen.metrics)?, SideHandler::Metrics),
+            ],
+        })
+    }
+
+    fn serve(
+        self,
+        node: &Rc<Node>,
+        connections: &Rc<Connections>,
+        drain: &CancellationToken,
+        interface: Interface,
+    ) {
+        let callers = serve_callers(
+            Rc::clone(node),
+            self.callers,
+            Rc::clone(connections),
+            drain.clone(),
+        );
+        tokio::task::spawn_local(callers);
+        for (listener, handler) in self.sides {
+            tokio::task::spawn_local(serve_side(Rc::clone(node), listener, interface, handler));
+        }
+    }
+}
+
+async fn apply_all(node: Rc<Node>, mut news: Receiver<News>) {
+    while let Some(piece) = news.recv().await {
+        node.apply(piece);
+    }
+}
+
+async fn tick_all(node: Rc<Node>, connections: Rc<Connections>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count: u64 = 0;
+    loop {
+        ticks.tick().await;
+        node.tick();
+        count += 1;
+        if count.is_multiple_of(SWEEP_TICKS) {
+            let now = node.now();
+            let limits = node.config().unwrap_or_default().limits;
+            connections.sweep(limits.head_timeout_ms, limits.idle_timeout_ms, now);
+            node.pools.sweep(now);
+        }
+    }
+}
+
+/// Waits for a signal to stop, and reads the settings again when told to.
+async fn wait_for_stop(node: &Node, deployment: &Deployment) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => reload(node, deployment),
+        }
+    }
+}
+
+fn reload(node: &Node, deployment: &Deployment) {
+    match Settings::read(&deployment.settings_path) {
+        Ok(settings) => {
+            let is_changed = settings != node.settings;
+            node.log.event(Event::SettingsReloaded { is_changed });
+        }
+        Err(err) => node.log.event(Event::SettingsRefused {
+            reason: &err.to_string(),
+        }),
+    }
+}
+
+/// Leaves the fleet and ends the requests under way. Returns how many were cut.
+async fn leave(
+    node: &Node,
+    connections: &Connections,
+    drain: &CancellationToken,
+    stop_store: &CancellationToken,
+) -> usize {
+    let started_at = node.now();
+    node.log.event(Event::Stopping {
+        in_flight: node.in_flight.get(),
+    });
+    node.state.borrow_mut().is_leaving = true;
+    stop_store.cancel();
+    sleep(LEAVING).await;
+    drain.cancel();
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let grace_ms = (node.settings.bounds.stop_grace_s * GRACE_PART * 1_000.0) as u64;
+    loop {
+        let passed_ms = node.now().since(started_at);
+        let is_quiet = connections.count() == 0 && u128::from(passed_ms) >= QUIET_END.as_millis();
+        if is_quiet || passed_ms >= grace_ms {
+            break;
+        }
+        sleep(END_LOOK).await;
+    }
+    let in_flight = node.in_flight.get();
+    node.log.event(Event::Stopped { in_flight });
+    in_flight
+}
--- /dev/null
+++ b/crates/edge/src/front/body.rs
@@ -0,0 +1,65 @@
+//! Reading the body of a request.
+
+use crate::{node::Node, pipeline::Refusal};
+use bytes::{Bytes, BytesMut};
+use carobwheel_core::time::Millis;
+use http_body::Body;
+use http_body_util::BodyExt as _;
+use hyper::{body::Incoming, StatusCode};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Reads a body whole, within the limits on callers and until `deadline`.
+///
+/// # Errors
+///
+/// Returns the answer for a body that is too large, too slow or broken.
+pub async fn read_body(node: &Node, body: Incoming, deadline: Millis) -> Result<Bytes, Refusal> {
+    let most = node.config().unwrap_or_default().limits.max_body_bytes;
+    if body.size_hint().lower() > most as u64 {
+        return Err(too_large());
+    }
+    let left = Duration::from_millis(deadline.since(node.now()).max(1));
+    match timeout(left, gather(body, most)).await {
+        Ok(gathered) => gathered,
+        Err(_) => Err(Refusal::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not arrive in time",
+        )),
+    }
+}
+
+async fn gather(mut body: Incoming, most: usize) -> Result<Bytes, Refusal> {
+    let mut first = Bytes::new();
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame =
+            frame.map_err(|_| Refusal::new(StatusCode::BAD_REQUEST, "the body is broken"))?;
+        // Trailers are not passed on.
+        let Ok(piece) = frame.into_data() else {
+            continue;
+        };
+        if first.len() + rest.len() + piece.len() > most {
+            return Err(too_large());
+        }
+        // Most bodies come in one piece, which needs no copy.
+        if first.is_empty() && rest.is_empty() {
+            first = piece;
+        } else {
+            if rest.is_empty() {
+                rest.extend_from_slice(&first);
+                first = Bytes::new();
+            }
+            rest.extend_from_slice(&piece);
+        }
+    }
+    Ok(if rest.is_empty() {
+        first
+    } else {
+        rest.freeze()
+    })
+}
+
+const fn too_large() -> Refusal {
+    Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")
+}
--- /dev/null
+++ b/crates/edge/src/front/handler.rs
@@ -0,0 +1,129 @@
+//! One request of a caller, from its head to its answer.
+
+use super::read_body;
+use crate::{
+    log::Event,
+    node::Node,
+    pipeline::{identify, run_anywhere, Answer, Caller, Refusal},
+};
+use hyper::{body::Incoming, http::request::Parts, Request, StatusCode};
+use std::rc::Rc;
+
+/// Counts a request for as long as it is under way.
+struct InFlight(Rc<Node>);
+
+impl InFlight {
+    fn new(node: &Rc<Node>) -> Self {
+        node.in_flight.set(node.in_flight.get() + 1);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// What is logged of a request when it ends.
+struct Labels {
+    request: String,
+    route: String,
+    account: String,
+}
+
+/// Answers a request.
+pub async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+    let in_flight = InFlight::new(&node);
+    let started_at = node.now();
+    let (head, body) = request.into_parts();
+    let named = head
+        .headers
+        .get(&node.names.request_id)
+        .and_then(|id| id.to_str().ok());
+    let mut labels = Labels {
+        request: named.unwrap_or_default().to_owned(),
+        route: String::new(),
+        account: String::new(),
+    };
+    let outcome = serve(&node, head, body, &mut labels).await;
+    let after_ms = node.now().since(started_at);
+    drop(in_flight);
+    match outcome {
+        Ok(answer) => {
+            let status = answer.status();
+            let class = if status.is_success() {
+                "answered"
+            } else {
+                "answered_with_failure"
+            };
+            node.metrics.ended(&labels.account, &labels.route, class);
+            node.metrics
+                .first_byte(&labels.account, &labels.route, after_ms);
+            answer
+        }
+        Err(refusal) => {
+            node.metrics
+                .ended(&labels.account, &labels.route, refusal.reason);
+            node.log.event(Event::Refused {
+                request: &labels.request,
+                route: &labels.route,
+                account: &labels.account,
+                status: refusal.status.as_u16(),
+                reason: refusal.reason,
+                retry_after_ms: refusal.retry_after_ms.unwrap_or_default(),
+                config: node.metrics.config_version.get(),
+            });
+            refusal.into_answer()
+        }
+    }
+}
+
+async fn serve(
+    node: &Rc<Node>,
+    head: Parts,
+    body: Incoming,
+    labels: &mut Labels,
+) -> Result<Answer, Refusal> {
+    let started_at = node.now();
+    let (config, route, account) = identify(node, &head)?;
+    labels.route = route.name.to_string();
+    labels.account = account
+        .as_ref()
+        .map_or_else(String::new, |account| account.name.to_string());
+    check_head(&head, config.limits.max_head_bytes)?;
+    let body = read_body(node, body, started_at.plus(route.timeout_ms)).await?;
+    let caller = Caller::admit(node, &head, route, account)?;
+    let ticket = caller.ticket(node, &config, head, body, started_at)?;
+    let outcome = run_anywhere(node, ticket, &caller).await;
+    if outcome.as_ref().is_err_and(Refusal::is_not_run) {
+        caller.give_back(node);
+    }
+    outcome
+}
+
+fn check_head(head: &Parts, max_head_bytes: usize) -> Result<(), Refusal> {
+    let fields = head
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + 4);
+    let bytes = fields.sum::<usize>()
+        + head
+            .uri
+            .path_and_query()
+            .map_or(0, |path| path.as_str().len());
+    if bytes > max_head_bytes {
+        return Err(Refusal::new(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "the head is too large",
+        ));
+    }
+    let has_length = head.headers.contains_key(hyper::header::CONTENT_LENGTH);
+    if has_length && head.headers.contains_key(hyper::header::TRANSFER_ENCODING) {
+        return Err(Refusal::new(
+            StatusCode::BAD_REQUEST,
+            "the body has two lengths",
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/edge/src/front/listen.rs
@@ -0,0 +1,125 @@
+//! Accepting connections.
+
+use super::{conn::Tracked, handle, Connections, Interface, SideHandler};
+use crate::node::Node;
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use std::{convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::sleep,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest buffer that the library takes, in bytes.
+const MIN_READ_BYTES: usize = 8 * 1024;
+/// Room for a head besides its limit, so that one that is a little too large is answered.
+const HEAD_ROOM_BYTES: usize = 2 * 1024;
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Fails if the address cannot be used.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves callers. Once `drain` is cancelled, connections end after the request that they carry.
+pub async fn serve_callers(
+    node: Rc<Node>,
+    listener: TcpListener,
+    connections: Rc<Connections>,
+    drain: CancellationToken,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let (node, connections) = (Rc::clone(&node), Rc::clone(&connections));
+        let drain = drain.clone();
+        tokio::task::spawn_local(
+            async move { serve_caller(node, stream, &connections, drain).await },
+        );
+    }
+}
+
+async fn serve_caller(
+    node: Rc<Node>,
+    stream: TcpStream,
+    connections: &Connections,
+    drain: CancellationToken,
+) {
+    // Without it small writes wait for acknowledgements; the connection works all the same.
+    drop(stream.set_nodelay(true));
+    let (id, track) = connections.open(node.clock);
+    let limits = node.config().unwrap_or_default().limits;
+    let io = TokioIo::new(Tracked {
+        stream,
+        track: Rc::clone(&track),
+    });
+    let served = Rc::clone(&track);
+    let service = service_fn(move |request| {
+        let (node, track) = (Rc::clone(&node), Rc::clone(&served));
+        async move {
+            track.busy();
+            let answer = handle(node, request).await;
+            track.answered();
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .max_buf_size((limits.max_head_bytes + HEAD_ROOM_BYTES).max(MIN_READ_BYTES))
+        .auto_date_header(false)
+        .keep_alive(true);
+    let mut connection = std::pin::pin!(builder.serve_connection(io, service));
+    tokio::select! {
+        // The caller sees a broken connection itself.
+        result = connection.as_mut() => drop(result),
+        () = track.close.cancelled() => {}
+        () = drain.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            drop(connection.await);
+        }
+    }
+    connections.closed(id);
+}
+
+/// Serves a side address.
+pub async fn serve_side(
+    node: Rc<Node>,
+    listener: TcpListener,
+    interface: Interface,
+    handler: SideHandler,
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let node = Rc::clone(&node);
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answer = handler.answer(&node, &interface, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let mut builder = http1::Builder::new();
+            builder.max_buf_size(MIN_READ_BYTES).auto_date_header(false);
+            // The asker sees a broken connection itself.
+            drop(
+                builder
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await,
+            );
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/front/side.rs
@@ -0,0 +1,145 @@
+//! Readiness, the directory and metrics.
+
+use crate::node::Node;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{header, Request, Response, StatusCode};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+
+/// Lifetime of a directory answer, in seconds.
+const DIRECTORY_TTL_S: f64 = 2.0;
+/// Addresses that a directory answer names at most.
+const MAX_NAMED: usize = 64;
+
+/// A question to the directory.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Question {
+    /// Region of the caller.
+    pub region: String,
+    /// Data centre of the caller.
+    pub data_centre: String,
+}
+
+/// How the deployment spells questions to the directory and its answers.
+#[derive(Clone, Copy, Debug)]
+pub struct Interface {
+    /// Path of readiness checks.
+    pub ready_path: &'static str,
+    /// Path of questions to the directory.
+    pub directory_path: &'static str,
+    /// Reads a question from the query.
+    pub decode_question: fn(&str) -> Question,
+    /// Writes an answer: addresses and lifetime in seconds.
+    pub encode_answer: fn(&[SocketAddr], f64) -> Vec<u8>,
+}
+
+type SideAnswer = Response<Full<Bytes>>;
+
+/// What a side address answers.
+#[derive(Clone, Copy, Debug)]
+pub enum SideHandler {
+    /// Readiness checks.
+    Ready,
+    /// Questions to the directory.
+    Directory,
+    /// Metrics.
+    Metrics,
+}
+
+impl SideHandler {
+    /// Answers a request.
+    pub fn answer<B>(
+        self,
+        node: &Rc<Node>,
+        interface: &Interface,
+        request: &Request<B>,
+    ) -> SideAnswer {
+        let path = request.uri().path();
+        match self {
+            Self::Ready if path == interface.ready_path => {
+                let is_ready = node.is_ready();
+                status(if is_ready {
+                    StatusCode::OK
+                } else {
+                    StatusCode::SERVICE_UNAVAILABLE
+                })
+            }
+            Self::Directory if path == interface.directory_path => {
+                let query = request.uri().query().unwrap_or_default();
+                directory(node, interface, &(interface.decode_question)(query))
+            }
+            Self::Metrics => Response::new(Full::new(metrics(node).into())),
+            Self::Ready | Self::Directory => status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+fn status(status: StatusCode) -> SideAnswer {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// Names the ready instances of the caller's region, or those of all others if there is none.
+fn directory(node: &Rc<Node>, interface: &Interface, question: &Question) -> SideAnswer {
+    let now = node.now();
+    let mut by_region: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+    let state = node.state.borrow();
+    let up = state
+        .members
+        .by_name
+        .values()
+        .filter(|member| member.is_up(now));
+    for member in up {
+        let addresses = by_region
+            .entry(member.entry.region.to_string())
+            .or_default();
+        addresses.push(member.entry.callers);
+    }
+    drop(state);
+    if node.is_ready() {
+        let own = by_region.entry(node.region.to_string()).or_default();
+        own.push(node.settings.listen.callers);
+    }
+    let mut named = match by_region.remove(&question.region) {
+        Some(addresses) => addresses,
+        None => by_region.into_values().flatten().collect(),
+    };
+    named.sort_unstable();
+    named.truncate(MAX_NAMED);
+    if named.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let ttl_s = DIRECTORY_TTL_S.min(node.settings.bounds.directory_ttl_s);
+    let mut response = Response::new(Full::new((interface.encode_answer)(&named, ttl_s).into()));
+    let json = header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn metrics(node: &Rc<Node>) -> String {
+    let now = node.now();
+    let state = node.state.borrow();
+    let fleet = state.members.fleet(now);
+    let usable = state
+        .upstreams
+        .by_id
+        .values()
+        .filter(|up| up.health.is_usable(now))
+        .count();
+    let lost_ms = state.store_lost_at.map_or(0, |at| now.since(at));
+    let gauges = [
+        ("carobwheel_in_flight", node.in_flight.get() as u64),
+        ("carobwheel_instances", fleet.instances as u64),
+        ("carobwheel_instances_heard", fleet.heard as u64),
+        ("carobwheel_upstreams", state.upstreams.by_id.len() as u64),
+        ("carobwheel_upstreams_usable", usable as u64),
+        ("carobwheel_store_lost_ms", lost_ms),
+        ("carobwheel_log_lines_left_out_total", node.log.left_out()),
+        (
+            "carobwheel_ready",
+            u64::from(state.config.is_some() && !state.is_leaving),
+        ),
+    ];
+    node.metrics.text(&gauges)
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,27 @@
+//! The request path of a deployment whose upstreams register by themselves.
+//!
+//! Requests and answers pass byte for byte. Routes, services, accounts, upstreams and orders come
+//! from the deployment's store through an adapter, which also says how headers are named.
+//! Decisions (`place`, `limit`, `retry`, `cold`, `rollout`, `member`, `upstream`) know neither
+//! network nor clock.
+
+pub mod cold;
+pub mod daemon;
+pub mod dispatch;
+pub mod front;
+pub mod limit;
+pub mod log;
+pub mod member;
+pub mod metrics;
+pub mod model;
+pub mod names;
+pub mod node;
+pub mod peers;
+pub mod pipeline;
+pub mod place;
+pub mod relay;
+pub mod retry;
+pub mod rollout;
+pub mod settings;
+pub mod store;
+pub mod upstream;
--- /dev/null
+++ b/crates/edge/src/log/event.rs
@@ -0,0 +1,186 @@
+//! What is logged.
+
+use serde::Serialize;
+
+/// One decision on a request, or one change of what the instance believes.
+///
+/// Times and ages are in milliseconds. `request` is the caller's identifier of its attempt, the
+/// same on every instance that handles it.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Event<'a> {
+    Started {
+        region: &'a str,
+        life: u64,
+    },
+    Stopping {
+        in_flight: usize,
+    },
+    Stopped {
+        in_flight: usize,
+    },
+    SettingsReloaded {
+        is_changed: bool,
+    },
+    SettingsRefused {
+        reason: &'a str,
+    },
+    DependencyLost {
+        dependency: &'a str,
+        reason: &'a str,
+    },
+    DependencyBack {
+        dependency: &'a str,
+        lost_ms: u64,
+    },
+    ConfigInForce {
+        version: u64,
+        before: u64,
+        routes: usize,
+        accounts: usize,
+    },
+    ConfigRefused {
+        reason: &'a str,
+    },
+    EntryIgnored {
+        key: &'a str,
+        reason: &'a str,
+    },
+    UpstreamSeen {
+        upstream: &'a str,
+        service: &'a str,
+        version: &'a str,
+        stage: &'a str,
+        cold_left_ms: u64,
+    },
+    UpstreamMissing {
+        upstream: &'a str,
+        is_after_outage: bool,
+    },
+    UpstreamForgotten {
+        upstream: &'a str,
+    },
+    UpstreamEjected {
+        upstream: &'a str,
+        request: &'a str,
+        error_share: f64,
+    },
+    Evacuated {
+        data_centre: &'a str,
+        is_evacuated: bool,
+    },
+    MemberSeen {
+        member: &'a str,
+        life: u64,
+    },
+    MemberForgotten {
+        member: &'a str,
+    },
+    LinkUp {
+        member: &'a str,
+    },
+    LinkLost {
+        member: &'a str,
+        reason: &'a str,
+    },
+    TrialSeen {
+        service: &'a str,
+        target: &'a str,
+        duration_ms: u64,
+    },
+    TrialSuspected {
+        service: &'a str,
+        target: &'a str,
+        ended: u32,
+    },
+    TrialVerdict {
+        service: &'a str,
+        target: &'a str,
+        verdict: &'a str,
+        is_own: bool,
+    },
+    VerdictNotRecorded {
+        service: &'a str,
+        reason: &'a str,
+    },
+    LeaseLost {
+        reason: &'a str,
+    },
+    Admitted {
+        request: &'a str,
+        route: &'a str,
+        account: &'a str,
+        config: u64,
+        tokens: u64,
+    },
+    Refused {
+        request: &'a str,
+        route: &'a str,
+        account: &'a str,
+        status: u16,
+        reason: &'a str,
+        retry_after_ms: u64,
+        config: u64,
+    },
+    Placed {
+        request: &'a str,
+        upstream: &'a str,
+        attempt: u32,
+        wait_ms: u64,
+        unread_tokens: u32,
+        at_upstream: u32,
+        config: u64,
+    },
+    Forwarded {
+        request: &'a str,
+        member: &'a str,
+        region: &'a str,
+        wait_ms: u64,
+        local_wait_ms: i64,
+    },
+    SendFailed {
+        request: &'a str,
+        upstream: &'a str,
+        attempt: u32,
+        reason: &'a str,
+        may_have_run: bool,
+        will_retry: bool,
+        after_ms: u64,
+    },
+    Resumed {
+        request: &'a str,
+        upstream: &'a str,
+        last_event: u64,
+    },
+    AnswerBroken {
+        request: &'a str,
+        upstream: &'a str,
+        reason: &'a str,
+        events: u64,
+        after_ms: u64,
+    },
+    Answered {
+        request: &'a str,
+        upstream: &'a str,
+        status: u16,
+        first_byte_ms: u64,
+    },
+    CallerLeft {
+        request: &'a str,
+        after_ms: u64,
+    },
+    LinesLeftOut {
+        lines: u64,
+    },
+}
+
+impl Event<'_> {
+    /// Whether the event tells of ordinary work, of which lines may be left out first.
+    pub(super) fn is_ordinary(&self) -> bool {
+        matches!(
+            self,
+            Self::Admitted { .. } | Self::Placed { .. } | Self::Answered { .. }
+        )
+    }
+}
--- /dev/null
+++ b/crates/edge/src/member/mod.rs
@@ -0,0 +1,154 @@
+//! The instances of the fleet as one of them sees them.
+//!
+//! An entry in the store, kept under a lease, says where an instance is and which certificate it
+//! shows. Whether it is alive and ready is heard from the instance itself.
+
+use crate::limit::Fleet;
+use carobwheel_core::time::Millis;
+use serde::{Deserialize, Serialize};
+use serde_with::{hex::Hex, serde_as};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+/// Silence after which an instance is no longer named to callers, in milliseconds.
+const NAMED_SILENCE_MS: u64 = 1_500;
+/// Silence after which an instance's use of accounts counts as unknown, in milliseconds.
+const USE_SILENCE_MS: u64 = 700;
+/// Silence after which an instance without an entry is forgotten, in milliseconds.
+const FORGET_MS: u64 = 10_000;
+
+/// What an instance says of itself in the store.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberEntry {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Start of the process in civil time, in milliseconds; tells its lifetimes apart.
+    pub life: u64,
+    /// Region.
+    pub region: Arc<str>,
+    /// Data centre.
+    pub data_centre: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where links of other instances connect.
+    pub peers: SocketAddr,
+    /// SHA-256 of the certificate that it shows.
+    #[serde_as(as = "Hex")]
+    pub certificate_digest: [u8; 32],
+}
+
+/// One other instance.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// What it says of itself.
+    pub entry: MemberEntry,
+    /// Its entry stands in the store.
+    pub has_entry: bool,
+    /// It takes requests.
+    pub is_ready: bool,
+    /// When it was heard last.
+    pub heard_at: Option<Millis>,
+    /// When its entry was seen last.
+    pub entry_at: Millis,
+    /// Shortest wait for each of its region's services, by a hash of the name, in milliseconds.
+    pub waits_ms: HashMap<u32, u32>,
+}
+
+impl Member {
+    /// Whether it was heard within `silence_ms` milliseconds.
+    pub fn is_heard(&self, silence_ms: u64, now: Millis) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) <= silence_ms)
+    }
+
+    /// Whether requests may be sent to it.
+    pub fn is_up(&self, now: Millis) -> bool {
+        self.is_ready && self.is_heard(NAMED_SILENCE_MS, now)
+    }
+}
+
+/// All other instances.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// Other instances by name.
+    pub by_name: HashMap<Arc<str>, Member>,
+}
+
+impl Members {
+    /// Takes note of an entry. Returns true if it is a new instance or a new lifetime of one.
+    pub fn saw(&mut self, entry: MemberEntry, now: Millis) -> bool {
+        if let Some(known) = self.by_name.get_mut(&entry.name) {
+            known.has_entry = true;
+            known.entry_at = now;
+            if known.entry == entry {
+                return false;
+            }
+        }
+        let member = Member {
+            has_entry: true,
+            is_ready: false,
+            heard_at: None,
+            entry_at: now,
+            waits_ms: HashMap::new(),
+            entry,
+        };
+        self.by_name.insert(Arc::clone(&member.entry.name), member);
+        true
+    }
+
+    /// Takes note that the entry of `name` is gone.
+    pub fn entry_gone(&mut self, name: &str) {
+        if let Some(member) = self.by_name.get_mut(name) {
+            member.has_entry = false;
+        }
+    }
+
+    /// Takes note that `name` was heard. Returns false if it is not known in this lifetime.
+    pub fn heard(&mut self, name: &str, life: u64, is_ready: bool, now: Millis) -> bool {
+        let known = self
+            .by_name
+            .get_mut(name)
+            .filter(|known| known.entry.life == life);
+        let Some(member) = known else {
+            return false;
+        };
+        member.heard_at = Some(now);
+        member.is_ready = is_ready;
+        true
+    }
+
+    /// Forgets instances that have neither an entry nor a voice. Returns their names.
+    pub fn sweep(&mut self, now: Millis) -> Vec<Arc<str>> {
+        let is_over = |member: &Member| {
+            let last_at = member
+                .heard_at
+                .map_or(member.entry_at, |at| at.max(member.entry_at));
+            !member.has_entry && now.since(last_at) > FORGET_MS
+        };
+        let over: Vec<_> = self
+            .by_name
+            .iter()
+            .filter(|(_, member)| is_over(member))
+            .map(|(name, _)| Arc::clone(name))
+            .collect();
+        for name in &over {
+            self.by_name.remove(name);
+        }
+        over
+    }
+
+    /// How many instances there are and how many are heard, this one included.
+    pub fn fleet(&self, now: Millis) -> Fleet {
+        let may_serve = |member: &&Member| member.has_entry || member.is_heard(FORGET_MS, now);
+        let heard = |member: &&Member| member.is_heard(USE_SILENCE_MS, now);
+        Fleet {
+            instances: 1 + self.by_name.values().filter(may_serve).count(),
+            heard: 1 + self.by_name.values().filter(heard).count(),
+        }
+    }
+
+    /// Instances of `region` that take requests.
+    pub fn up_in<'a>(&'a self, region: &'a str, now: Millis) -> impl Iterator<Item = &'a Member> {
+        let is_there = move |member: &&Member| &*member.entry.region == region && member.is_up(now);
+        self.by_name.values().filter(is_there)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/metrics/mod.rs
@@ -0,0 +1,123 @@
+//! Counters and histograms, served as text on the metrics address.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    fmt::Write as _,
+};
+
+/// A number that only rises, or that is set.
+#[derive(Debug, Default)]
+pub struct Number(Cell<u64>);
+
+impl Number {
+    /// Adds `n`.
+    pub fn add(&self, n: u64) {
+        self.0.set(self.0.get() + n);
+    }
+
+    /// Sets the number.
+    pub fn set(&self, n: u64) {
+        self.0.set(n);
+    }
+
+    /// The number.
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+/// Upper bounds of the histograms' buckets, in milliseconds.
+const BOUNDS_MS: [u64; 12] = [
+    5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800,
+];
+/// Combinations of labels that are kept apart; the rest counts as `other`.
+const MAX_LABELS: usize = 512;
+
+#[derive(Clone, Debug, Default)]
+struct Histogram {
+    buckets: [u64; BOUNDS_MS.len()],
+    count: u64,
+    sum_ms: u64,
+}
+
+/// Metrics of one instance.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    /// Version of the configuration in force.
+    pub config_version: Number,
+    /// Connections opened to upstreams.
+    pub connections_opened: Number,
+    /// Requests forwarded to other regions.
+    pub forwarded: Number,
+    outcomes: RefCell<BTreeMap<(String, String, String), u64>>,
+    first_byte_ms: RefCell<BTreeMap<(String, String), Histogram>>,
+}
+
+impl Metrics {
+    /// Counts the end of a request by account, route and outcome.
+    pub fn ended(&self, account: &str, route: &str, outcome: &str) {
+        let mut outcomes = self.outcomes.borrow_mut();
+        let mut labels = (account.to_owned(), route.to_owned(), outcome.to_owned());
+        if outcomes.len() >= MAX_LABELS && !outcomes.contains_key(&labels) {
+            labels = ("other".to_owned(), "other".to_owned(), outcome.to_owned());
+        }
+        *outcomes.entry(labels).or_default() += 1;
+    }
+
+    /// Adds the time to the first byte of an answer, in milliseconds.
+    pub fn first_byte(&self, account: &str, route: &str, ms: u64) {
+        let mut times = self.first_byte_ms.borrow_mut();
+        let mut labels = (account.to_owned(), route.to_owned());
+        if times.len() >= MAX_LABELS && !times.contains_key(&labels) {
+            labels = ("other".to_owned(), "other".to_owned());
+        }
+        let histogram = times.entry(labels).or_default();
+        for (bucket, bound_ms) in histogram.buckets.iter_mut().zip(BOUNDS_MS) {
+            *bucket += u64::from(ms <= bound_ms);
+        }
+        histogram.count += 1;
+        histogram.sum_ms += ms;
+    }
+
+    /// All metrics as text. `gauges` are added by their names.
+    pub fn text(&self, gauges: &[(&str, u64)]) -> String {
+        let mut text = String::new();
+        let numbers = [
+            ("carobwheel_config_version", self.config_version.get()),
+            (
+                "carobwheel_upstream_connections_total",
+                self.connections_opened.get(),
+            ),
+            ("carobwheel_forwarded_total", self.forwarded.get()),
+        ];
+        for (name, value) in numbers.iter().chain(gauges) {
+            let _ = writeln!(text, "{name} {value}");
+        }
+        for ((account, route, outcome), value) in self.outcomes.borrow().iter() {
+            let _ = writeln!(
+                text,
+                "carobwheel_requests_total{{account=\"{account}\",route=\"{route}\",outcome=\"{outcome}\"}} {value}"
+            );
+        }
+        for ((account, route), histogram) in self.first_byte_ms.borrow().iter() {
+            histogram.write(
+                &mut text,
+                &format!("account=\"{account}\",route=\"{route}\""),
+            );
+        }
+        text
+    }
+}
+
+impl Histogram {
+    fn write(&self, text: &mut String, labels: &str) {
+        const NAME: &str = "carobwheel_first_byte_ms";
+        for (bucket, bound_ms) in self.buckets.iter().zip(BOUNDS_MS) {
+            let _ = writeln!(text, "{NAME}_bucket{{{labels},le=\"{bound_ms}\"}} {bucket}");
+        }
+        let _ = writeln!(text, "{NAME}_bucket{{{labels},le=\"+Inf\"}} {}", self.count);
+        let _ = writeln!(text, "{NAME}_sum{{{labels}}} {}", self.sum_ms);
+        let _ = writeln!(text, "{NAME}_count{{{labels}}} {}", self.count);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/model/lookup.rs
@@ -0,0 +1,68 @@
+//! Which route and which service a request belongs to.
+
+use super::{Account, Config, Route};
+use std::{rc::Rc, sync::Arc};
+
+/// What a request is by its host, path and key.
+#[derive(Clone, Debug)]
+pub enum RouteMatch {
+    /// A route, and the account of the key where the route needs one.
+    Found(Rc<Route>, Option<Rc<Account>>),
+    /// No route has this host and path.
+    NoRoute,
+    /// The route needs a key that some account holds.
+    NoAccount,
+}
+
+impl Config {
+    /// Finds the route of `host` with the longest prefix of `path`, and the account of `key`.
+    pub fn find(&self, host: &str, path: &str, key: Option<&str>) -> RouteMatch {
+        let host = host
+            .split(':')
+            .next()
+            .unwrap_or_default()
+            .to_ascii_lowercase();
+        let routes = self.routes.get(&host);
+        let route = routes.and_then(|routes| {
+            let is_match = |route: &&Rc<Route>| path.starts_with(&route.path_prefix);
+            routes.iter().find(is_match)
+        });
+        let Some(route) = route else {
+            return RouteMatch::NoRoute;
+        };
+        if route.is_open || self.accounts.is_empty() {
+            return RouteMatch::Found(Rc::clone(route), None);
+        }
+        match key.and_then(|key| self.keys.get(key)) {
+            Some(account) => RouteMatch::Found(Rc::clone(route), Some(Rc::clone(account))),
+            None => RouteMatch::NoAccount,
+        }
+    }
+}
+
+/// The service that takes a request of `route`, by `draw` from 0 up to 1.
+pub fn split_service(route: &Route, draw: f64) -> Option<Arc<str>> {
+    let total: u32 = route.shares.iter().map(|share| share.weight).sum();
+    let mut rest = draw * f64::from(total);
+    for share in &route.shares {
+        rest -= f64::from(share.weight);
+        if rest < 0.0 {
+            return Some(Arc::clone(&share.service));
+        }
+    }
+    route.shares.last().map(|share| Arc::clone(&share.service))
+}
+
+/// Regions of `all` that may serve a request; both lists bind where both are given.
+pub fn allowed_regions<'a>(
+    all: impl Iterator<Item = &'a str>,
+    route: &Route,
+    account: Option<&Account>,
+) -> Vec<&'a str> {
+    let is_home = |homes: &[String], region: &str| {
+        homes.is_empty() || homes.iter().any(|home| home == region)
+    };
+    all.filter(|region| is_home(&route.home_regions, region))
+        .filter(|region| account.is_none_or(|account| is_home(&account.home_regions, region)))
+        .collect()
+}
--- /dev/null
+++ b/crates/edge/src/node/apply.rs
@@ -0,0 +1,298 @@
+//! Applying news from the store.
+
+use super::Node;
+use crate::{
+    log::Event,
+    member::MemberEntry,
+    model::{Config, ConfigParts},
+    rollout::{Order, Trial, Verdict},
+    store::{MemberChange, News},
+    upstream::{Sighting, Stage},
+};
+use std::{collections::HashSet, rc::Rc, sync::Arc};
+
+/// Time after an outage of the store in which missing entries may come back, in milliseconds.
+const AFTER_OUTAGE_MS: u64 = 2_500;
+
+impl Node {
+    /// Applies one piece of news.
+    pub fn apply(&self, news: News) {
+        match news {
+            News::Config(parts) => self.apply_config(*parts),
+            News::ConfigUnusable(reason) => {
+                self.log.event(Event::ConfigRefused { reason: &reason })
+            }
+            News::Evacuated(data_centre, is_evacuated) => {
+                self.set_evacuated(&data_centre, is_evacuated)
+            }
+            News::Ordered(order) => self.apply_order(order),
+            News::OrderGone(service) => {
+                self.state.borrow_mut().trials.remove(&service);
+            }
+            News::Verdict(service, target, verdict) => {
+                self.apply_verdict(&service, &target, verdict, true);
+            }
+            News::Upstream(seen) => self.apply_upstream(seen),
+            News::UpstreamGone(id) => self.upstream_gone(&id),
+            News::UpstreamsAre(ids) => self.upstreams_are(&ids),
+            News::OrdersAre(services, data_centres) => self.orders_are(&services, &data_centres),
+            News::Member(MemberChange::Seen(entry)) => self.apply_member(entry),
+            News::Member(MemberChange::Gone(name)) => {
+                self.state.borrow_mut().members.entry_gone(&name);
+            }
+            News::MembersAre(names) => self.members_are(&names),
+            News::Ignored(key, reason) => {
+                self.log.event(Event::EntryIgnored {
+                    key: &key,
+                    reason: &reason,
+                });
+            }
+            News::StoreLost(reason) => self.store_lost(&reason),
+            News::StoreBack => self.store_back(),
+            News::LeaseLost(reason) => self.log.event(Event::LeaseLost { reason: &reason }),
+            News::VerdictFailed(service, err) => self.log.event(Event::VerdictNotRecorded {
+                service: &service,
+                reason: &err.to_string(),
+            }),
+        }
+    }
+
+    fn apply_config(&self, parts: ConfigParts) {
+        let config = Rc::new(Config::from(parts));
+        let mut state = self.state.borrow_mut();
+        let before = state.config.as_ref().map_or(0, |config| config.version);
+        if state.config.is_some() && config.version <= before {
+            return;
+        }
+        self.log.event(Event::ConfigInForce {
+            version: config.version,
+            before,
+            routes: config.routes.values().map(Vec::len).sum(),
+            accounts: config.accounts.len(),
+        });
+        self.metrics.config_version.set(config.version);
+        state
+            .buckets
+            .retain(|name, _| config.accounts.contains_key(name));
+        for upstream in state.upstreams.by_id.values_mut() {
+            let service = config.services.get(&upstream.seen.service);
+            let engine = service.and_then(|service| service.engine);
+            upstream
+                .cache
+                .set_capacity(engine.map_or(0, |engine| engine.memory_tokens));
+        }
+        state.config = Some(config);
+    }
+
+    fn set_evacuated(&self, data_centre: &Arc<str>, is_evacuated: bool) {
+        let mut state = self.state.borrow_mut();
+        let is_change = if is_evacuated {
+            state.evacuated.insert(Arc::clone(data_centre))
+        } else {
+            state.evacuated.remove(data_centre)
+        };
+        if is_change {
+            self.log.event(Event::Evacuated {
+                data_centre,
+                is_evacuated,
+            });
+        }
+    }
+
+    fn apply_order(&self, order: Order) {
+        let mut state = self.state.borrow_mut();
+        let known = state.trials.get(&order.service);
+        if known.is_some_and(|known| known.order == order) {
+            return;
+        }
+        self.log.event(Event::TrialSeen {
+            service: &order.service,
+            target: &order.target,
+            duration_ms: order.duration_ms,
+        });
+        let key = (Arc::clone(&order.service), Arc::clone(&order.target));
+        let mut trial = Trial::new(order, self.now());
+        if let Some(verdict) = state.verdicts.get(&key) {
+            trial.verdict = *verdict;
+        }
+        state.trials.insert(key.0, trial);
+    }
+
+    /// Takes note of a verdict that stands, or that another instance tells of.
+    pub(super) fn apply_verdict(
+        &self,
+        service: &Arc<str>,
+        target: &Arc<str>,
+        verdict: Verdict,
+        is_own: bool,
+    ) {
+        let mut state = self.state.borrow_mut();
+        if verdict != Verdict::Active {
+            let key = (Arc::clone(service), Arc::clone(target));
+            state.verdicts.entry(key).or_insert(verdict);
+        }
+        let Some(trial) = state.trials.get_mut(service) else {
+            return;
+        };
+        if trial.order.target != *target
+            || trial.verdict != Verdict::Active
+            || verdict == Verdict::Active
+        {
+            return;
+        }
+        trial.verdict = verdict;
+        let verdict = match verdict {
+            Verdict::Active => "active",
+            Verdict::Complete => "complete",
+            Verdict::Reverted => "reverted",
+        };
+        self.log.event(Event::TrialVerdict {
+            service,
+            target,
+            verdict,
+            is_own,
+        });
+    }
+
+    fn apply_upstream(&self, seen: Sighting) {
+        let now = self.now();
+        let data_centre: &str = &seen.data_centre;
+        let Some(region) = self.settings.regions.get(data_centre) else {
+            let reason = format!("no region is known for data centre `{data_centre}`");
+            self.log.event(Event::EntryIgnored {
+                key: &seen.id,
+                reason: &reason,
+            });
+            return;
+        };
+        let region: Arc<str> = region.as_str().into();
+        let mut state = self.state.borrow_mut();
+        let engine = state
+            .service(&seen.service)
+            .and_then(|service| service.engine);
+        let memory_tokens = engine.map_or(0, |engine| engine.memory_tokens);
+        let version = (Arc::clone(&seen.service), Arc::clone(&seen.version));
+        let first_at = if state.has_upstreams {
+            now
+        } else {
+            carobwheel_core::time::Millis(0)
+        };
+        state.versions.entry(version).or_insert(first_at);
+        let logged = seen.clone();
+        let is_new = !state.upstreams.by_id.contains_key(&seen.id);
+        if state.upstreams.saw(seen, &region, memory_tokens, now) {
+            self.log.event(Event::UpstreamSeen {
+                upstream: &logged.id,
+                service: &logged.service,
+                version: &logged.version,
+                stage: if logged.stage == Stage::Ready {
+                    "ready"
+                } else {
+                    "draining"
+                },
+                cold_left_ms: logged.cold_left_ms,
+            });
+        }
+        if !is_new && logged.stage == Stage::Draining {
+            self.pools.close_idle(&logged.id);
+        }
+    }
+
+    fn upstream_gone(&self, id: &str) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let is_after_outage = state.store_lost_at.is_some()
+            || state
+                .store_back_at
+                .is_some_and(|at| now.since(at) < AFTER_OUTAGE_MS);
+        state.upstreams.missing(id, is_after_outage, now);
+        self.log.event(Event::UpstreamMissing {
+            upstream: id,
+            is_after_outage,
+        });
+    }
+
+    fn upstreams_are(&self, ids: &HashSet<Arc<str>>) {
+        let gone: Vec<Arc<str>> = {
+            let mut state = self.state.borrow_mut();
+            state.has_upstreams = true;
+            let known = state.upstreams.by_id.values();
+            let missing = known.filter(|up| !ids.contains(&up.seen.id) && up.gone_at.is_none());
+            missing.map(|up| Arc::clone(&up.seen.id)).collect()
+        };
+        for id in gone {
+            self.upstream_gone(&id);
+        }
+    }
+
+    fn orders_are(&self, services: &HashSet<Arc<str>>, data_centres: &HashSet<Arc<str>>) {
+        let over: Vec<_> = {
+            let mut state = self.state.borrow_mut();
+            state.trials.retain(|service, _| services.contains(service));
+            let over = state
+                .evacuated
+                .iter()
+                .filter(|name| !data_centres.contains(*name));
+            over.cloned().collect()
+        };
+        for data_centre in over {
+            self.set_evacuated(&data_centre, false);
+        }
+    }
+
+    fn apply_member(&self, entry: MemberEntry) {
+        if entry.name == self.name {
+            return;
+        }
+        let (name, life) = (Arc::clone(&entry.name), entry.life);
+        let is_new = self
+            .state
+            .borrow_mut()
+            .members
+            .saw(entry.clone(), self.now());
+        if is_new {
+            self.log.event(Event::MemberSeen {
+                member: &name,
+                life,
+            });
+            self.links.dial(entry);
+        }
+    }
+
+    fn members_are(&self, names: &HashSet<Arc<str>>) {
+        let mut state = self.state.borrow_mut();
+        let gone: Vec<_> = {
+            let known = state.members.by_name.keys();
+            known
+                .filter(|name| !names.contains(*name))
+                .cloned()
+                .collect()
+        };
+        for name in gone {
+            state.members.entry_gone(&name);
+        }
+    }
+
+    fn store_lost(&self, reason: &str) {
+        self.state
+            .borrow_mut()
+            .store_lost_at
+            .get_or_insert(self.now());
+        self.log.event(Event::DependencyLost {
+            dependency: "store",
+            reason,
+        });
+    }
+
+    fn store_back(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let lost_at = state.store_lost_at.take();
+        state.store_back_at = Some(now);
+        let lost_ms = lost_at.map_or(0, |at| now.since(at));
+        self.log.event(Event::DependencyBack {
+            dependency: "store",
+            lost_ms,
+        });
+    }
+}
--- /dev/null
+++ b/crates/edge/src/node/gossip.rs
@@ -0,0 +1,198 @@
+//! What instances tell each other.
+
+use super::Node;
+use crate::{
+    log::Event,
+    rollout::{RouteEvidence, Verdict},
+    upstream::Load,
+};
+use carobwheel_core::time::Millis;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// State of one move as an instance sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TrialNews {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Hash of the target's name.
+    pub target: u32,
+    /// The instance has found the new version bad.
+    pub is_suspect: bool,
+    /// The verdict that stands, if any: true for `complete`.
+    pub verdict: Option<bool>,
+    /// Evidence by hash of the route's name.
+    pub routes: Vec<(u32, RouteEvidence)>,
+}
+
+/// One message between instances.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Gossip {
+    /// Lifetime of the sender.
+    pub life: u64,
+    /// The sender takes requests.
+    pub is_ready: bool,
+    /// Work of the sender, by hash of the upstream's identifier; only within a region.
+    pub loads: Vec<(u32, Load)>,
+    /// Tokens that the sender has used, by hash of the account's name.
+    pub used: Vec<(u32, u64)>,
+    /// Shortest wait in the sender's region, by hash of the service's name, in milliseconds.
+    pub waits_ms: Vec<(u32, u32)>,
+    /// Moves.
+    pub trials: Vec<TrialNews>,
+}
+
+/// A hash of a name, alike on all instances (32-bit FNV-1a).
+pub fn short_hash(name: &str) -> u32 {
+    const OFFSET: u32 = 0x811c_9dc5;
+    const PRIME: u32 = 0x0100_0193;
+    name.bytes().fold(OFFSET, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(PRIME)
+    })
+}
+
+impl Node {
+    /// What another instance should hear; loads only within the region.
+    pub fn gossip(&self, is_same_region: bool) -> Gossip {
+        let is_ready = self.is_ready();
+        let services: Vec<Arc<str>> = {
+            let state = self.state.borrow();
+            state
+                .config
+                .iter()
+                .flat_map(|config| config.services.keys().cloned())
+                .collect()
+        };
+        let waits_ms = services.iter().filter_map(|service| {
+            let wait_ms = self.region_wait_ms(service)?;
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let wait_ms = wait_ms.clamp(0.0, 60_000.0) as u32;
+            Some((short_hash(service), wait_ms))
+        });
+        let waits_ms = if is_same_region {
+            Vec::new()
+        } else {
+            waits_ms.collect()
+        };
+        let state = self.state.borrow();
+        let busy = state
+            .upstreams
+            .by_id
+            .iter()
+            .filter(|(_, up)| !up.own.is_idle());
+        let loads = busy.map(|(id, up)| (short_hash(id), up.own));
+        let trials = state.trials.values().map(|trial| TrialNews {
+            service: short_hash(&trial.order.service),
+            target: short_hash(&trial.order.target),
+            is_suspect: trial.is_suspect(),
+            verdict: match trial.verdict {
+                Verdict::Active => None,
+                verdict => Some(verdict == Verdict::Complete),
+            },
+            routes: trial
+                .evidence
+                .own
+                .iter()
+                .map(|(route, seen)| (*route, *seen))
+                .collect(),
+        });
+        let buckets = state
+            .buckets
+            .iter()
+            .filter(|(_, bucket)| bucket.used_tokens() > 0);
+        Gossip {
+            life: self.life,
+            is_ready,
+            loads: if is_same_region {
+                loads.collect()
+            } else {
+                Vec::new()
+            },
+            used: buckets
+                .map(|(name, bucket)| (short_hash(name), bucket.used_tokens()))
+                .collect(),
+            waits_ms,
+            trials: trials.collect(),
+        }
+    }
+
+    /// Takes note of what the instance `name` tells.
+    pub fn hear(&self, name: &Arc<str>, gossip: Gossip) {
+        let now = self.now();
+        let verdicts = {
+            let mut state = self.state.borrow_mut();
+            if !state.members.heard(name, gossip.life, gossip.is_ready, now) {
+                return;
+            }
+            state.hear_loads(name, &gossip, now);
+            if let Some(member) = state.members.by_name.get_mut(name) {
+                member.waits_ms = gossip.waits_ms.iter().copied().collect();
+            }
+            for (account, bucket) in &mut state.buckets {
+                let hash = short_hash(account);
+                if let Some((_, used)) = gossip.used.iter().find(|(account, _)| *account == hash) {
+                    bucket.hear(name, gossip.life, *used);
+                }
+            }
+            state.hear_trials(self, name, gossip.trials)
+        };
+        for (service, target, verdict) in verdicts {
+            self.apply_verdict(&service, &target, verdict, false);
+        }
+    }
+}
+
+impl super::State {
+    fn hear_loads(&mut self, name: &Arc<str>, gossip: &Gossip, now: Millis) {
+        for (id, upstream) in &mut self.upstreams.by_id {
+            let hash = short_hash(id);
+            match gossip.loads.iter().find(|(id, _)| *id == hash) {
+                Some((_, load)) => {
+                    upstream.others.insert(Arc::clone(name), (*load, now));
+                }
+                None => {
+                    upstream.others.remove(name);
+                }
+            }
+        }
+    }
+
+    fn hear_trials(
+        &mut self,
+        node: &Node,
+        name: &Arc<str>,
+        news: Vec<TrialNews>,
+    ) -> Vec<(Arc<str>, Arc<str>, Verdict)> {
+        let mut verdicts = Vec::new();
+        for told in news {
+            let is_it = |trial: &&mut crate::rollout::Trial| {
+                short_hash(&trial.order.service) == told.service
+                    && short_hash(&trial.order.target) == told.target
+            };
+            let Some(trial) = self.trials.values_mut().find(is_it) else {
+                continue;
+            };
+            trial.evidence.hear(name, told.routes.into_iter().collect());
+            let (service, target) = (&trial.order.service, &trial.order.target);
+            if told.is_suspect && !trial.is_suspect() {
+                let ended = trial.evidence.new_ended();
+                node.log.event(Event::TrialSuspected {
+                    service,
+                    target,
+                    ended,
+                });
+                trial.suspect();
+            }
+            if let Some(is_complete) = told.verdict {
+                let verdict = if is_complete {
+                    Verdict::Complete
+                } else {
+                    Verdict::Reverted
+                };
+                let (service, target) = (&trial.order.service, &trial.order.target);
+                verdicts.push((Arc::clone(service), Arc::clone(target), verdict));
+            }
+        }
+        verdicts
+    }
+}
--- /dev/null
+++ b/crates/edge/src/node/mod.rs
@@ -0,0 +1,11 @@
+//! One instance: its state, and what changes it.
+
+mod apply;
+mod evidence;
+mod gossip;
+mod state;
+mod tick;
+
+pub use evidence::Sent;
+pub use gossip::{short_hash, Gossip};
+pub use state::{urgency, Node, Offered, State};
--- /dev/null
+++ b/crates/edge/src/node/state.rs
@@ -0,0 +1,323 @@
+//! What one instance knows.
+
+use crate::{
+    cold::{ColdRate, COLD_USERS},
+    dispatch::Pools,
+    limit::{AccountLimit, Bucket},
+    log::Log,
+    member::Members,
+    metrics::Metrics,
+    model::{Account, Config, Route, Service},
+    names::HeaderNames,
+    peers::Links,
+    place::{choose, region_wait_ms, Choice, Job, Placed, Rules},
+    retry::{RetryBounds, RetryBudget},
+    rollout::{Trial, TrialBounds, Verdict},
+    settings::Settings,
+    store::Recorded,
+    upstream::Upstreams,
+};
+use carobwheel_core::time::{Clock, Millis};
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+};
+use tokio::sync::mpsc::Sender;
+
+/// Time for which a version without an order is not used, in milliseconds.
+const UNORDERED_MS: u64 = 3_000;
+
+/// One instance.
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Own region.
+    pub region: Arc<str>,
+    /// Start of the process in civil time, in milliseconds.
+    pub life: u64,
+    /// Header names.
+    pub names: HeaderNames,
+    /// Clock.
+    pub clock: Clock,
+    /// Logs.
+    pub log: Log,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Connections to upstreams.
+    pub pools: Pools,
+    /// Links to other instances.
+    pub links: Links,
+    /// States of moves to record in the store.
+    pub record: Sender<Recorded>,
+    /// Requests under way.
+    pub in_flight: Cell<usize>,
+    /// Everything that decisions look at.
+    pub state: RefCell<State>,
+}
+
+/// Everything that decisions look at.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Configuration in force, once one is known.
+    pub config: Option<Rc<Config>>,
+    /// Upstreams.
+    pub upstreams: Upstreams,
+    /// Other instances.
+    pub members: Members,
+    /// Tokens of accounts.
+    pub buckets: HashMap<Arc<str>, Bucket>,
+    /// Budgets of repeats by service.
+    pub budgets: HashMap<Arc<str>, RetryBudget>,
+    /// Data centres that must get nothing.
+    pub evacuated: HashSet<Arc<str>>,
+    /// Moves by service.
+    pub trials: HashMap<Arc<str>, Trial>,
+    /// Verdicts that stood before their order was seen, by service and target.
+    pub verdicts: HashMap<(Arc<str>, Arc<str>), Verdict>,
+    /// Versions of services and when they were first seen.
+    pub versions: HashMap<(Arc<str>, Arc<str>), Millis>,
+    /// The upstreams were listed once.
+    pub has_upstreams: bool,
+    /// The store does not answer since then.
+    pub store_lost_at: Option<Millis>,
+    /// The store answered again then.
+    pub store_back_at: Option<Millis>,
+    /// The instance is stopping.
+    pub is_leaving: bool,
+}
+
+/// What is asked of the upstreams of a region.
+pub struct Offered<'a> {
+    /// Service.
+    pub service: &'a Arc<str>,
+    /// Request.
+    pub job: &'a Job,
+    /// Upstreams that have had it.
+    pub tried: &'a [Arc<str>],
+    /// Whether it goes to the version on trial, by a draw from 0 up to 1.
+    pub draw: f64,
+}
+
+impl Node {
+    /// The current time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Whether the instance takes requests.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        state.config.is_some() && state.has_upstreams && !state.is_leaving
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.state.borrow().config.clone()
+    }
+
+    /// Chooses an upstream of the own region.
+    pub fn place(&self, offered: &Offered<'_>) -> Choice {
+        let now = self.now();
+        let state = self.state.borrow();
+        state.with_rules(self, offered, now, |rules| {
+            choose(&state.upstreams, offered.job, rules, now)
+        })
+    }
+
+    /// Shortest wait for the service in the own region, in milliseconds.
+    pub fn region_wait_ms(&self, service: &Arc<str>) -> Option<f64> {
+        let now = self.now();
+        let state = self.state.borrow();
+        let offered = Offered {
+            service,
+            job: &Job::default(),
+            tried: &[],
+            draw: 1.0,
+        };
+        state.with_rules(self, &offered, now, |rules| {
+            region_wait_ms(&state.upstreams, rules, now)
+        })
+    }
+
+    /// Takes tokens of the account for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the milliseconds until they will be there.
+    pub fn charge(&self, account: &Account, tokens: u64) -> Result<(), u64> {
+        if account.tokens_per_s <= 0.0 {
+            return Ok(());
+        }
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let fleet = state.members.fleet(now);
+        let limit = AccountLimit {
+            tokens_per_s: account.tokens_per_s,
+            burst_tokens: account.burst_tokens,
+        };
+        let bucket = state
+            .buckets
+            .entry(Arc::clone(&account.name))
+            .or_insert_with(|| Bucket::new(&limit, fleet, now));
+        bucket.take(tokens, &limit, fleet, now)
+    }
+
+    /// Gives back tokens of a request that did not run.
+    pub fn give_back(&self, account: &Account, tokens: u64) {
+        if let Some(bucket) = self.state.borrow_mut().buckets.get_mut(&account.name) {
+            bucket.give_back(tokens);
+        }
+    }
+
+    fn retry_bounds(&self) -> RetryBounds {
+        let bounds = &self.settings.bounds;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let window_ms = (bounds.retry_window_s * 1_000.0) as u64;
+        RetryBounds {
+            share: bounds.retry_share,
+            window_ms,
+            extra: bounds.retry_extra,
+        }
+    }
+
+    /// Takes note of the first send of a request to `service`.
+    pub fn note_request(&self, service: &Arc<str>) {
+        let (bounds, now) = (self.retry_bounds(), self.now());
+        let mut state = self.state.borrow_mut();
+        let budget = state.budgets.entry(Arc::clone(service)).or_default();
+        budget.note_request(&bounds, now);
+    }
+
+    /// Takes one repeat to `service`; false if none is left.
+    pub fn try_repeat(&self, service: &Arc<str>) -> bool {
+        let (bounds, now) = (self.retry_bounds(), self.now());
+        let mut state = self.state.borrow_mut();
+        let instances = state.members.fleet(now).instances;
+        let budget = state.budgets.entry(Arc::clone(service)).or_default();
+        budget.try_take(&bounds, instances, now)
+    }
+
+    /// Takes note that a request goes to an upstream.
+    pub fn note_sent(&self, placed: &Placed, job: &Job, cold_per_s: f64) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let users = state.cold_users(self, now);
+        if let Some(upstream) = state.upstreams.by_id.get_mut(&placed.id) {
+            #[allow(clippy::cast_precision_loss)]
+            let per_s = cold_per_s / users as f64;
+            upstream.cold.sent(ColdRate { per_s }, now);
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let expected_ms = placed.wait_ms.max(0.0) as u64;
+            upstream.health.sent(expected_ms * 2 + 500, now);
+            upstream.own += placed.load;
+            upstream.cache.insert(&job.parts);
+        }
+    }
+}
+
+impl State {
+    /// The service of this name.
+    pub fn service(&self, name: &str) -> Option<Rc<Service>> {
+        self.config
+            .as_ref()
+            .and_then(|config| config.services.get(name).cloned())
+    }
+
+    /// How many instances of the region use one cold upstream.
+    fn cold_users(&self, node: &Node, now: Millis) -> usize {
+        let others = self.region_members(node, now).len();
+        (others + 1).min(COLD_USERS)
+    }
+
+    /// Other instances of the region that may be at work, heard or not.
+    fn region_members(&self, node: &Node, _: Millis) -> Vec<&Arc<str>> {
+        let members = self.members.by_name.values();
+        members
+            .filter(|member| member.entry.region == node.region)
+            .map(|member| &member.entry.name)
+            .collect()
+    }
+
+    /// Whether this instance is one of those that use the cold upstream `id`.
+    fn is_cold_user(&self, node: &Node, id: &str, now: Millis) -> bool {
+        let weight = |name: &str| short_pair_hash(name, id);
+        let own = weight(&node.name);
+        let ahead = self.region_members(node, now);
+        ahead.iter().filter(|name| weight(name) > own).count() < COLD_USERS
+    }
+
+    fn with_rules<T>(
+        &self,
+        node: &Node,
+        offered: &Offered<'_>,
+        now: Millis,
+        decide: impl FnOnce(&Rules<'_>) -> T,
+    ) -> T {
+        let is_version_allowed =
+            |version: &str| self.is_version_allowed(node, offered, version, now);
+        let is_cold_user = |id: &str| self.is_cold_user(node, id, now);
+        let service = self.service(offered.service);
+        let engine = service.as_ref().and_then(|service| service.engine);
+        let rules = Rules {
+            service: offered.service,
+            region: &node.region,
+            evacuated: &self.evacuated,
+            is_version_allowed: &is_version_allowed,
+            is_cold_user: &is_cold_user,
+            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+            tried: offered.tried,
+        };
+        decide(&rules)
+    }
+
+    fn is_version_allowed(
+        &self,
+        node: &Node,
+        offered: &Offered<'_>,
+        version: &str,
+        now: Millis,
+    ) -> bool {
+        if let Some(trial) = self.trials.get(offered.service) {
+            let bounds = TrialBounds {
+                share: node.settings.bounds.trial_share,
+            };
+            let is_new = offered.draw < trial.share(bounds);
+            return is_new == (*trial.order.target == *version);
+        }
+        let key = (Arc::clone(offered.service), Arc::from(version));
+        if self.verdicts.get(&key) == Some(&Verdict::Reverted) {
+            return false;
+        }
+        // A version may show up shortly before the order that concerns it.
+        let is_only = self
+            .versions
+            .keys()
+            .filter(|(service, _)| service == offered.service)
+            .count()
+            <= 1;
+        is_only
+            || self
+                .versions
+                .get(&key)
+                .is_none_or(|at| now.since(*at) >= UNORDERED_MS)
+    }
+}
+
+/// Hash of a pair of names, alike on all instances.
+fn short_pair_hash(a: &str, b: &str) -> u32 {
+    super::short_hash(&format!("{a}/{b}"))
+}
+
+/// How urgent a request is to an upstream, from 0 (first) to 9.
+pub fn urgency(route: &Route, account: Option<&Account>) -> u8 {
+    /// Urgency of a request of the highest rank.
+    const FIRST: u8 = 3;
+    let rank = account
+        .and_then(|account| account.rank)
+        .unwrap_or(route.rank);
+    (FIRST + rank).min(9)
+}
--- /dev/null
+++ b/crates/edge/src/peers/accept.rs
@@ -0,0 +1,143 @@
+//! Links that other instances dial.
+
+use super::{decode, tls::peer_digest, Links, MAX_GOSSIP_BYTES, REFUSED_HEADER, TICKET_HEADER};
+use crate::{
+    front::read_body,
+    node::Node,
+    pipeline::{self, Answer, FarTicket, Refusal, Ticket},
+};
+use hyper::{
+    body::Incoming, header::HeaderValue, server::conn::http1, service::service_fn, Request,
+};
+use hyper_util::rt::TokioIo;
+use std::{convert::Infallible, rc::Rc, sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+/// Times that the entry of an instance that dials is looked for.
+const ENTRY_LOOKS: u32 = 20;
+/// Time between two such looks.
+const ENTRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest read at once from a link, in bytes.
+const READ_BYTES: usize = 32 * 1024;
+
+impl Links {
+    /// Serves the links that other instances dial.
+    pub async fn accept_all(node: Rc<Node>) {
+        while let Some(incoming) = node.links.endpoint.accept().await {
+            let node = Rc::clone(&node);
+            tokio::task::spawn_local(async move {
+                // The instance that dials learns of a failure itself, and dials again.
+                let Ok(connection) = incoming.await else {
+                    return;
+                };
+                match known_name(&node, &connection).await {
+                    Some(name) => serve(node, name, connection).await,
+                    None => connection.close(1u8.into(), b"unknown certificate"),
+                }
+            });
+        }
+    }
+}
+
+/// The name of the instance that has shown its certificate. Its entry may come a little later.
+async fn known_name(node: &Node, connection: &quinn::Connection) -> Option<Arc<str>> {
+    let shown = peer_digest(connection)?;
+    for _ in 0..ENTRY_LOOKS {
+        let name = {
+            let state = node.state.borrow();
+            let mut members = state.members.by_name.values();
+            let member = members.find(|member| member.entry.certificate_digest == shown);
+            member.map(|member| Arc::clone(&member.entry.name))
+        };
+        if name.is_some() {
+            return name;
+        }
+        sleep(ENTRY_PAUSE).await;
+    }
+    None
+}
+
+async fn serve(node: Rc<Node>, name: Arc<str>, connection: quinn::Connection) {
+    loop {
+        tokio::select! {
+            datagram = connection.read_datagram() => match datagram {
+                Ok(bytes) => hear(&node, &name, &bytes),
+                Err(_) => return,
+            },
+            stream = connection.accept_uni() => {
+                let Ok(mut stream) = stream else {
+                    return;
+                };
+                let (node, name) = (Rc::clone(&node), Arc::clone(&name));
+                tokio::task::spawn_local(async move {
+                    if let Ok(bytes) = stream.read_to_end(MAX_GOSSIP_BYTES).await {
+                        hear(&node, &name, &bytes);
+                    }
+                });
+            }
+            stream = connection.accept_bi() => {
+                let Ok((send, receive)) = stream else {
+                    return;
+                };
+                let node = Rc::clone(&node);
+                tokio::task::spawn_local(serve_stream(node, send, receive));
+            }
+        }
+    }
+}
+
+fn hear(node: &Node, name: &Arc<str>, bytes: &[u8]) {
+    match decode(bytes) {
+        Ok(gossip) => node.hear(name, gossip),
+        Err(err) => {
+            let reason = err.0.as_str();
+            node.log
+                .event(crate::log::Event::EntryIgnored { key: name, reason });
+        }
+    }
+}
+
+async fn serve_stream(node: Rc<Node>, send: quinn::SendStream, receive: quinn::RecvStream) {
+    let io = TokioIo::new(tokio::io::join(receive, send));
+    let service = service_fn(move |request| {
+        let node = Rc::clone(&node);
+        async move { Ok::<_, Infallible>(forwarded(&node, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .max_buf_size(READ_BYTES)
+        .auto_date_header(false)
+        .keep_alive(false);
+    // A broken exchange is seen, and logged, by the instance that forwarded the request.
+    drop(builder.serve_connection(io, service).await);
+}
+
+async fn forwarded(node: &Rc<Node>, request: Request<Incoming>) -> Answer {
+    let outcome = match far_ticket(node, request).await {
+        Ok(ticket) => pipeline::run_here(node, ticket).await,
+        Err(refusal) => Err(refusal),
+    };
+    outcome.unwrap_or_else(|refusal| {
+        let mut answer = refusal.into_answer();
+        answer
+            .headers_mut()
+            .insert(REFUSED_HEADER, HeaderValue::from_static("1"));
+        answer
+    })
+}
+
+async fn far_ticket(node: &Node, request: Request<Incoming>) -> Result<Ticket, Refusal> {
+    let started_at = node.now();
+    let (mut head, body) = request.into_parts();
+    let far = head.headers.remove(TICKET_HEADER);
+    let far: FarTicket = far
+        .and_then(|far| serde_json::from_slice(far.as_bytes()).ok())
+        .ok_or(Refusal::not_run(
+            "a forwarded request without its ticket",
+            500,
+        ))?;
+    let deadline = started_at.plus(far.left_ms);
+    let body = read_body(node, body, deadline).await?;
+    head.headers.remove(hyper::header::CONTENT_LENGTH);
+    Ok(Ticket::forwarded(node, far, head, body, started_at))
+}
--- /dev/null
+++ b/crates/edge/src/peers/dial.rs
@@ -0,0 +1,215 @@
+//! Links that this instance dials.
+
+use super::{encode, tls::Identity, PeerError, LINK_IDLE};
+use crate::{log::Event, member::MemberEntry, node::Node};
+use std::{
+    cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
+use tokio::{
+    sync::mpsc::{self, Receiver, Sender},
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Time between two messages to an instance of the same region.
+const NEAR_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two messages to an instance of another region.
+const FAR_PERIOD: Duration = Duration::from_millis(250);
+/// Pauses between attempts to dial: the first and the longest.
+const REDIAL: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_500)];
+/// Members that may wait to be dialled.
+const DIAL_RING: usize = 1_024;
+/// Name that certificates bear.
+const SERVER_NAME: &str = "carobwheel";
+
+#[derive(Debug, Default)]
+struct Link {
+    connection: Option<quinn::Connection>,
+    stop: CancellationToken,
+}
+
+/// Links to other instances.
+pub struct Links {
+    identity: Identity,
+    /// The endpoint that other instances dial; new links start from it as well.
+    pub(super) endpoint: quinn::Endpoint,
+    by_name: RefCell<HashMap<Arc<str>, Link>>,
+    to_dial: Sender<MemberEntry>,
+}
+
+impl Links {
+    /// Binds the endpoint. The second value feeds [`Links::dial_all`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be used.
+    pub fn bind(
+        identity: Identity,
+        address: SocketAddr,
+    ) -> Result<(Self, Receiver<MemberEntry>), PeerError> {
+        let endpoint = quinn::Endpoint::server(identity.server()?, address)
+            .map_err(|err| PeerError(err.to_string()))?;
+        let (to_dial, dialled) = mpsc::channel(DIAL_RING);
+        let links = Self {
+            identity,
+            endpoint,
+            by_name: RefCell::default(),
+            to_dial,
+        };
+        Ok((links, dialled))
+    }
+
+    /// Asks for a link to an instance, in place of one to an earlier lifetime of it.
+    pub fn dial(&self, entry: MemberEntry) {
+        self.forget(&entry.name);
+        // A full ring means that hundreds of instances are new; they are seen again at the next
+        // listing.
+        let _ = self.to_dial.try_send(entry);
+    }
+
+    /// Gives up the link to an instance.
+    pub fn forget(&self, name: &str) {
+        if let Some(link) = self.by_name.borrow_mut().remove(name) {
+            link.stop.cancel();
+        }
+    }
+
+    /// The open link to an instance, if there is one.
+    pub fn connection(&self, name: &str) -> Option<quinn::Connection> {
+        let links = self.by_name.borrow();
+        let connection = links.get(name)?.connection.clone()?;
+        connection.close_reason().is_none().then_some(connection)
+    }
+
+    /// Keeps a link to each instance that is asked for.
+    pub async fn dial_all(node: Rc<Node>, mut dialled: Receiver<MemberEntry>) {
+        while let Some(entry) = dialled.recv().await {
+            let stop = CancellationToken::new();
+            let link = Link {
+                connection: None,
+                stop: stop.clone(),
+            };
+            let earlier = node
+                .links
+                .by_name
+                .borrow_mut()
+                .insert(Arc::clone(&entry.name), link);
+            if let Some(earlier) = earlier {
+                earlier.stop.cancel();
+            }
+            let node = Rc::clone(&node);
+            tokio::task::spawn_local(async move {
+                tokio::select! {
+                    () = stop.cancelled() => {}
+                    () = keep(&node, &entry) => {}
+                }
+            });
+        }
+    }
+
+    fn set_connection(&self, name: &str, connection: Option<quinn::Connection>) {
+        if let Some(link) = self.by_name.borrow_mut().get_mut(name) {
+            link.connection = connection;
+        }
+    }
+}
+
+/// Dials an instance again and again, and tells it what it should hear.
+async fn keep(node: &Node, entry: &MemberEntry) {
+    let [mut pause, longest] = REDIAL;
+    let mut is_first = true;
+    loop {
+        match connect(node, entry, is_first).await {
+            Ok(connection) => {
+                pause = REDIAL[0];
+                node.log.event(Event::LinkUp {
+                    member: &entry.name,
+                });
+                node.links
+                    .set_connection(&entry.name, Some(connection.clone()));
+                let reason = tell(node, entry, &connection).await;
+                node.links.set_connection(&entry.name, None);
+                node.log.event(Event::LinkLost {
+                    member: &entry.name,
+                    reason: &reason.0,
+                });
+            }
+            Err(err) if is_first => {
+                node.log.event(Event::LinkLost {
+                    member: &entry.name,
+                    reason: &err.0,
+                });
+            }
+            // The link stays lost; that was logged when it was lost.
+            Err(_) => {}
+        }
+        is_first = false;
+        sleep(pause.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
+        pause = (pause * 2).min(longest);
+    }
+}
+
+/// Opens a link. One that was lost is dialled from another port, since the old flow may be lost to
+/// something in the middle.
+async fn connect(
+    node: &Node,
+    entry: &MemberEntry,
+    is_first: bool,
+) -> Result<quinn::Connection, PeerError> {
+    let fault = |err: &dyn std::fmt::Display| PeerError(err.to_string());
+    let endpoint = if is_first {
+        node.links.endpoint.clone()
+    } else {
+        let local = SocketAddr::new(node.settings.listen.peers.ip(), 0);
+        quinn::Endpoint::client(local).map_err(|err| fault(&err))?
+    };
+    let config = node.links.identity.client(entry.certificate_digest)?;
+    let connecting = endpoint
+        .connect_with(config, entry.peers, SERVER_NAME)
+        .map_err(|err| fault(&err))?;
+    let connected = timeout(LINK_IDLE, connecting).await;
+    connected
+        .map_err(|err| fault(&err))?
+        .map_err(|err| fault(&err))
+}
+
+/// Sends gossip until the link is lost.
+async fn tell(node: &Node, entry: &MemberEntry, connection: &quinn::Connection) -> PeerError {
+    let is_near = entry.region == node.region;
+    let period = if is_near { NEAR_PERIOD } else { FAR_PERIOD };
+    loop {
+        let message = match encode(&node.gossip(is_near)) {
+            Ok(message) => message,
+            Err(err) => return err,
+        };
+        let is_small = connection
+            .max_datagram_size()
+            .is_some_and(|most| message.len() <= most);
+        let sent = if is_small {
+            connection
+                .send_datagram(message.into())
+                .map_err(|err| PeerError(err.to_string()))
+        } else {
+            send_stream(connection, &message).await
+        };
+        if let Err(err) = sent {
+            return err;
+        }
+        tokio::select! {
+            () = sleep(period) => {}
+            reason = connection.closed() => return PeerError(reason.to_string()),
+        }
+    }
+}
+
+async fn send_stream(connection: &quinn::Connection, message: &[u8]) -> Result<(), PeerError> {
+    let mut stream = connection
+        .open_uni()
+        .await
+        .map_err(|err| PeerError(err.to_string()))?;
+    stream
+        .write_all(message)
+        .await
+        .map_err(|err| PeerError(err.to_string()))?;
+    stream.finish().map_err(|err| PeerError(err.to_string()))
+}
--- /dev/null
+++ b/crates/edge/src/pipeline/forward.rs
@@ -0,0 +1,184 @@
+//! Handing a request to an instance of another region.
+
+use super::{answer::Answer, refusal::Refusal, run::caller_headers, Ticket};
+use crate::{
+    log::Event,
+    node::{short_hash, Node},
+    peers::{REFUSED_HEADER, TICKET_HEADER},
+    relay::AnswerBody,
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{client::conn::http1, header::HeaderValue, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::{rc::Rc, sync::Arc, time::Duration};
+use tokio::time::timeout;
+
+/// Time that a request takes to another region and its answer back, in milliseconds.
+const FAR_MS: f64 = 170.0;
+/// Part of the aim that a request may wait in its own region before it is sent away.
+const STAY_PART: f64 = 0.8;
+/// Part of the own region's wait that the other region must stay below.
+const FAR_PART: f64 = 0.6;
+/// Longest read at once from a link, in bytes.
+const READ_BYTES: usize = 32 * 1024;
+/// Time after which a caller may come back when a forwarded request was refused, in milliseconds.
+const REFUSED_RETRY_MS: u64 = 700;
+
+/// An instance of another region that may take a request.
+#[derive(Clone, Debug)]
+pub(super) struct Far {
+    member: Arc<str>,
+    region: Arc<str>,
+    wait_ms: f64,
+}
+
+impl Far {
+    /// Whether the request should rather go there than wait `local_ms` in the own region.
+    pub(super) fn is_better(&self, ticket: &Ticket, local_ms: f64) -> bool {
+        #[allow(clippy::cast_precision_loss)]
+        let aim_ms = ticket.far.aim_ms as f64;
+        local_ms > aim_ms * STAY_PART && self.wait_ms + FAR_MS < local_ms * FAR_PART
+    }
+}
+
+/// The instance of another allowed region whose region promises the shortest wait.
+pub(super) fn best_far(node: &Node, ticket: &Ticket, regions: &[String]) -> Option<Far> {
+    let now = node.now();
+    let service = short_hash(&ticket.far.service);
+    let state = node.state.borrow();
+    let mut best: Option<(f64, Far)> = None;
+    for region in regions.iter().filter(|region| ***region != *node.region) {
+        for member in state.members.up_in(region, now) {
+            let Some(wait_ms) = member.waits_ms.get(&service) else {
+                continue;
+            };
+            if node.links.connection(&member.entry.name).is_none() {
+                continue;
+            }
+            let wait_ms = f64::from(*wait_ms);
+            // Instances of a region report nearly the same wait; the draw spreads requests.
+            let rank = wait_ms + rand::random::<f64>() * (10.0 + wait_ms / 4.0);
+            if best.as_ref().is_none_or(|(known, _)| rank < *known) {
+                let far = Far {
+                    member: Arc::clone(&member.entry.name),
+                    region: Arc::clone(&member.entry.region),
+                    wait_ms,
+                };
+                best = Some((rank, far));
+            }
+        }
+    }
+    best.map(|(_, far)| far)
+}
+
+/// Hands a request over and passes its answer on.
+pub(super) async fn forward(
+    node: &Rc<Node>,
+    ticket: &Ticket,
+    far: &Far,
+    local_wait_ms: Option<f64>,
+) -> Result<Answer, Refusal> {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole_ms = |ms: f64| ms.max(0.0) as u64;
+    node.log.event(Event::Forwarded {
+        request: &ticket.far.request,
+        member: &far.member,
+        region: &far.region,
+        wait_ms: whole_ms(far.wait_ms),
+        local_wait_ms: local_wait_ms
+            .map_or(-1, |ms| i64::try_from(whole_ms(ms)).unwrap_or(i64::MAX)),
+    });
+    node.metrics.forwarded.add(1);
+    let gone = Refusal::not_run("the link to another region is lost", REFUSED_RETRY_MS);
+    let Some(connection) = node.links.connection(&far.member) else {
+        return Err(gone);
+    };
+    let left = Duration::from_millis(ticket.left_ms(node).max(1));
+    let exchange = exchange(node, ticket, &connection);
+    let response = match timeout(left, exchange).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(Exchange::NotSent)) => return Err(gone),
+        Ok(Err(Exchange::Broken(reason))) => {
+            log_failure(node, ticket, &far.member, &reason);
+            return Err(Refusal::may_have_run("the link to another region broke"));
+        }
+        Err(_) => {
+            log_failure(node, ticket, &far.member, "no answer in time");
+            return Err(Refusal::timed_out("no answer from another region in time"));
+        }
+    };
+    let (head, body) = response.into_parts();
+    if head.headers.contains_key(REFUSED_HEADER) {
+        return Err(refusal_of(&head));
+    }
+    let mut answer = Response::new(AnswerBody::Passed(body, Box::new(())));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = caller_headers(&head.headers);
+    Ok(answer)
+}
+
+enum Exchange {
+    NotSent,
+    Broken(String),
+}
+
+async fn exchange(
+    node: &Node,
+    ticket: &Ticket,
+    connection: &quinn::Connection,
+) -> Result<Response<hyper::body::Incoming>, Exchange> {
+    let (send, receive) = connection.open_bi().await.map_err(|_| Exchange::NotSent)?;
+    let io = TokioIo::new(tokio::io::join(receive, send));
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BYTES);
+    let (mut sender, driver) = builder.handshake(io).await.map_err(|_| Exchange::NotSent)?;
+    // Errors of the driver also reach the request that they concern.
+    tokio::task::spawn_local(async move { drop(driver.await) });
+    let request = far_request(node, ticket).ok_or(Exchange::NotSent)?;
+    sender
+        .send_request(request)
+        .await
+        .map_err(|err| Exchange::Broken(err.to_string()))
+}
+
+fn far_request(node: &Node, ticket: &Ticket) -> Option<Request<Full<Bytes>>> {
+    let mut far = ticket.far.clone();
+    far.left_ms = ticket.left_ms(node);
+    let far = serde_json::to_string(&far).ok()?;
+    let mut request = Request::new(Full::new(ticket.body.clone()));
+    *request.method_mut() = ticket.method.clone();
+    *request.uri_mut() = ticket.uri.clone();
+    *request.headers_mut() = ticket.headers.clone();
+    request
+        .headers_mut()
+        .insert(TICKET_HEADER, HeaderValue::from_str(&far).ok()?);
+    Some(request)
+}
+
+fn refusal_of(head: &hyper::http::response::Parts) -> Refusal {
+    match head.status {
+        StatusCode::SERVICE_UNAVAILABLE => {
+            let stated = head.headers.get(hyper::header::RETRY_AFTER);
+            let seconds = stated.and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+            let retry_after_ms =
+                seconds.map_or(REFUSED_RETRY_MS, |s| (s.max(0.0) * 1_000.0) as u64);
+            Refusal::not_run("another region refused", retry_after_ms)
+        }
+        StatusCode::GATEWAY_TIMEOUT => Refusal::timed_out("another region did not answer in time"),
+        _ => Refusal::may_have_run("another region failed"),
+    }
+}
+
+fn log_failure(node: &Node, ticket: &Ticket, member: &str, reason: &str) {
+    node.log.event(Event::SendFailed {
+        request: &ticket.far.request,
+        upstream: member,
+        attempt: 1,
+        reason,
+        may_have_run: true,
+        will_retry: false,
+        after_ms: node.now().since(ticket.started_at),
+    });
+}
--- /dev/null
+++ b/crates/edge/src/pipeline/identify.rs
@@ -0,0 +1,248 @@
+//! Whose request it is, on which route, and whether it may run.
+
+use super::{FarTicket, Refusal, Ticket};
+use crate::{
+    dispatch::is_hop_header,
+    log::Event,
+    model::{allowed_regions, split_service, Account, Config, Route, RouteMatch},
+    names::HeaderNames,
+    node::{urgency, Node},
+    place::{Job, Part},
+};
+use bytes::Bytes;
+use carobwheel_core::time::Millis;
+use hyper::{header::HeaderName, http::request::Parts, HeaderMap, StatusCode};
+use std::{rc::Rc, sync::Arc};
+
+/// Time for a request whose caller states none, in milliseconds.
+const DEFAULT_LEFT_MS: u64 = 30_000;
+/// Time after which a caller may come back that was refused before any configuration is known, in
+/// milliseconds.
+const NO_CONFIG_RETRY_MS: u64 = 500;
+/// Longest time that a caller over its limit is told to wait, in milliseconds.
+const LONGEST_LIMIT_WAIT_MS: u64 = 4_000;
+
+/// Who sent a request and where it may be served.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Route.
+    pub route: Rc<Route>,
+    /// Account, where the route needs a key.
+    pub account: Option<Rc<Account>>,
+    /// Regions that may serve it.
+    pub regions: Vec<String>,
+    /// Tokens that were charged.
+    pub tokens: u64,
+}
+
+/// Identifies a request by its head.
+///
+/// # Errors
+///
+/// Returns the answer for a request that may not run.
+pub fn identify(
+    node: &Node,
+    head: &Parts,
+) -> Result<(Rc<Config>, Rc<Route>, Option<Rc<Account>>), Refusal> {
+    let Some(config) = node.config() else {
+        return Err(Refusal::not_run(
+            "no configuration is known yet",
+            NO_CONFIG_RETRY_MS,
+        ));
+    };
+    let host = text(&head.headers, &hyper::header::HOST).unwrap_or_default();
+    let key = text(&head.headers, &node.names.key);
+    match config.find(host, head.uri.path(), key) {
+        RouteMatch::Found(route, account) => Ok((config, route, account)),
+        RouteMatch::NoRoute => Err(Refusal::new(StatusCode::NOT_FOUND, "no such route")),
+        RouteMatch::NoAccount => Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key")),
+    }
+}
+
+impl Caller {
+    /// Admits a request: charges its account.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer for a request beyond its account's limit.
+    pub fn admit(
+        node: &Node,
+        head: &Parts,
+        route: Rc<Route>,
+        account: Option<Rc<Account>>,
+    ) -> Result<Self, Refusal> {
+        let all = node
+            .settings
+            .regions
+            .values()
+            .collect::<std::collections::BTreeSet<_>>();
+        let all = all.into_iter().map(String::as_str);
+        let regions = allowed_regions(all, &route, account.as_deref());
+        let regions = regions.into_iter().map(str::to_owned).collect();
+        let tokens = account.as_ref().map_or(0, |account| {
+            let stated = text(&head.headers, &node.names.token_use).and_then(parse_token_use);
+            stated.map_or(account.plain_tokens, |(prompt, answer)| {
+                u64::from(prompt) + u64::from(answer)
+            })
+        });
+        if let Some(account) = &account {
+            node.charge(account, tokens).map_err(|wait_ms| Refusal {
+                status: StatusCode::TOO_MANY_REQUESTS,
+                reason: "over the account's limit",
+                retry_after_ms: Some(wait_ms.clamp(100, LONGEST_LIMIT_WAIT_MS)),
+            })?;
+        }
+        Ok(Self {
+            route,
+            account,
+            regions,
+            tokens,
+        })
+    }
+
+    /// Gives back what was charged for a request that did not run.
+    pub fn give_back(&self, node: &Node) {
+        if let Some(account) = &self.account {
+            node.give_back(account, self.tokens);
+        }
+    }
+
+    /// Name of the account, empty on open routes.
+    pub fn account_name(&self) -> Arc<str> {
+        self.account
+            .as_ref()
+            .map_or_else(|| "".into(), |account| Arc::clone(&account.name))
+    }
+
+    /// The request as it goes to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer for a route without a service.
+    pub fn ticket(
+        &self,
+        node: &Node,
+        config: &Config,
+        head: Parts,
+        body: Bytes,
+        started_at: Millis,
+    ) -> Result<Ticket, Refusal> {
+        let Some(service) = split_service(&self.route, rand::random()) else {
+            return Err(Refusal::not_run(
+                "the route has no service",
+                NO_CONFIG_RETRY_MS,
+            ));
+        };
+        let names = &node.names;
+        let stated_ms = text(&head.headers, &names.time_left_ms)
+            .and_then(|text| text.trim().parse::<f64>().ok())
+            .filter(|ms| *ms >= 0.0);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let stated_ms = stated_ms.map_or(DEFAULT_LEFT_MS, |ms| ms as u64);
+        let total_ms = stated_ms.min(self.route.timeout_ms);
+        let request = text(&head.headers, &names.request_id)
+            .unwrap_or_default()
+            .to_owned();
+        let last_event =
+            text(&head.headers, &names.last_event_id).and_then(|text| text.trim().parse().ok());
+        let job = job(names, &head.headers);
+        let far = FarTicket {
+            request,
+            route: Arc::clone(&self.route.name),
+            service,
+            kind: self.route.kind,
+            aim_ms: self.route.aim_ms,
+            pause_aim_ms: self.route.pause_aim_ms,
+            max_attempts: self.route.max_attempts.max(1),
+            account: self.account_name(),
+            urgency: urgency(&self.route, self.account.as_deref()),
+            draw: rand::random(),
+            left_ms: total_ms,
+            config: config.version,
+        };
+        node.log.event(Event::Admitted {
+            request: &far.request,
+            route: &far.route,
+            account: &far.account,
+            config: config.version,
+            tokens: self.tokens,
+        });
+        Ok(Ticket {
+            far,
+            method: head.method,
+            uri: head.uri,
+            headers: upstream_headers(names, head.headers),
+            body,
+            job,
+            started_at,
+            deadline: started_at.plus(total_ms),
+            last_event,
+        })
+    }
+}
+
+/// The prompt that a request's headers describe.
+pub(super) fn job(names: &HeaderNames, headers: &HeaderMap) -> Job {
+    let (prompt_tokens, answer_tokens) = text(headers, &names.token_use)
+        .and_then(parse_token_use)
+        .unwrap_or_default();
+    let parts = text(headers, &names.prompt_parts)
+        .map(parse_parts)
+        .unwrap_or_default();
+    Job {
+        parts,
+        prompt_tokens,
+        answer_tokens,
+    }
+}
+
+/// The caller's headers without those that concern its connection or that the gateway sets.
+fn upstream_headers(names: &HeaderNames, headers: HeaderMap) -> HeaderMap {
+    let listed: Vec<HeaderName> = headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let is_dropped = |name: &HeaderName| {
+        is_hop_header(name)
+            || *name == hyper::header::CONTENT_LENGTH
+            || *name == hyper::header::EXPECT
+            || *name == names.key
+            || *name == names.account
+            || *name == names.only_upstream
+            || *name == names.urgency
+            || *name == names.time_left_ms
+            || names.gateway_only.contains(name)
+            || listed.contains(name)
+    };
+    let mut kept = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in &headers {
+        if !is_dropped(name) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+pub(super) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn parse_token_use(text: &str) -> Option<(u32, u32)> {
+    let (prompt, answer) = text.split_once(',')?;
+    Some((prompt.trim().parse().ok()?, answer.trim().parse().ok()?))
+}
+
+fn parse_parts(text: &str) -> Vec<Part> {
+    let part = |entry: &str| {
+        let (id, tokens) = entry.trim().split_once(':')?;
+        let id = u64::from_str_radix(id, 16).ok()?;
+        Some(Part {
+            id,
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    text.split(',').map_while(part).collect()
+}
--- /dev/null
+++ b/crates/edge/src/pipeline/mod.rs
@@ -0,0 +1,15 @@
+//! The way of one request: identify, admit, place, send, relay.
+
+mod answer;
+mod forward;
+mod identify;
+mod refusal;
+mod run;
+mod stream;
+mod ticket;
+
+pub use answer::Answer;
+pub use identify::{identify, Caller};
+pub use refusal::Refusal;
+pub use run::{run_anywhere, run_here};
+pub use ticket::{FarTicket, Ticket};
--- /dev/null
+++ b/crates/edge/src/relay/mod.rs
@@ -0,0 +1,7 @@
+//! Bodies of answers on their way to the caller.
+
+mod body;
+mod events;
+
+pub use body::{AnswerBody, Broken};
+pub use events::{EventSplitter, StreamEvent};
--- /dev/null
+++ b/crates/edge/src/settings/mod.rs
@@ -0,0 +1,175 @@
+//! Settings of one instance: a JSON file, checked whole before anything starts.
+
+use serde::Deserialize;
+use serde_with::{serde_as, DisplayFromStr};
+use std::{collections::BTreeMap, fmt, fs, net::SocketAddr, path::Path};
+
+/// Why a settings file cannot be used. Holds every fault that was found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError(pub Vec<String>);
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0.join("; "))
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// Settings of one instance.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Settings {
+    /// Name of the instance, unique in the fleet.
+    pub instance: String,
+    /// Data centre that the instance stands in.
+    pub data_centre: String,
+    /// Region that the instance stands in.
+    pub region: String,
+    /// Region of each data centre.
+    pub regions: BTreeMap<String, String>,
+    /// Where the instance listens.
+    pub listen: Listen,
+    /// Address of the store.
+    #[serde_as(as = "DisplayFromStr")]
+    pub store: SocketAddr,
+    /// Size of the machine.
+    pub machine: Machine,
+    /// Bounds that the instance has to keep.
+    pub bounds: Bounds,
+}
+
+/// Addresses that the instance listens on.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+pub struct Listen {
+    /// Requests of callers.
+    #[serde_as(as = "DisplayFromStr")]
+    pub callers: SocketAddr,
+    /// Readiness checks.
+    #[serde_as(as = "DisplayFromStr")]
+    pub ready: SocketAddr,
+    /// Questions of callers about which instances to use.
+    #[serde_as(as = "DisplayFromStr")]
+    pub directory: SocketAddr,
+    /// Links between instances (UDP).
+    #[serde_as(as = "DisplayFromStr")]
+    pub peers: SocketAddr,
+    /// Metrics as text.
+    #[serde_as(as = "DisplayFromStr")]
+    pub metrics: SocketAddr,
+}
+
+/// Size of the machine.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+pub struct Machine {
+    /// Share of one core.
+    pub cpu_cores: f64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+    /// Open descriptors.
+    pub max_descriptors: u64,
+    /// Bandwidth of the machine's link, in megabits a second.
+    pub link_mbps: f64,
+}
+
+/// Bounds that come from the deployment.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+pub struct Bounds {
+    /// Time between a signal to stop and the forced end, in seconds.
+    pub stop_grace_s: f64,
+    /// Repeated sends to one service, as a share of its requests, over the whole fleet.
+    pub retry_share: f64,
+    /// Window over which repeats are counted, in seconds.
+    pub retry_window_s: f64,
+    /// Repeats that a window allows besides the share, over the whole fleet.
+    pub retry_extra: f64,
+    /// Window over which use of an account is counted, in seconds.
+    pub limit_window_s: f64,
+    /// Share of an account's limit that may be used besides.
+    pub limit_over_share: f64,
+    /// Tokens of an account that may be used besides, in a window.
+    pub limit_extra_tokens: f64,
+    /// Share of a service's requests that a version on trial may get.
+    pub trial_share: f64,
+    /// Requests that a version on trial may get besides its share.
+    pub trial_extra: f64,
+    /// How far a cold upstream's rate may be exceeded, as a factor.
+    pub cold_factor: f64,
+    /// Requests that a cold upstream may get in a second besides its rate.
+    pub cold_extra: f64,
+    /// Longest lifetime of a directory answer, in seconds.
+    pub directory_ttl_s: f64,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault that was found.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path)
+            .map_err(|err| SettingsError(vec![format!("cannot be read: {err}")]))?;
+        Self::parse(&text)
+    }
+
+    /// Reads and checks settings from `text`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault that was found.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = serde_json::from_str(text)
+            .map_err(|err| SettingsError(vec![format!("not valid settings: {err}")]))?;
+        let faults = settings.faults();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError(faults))
+        }
+    }
+
+    fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut require = |is_met: bool, fault: &str| {
+            if !is_met {
+                faults.push(fault.to_owned());
+            }
+        };
+        require(!self.instance.is_empty(), "`instance` is empty");
+        require(
+            self.regions.get(&self.data_centre) == Some(&self.region),
+            "`regions` does not place `data_centre` in `region`",
+        );
+        require(
+            self.machine.cpu_cores > 0.0,
+            "`machine.cpu_cores` must be above 0",
+        );
+        require(
+            self.machine.memory_mb > 0,
+            "`machine.memory_mb` must be above 0",
+        );
+        require(
+            self.bounds.stop_grace_s >= 1.0,
+            "`bounds.stop_grace_s` must be 1 or more",
+        );
+        require(
+            self.bounds.retry_window_s > 0.0,
+            "`bounds.retry_window_s` must be above 0",
+        );
+        require(
+            self.bounds.limit_window_s > 0.0,
+            "`bounds.limit_window_s` must be above 0",
+        );
+        require(
+            (0.0..=1.0).contains(&self.bounds.retry_share),
+            "`bounds.retry_share` must be from 0 to 1",
+        );
+        require(
+            (0.0..=1.0).contains(&self.bounds.trial_share),
+            "`bounds.trial_share` must be from 0 to 1",
+        );
+        faults
+    }
+}
--- /dev/null
+++ b/crates/edge/src/store/mod.rs
@@ -0,0 +1,17 @@
+//! The store: news from it, the instance's own entry in it, and verdicts written to it.
+//!
+//! The five operations come as closures from the adapter that speaks the store's protocol.
+//! Pauses after failures, following a prefix and settling lost writes stand here once.
+
+mod backoff;
+mod follow;
+mod news;
+mod ops;
+mod own_entry;
+mod task;
+mod verdict;
+
+pub use news::{Decoder, MemberChange, News};
+pub use ops::{Call, StoreResult, Change, Changes, Commit, Expected, Item, Listing, StoreError, StoreOps, Write};
+pub use task::{start, Asks, Keys, StoreSettings};
+pub use verdict::Recorded;
--- /dev/null
+++ b/crates/edge/src/store/ops.rs
@@ -0,0 +1,134 @@
+//! Operations of the store.
+
+use futures::future::BoxFuture;
+use std::fmt;
+
+/// One item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+/// All items below a prefix.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Items in order of their keys.
+    pub items: Vec<Item>,
+    /// Revision of the store before the first page was read.
+    pub revision: u64,
+}
+
+/// One change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// An item was written.
+    Written(Item),
+    /// The item with this key was removed.
+    Removed(String),
+}
+
+/// Changes below a prefix, in order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Changes.
+    pub changes: Vec<Change>,
+    /// Revision to go on from.
+    pub revision: u64,
+}
+
+/// What a key must hold for a commit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expected {
+    /// Key.
+    pub key: String,
+    /// Revision of its last change; 0: it does not exist.
+    pub revision: u64,
+}
+
+/// One write of a commit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Lease under which it stands; 0: none.
+    pub lease: u64,
+}
+
+/// A change of several keys, done whole or not at all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Commit {
+    /// Conditions.
+    pub expected: Vec<Expected>,
+    /// Writes.
+    pub writes: Vec<Write>,
+    /// Keys to remove.
+    pub removes: Vec<String>,
+}
+
+/// Why a call brought nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreError {
+    /// The store did not answer; a write may have been done, or may still be done.
+    NoAnswer(String),
+    /// The store refused the call, which had no effect.
+    Refused(String),
+    /// The history that was asked for is no longer there.
+    HistoryGone,
+    /// A condition of a commit was not met.
+    Conflict,
+    /// The lease or the key does not exist.
+    NotFound,
+    /// The answer could not be understood.
+    Malformed(String),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoAnswer(reason) => write!(f, "no answer: {reason}"),
+            Self::Refused(reason) => write!(f, "refused: {reason}"),
+            Self::HistoryGone => f.write_str("the history is gone"),
+            Self::Conflict => f.write_str("a condition was not met"),
+            Self::NotFound => f.write_str("not found"),
+            Self::Malformed(reason) => write!(f, "malformed answer: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// Result of a call.
+pub type StoreResult<T> = Result<T, StoreError>;
+/// A call under way.
+pub type Call<T> = BoxFuture<'static, StoreResult<T>>;
+
+/// The operations of the store, each with a deadline of its own.
+pub struct StoreOps {
+    /// Reads all items below a prefix.
+    pub list: Box<dyn Fn(&str) -> Call<Listing> + Send + Sync>,
+    /// Waits up to a time in milliseconds for changes below a prefix after a revision.
+    pub watch: Box<dyn Fn(&str, u64, u64) -> Call<Changes> + Send + Sync>,
+    /// Reads one item.
+    pub get: Box<dyn Fn(&str) -> Call<Item> + Send + Sync>,
+    /// Commits a change; returns its revision.
+    pub commit: Box<dyn Fn(Commit) -> Call<u64> + Send + Sync>,
+    /// Grants a lease for a time in milliseconds.
+    pub grant: Box<dyn Fn(u64) -> Call<u64> + Send + Sync>,
+    /// Renews a lease.
+    pub renew: Box<dyn Fn(u64) -> Call<()> + Send + Sync>,
+    /// Ends a lease.
+    pub end: Box<dyn Fn(u64) -> Call<()> + Send + Sync>,
+}
+
+impl fmt::Debug for StoreOps {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("StoreOps")
+    }
+}
--- /dev/null
+++ b/crates/edge/src/store/task.rs
@@ -0,0 +1,127 @@
+//! The thread that speaks with the store.
+
+use super::{
+    follow, own_entry,
+    verdict::{self, Recorded},
+    Decoder, News, StoreOps,
+};
+use crate::member::MemberEntry;
+use std::{
+    io,
+    sync::{atomic::AtomicBool, Arc},
+    thread,
+};
+use tokio::{
+    runtime,
+    sync::mpsc::{self, Receiver, Sender},
+};
+use tokio_util::sync::CancellationToken;
+
+/// News that may wait to be applied.
+const NEWS_RING: usize = 256;
+/// States that may wait to be recorded.
+const ASKS_RING: usize = 32;
+
+/// Where things stand in the store.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    /// Prefixes to follow.
+    pub followed: Vec<String>,
+    /// Prefix of the members' entries; it is followed as well.
+    pub members: String,
+    /// Prefix of the states of moves.
+    pub verdicts: String,
+}
+
+/// What the thread needs.
+#[derive(Debug)]
+pub struct StoreSettings {
+    /// Makes the operations, on the thread's own runtime.
+    pub connect: fn(std::net::SocketAddr) -> StoreOps,
+    /// Address of the store.
+    pub address: std::net::SocketAddr,
+    /// Turns items into news.
+    pub decoder: Decoder,
+    /// Where things stand.
+    pub keys: Keys,
+    /// This instance's own entry.
+    pub entry: MemberEntry,
+}
+
+/// Ways to and from the thread.
+#[derive(Debug)]
+pub struct Asks {
+    /// News in the order in which they were read.
+    pub news: Receiver<News>,
+    /// States to record.
+    pub record: Sender<Recorded>,
+    /// Ends once the own entry was removed.
+    pub thread: thread::JoinHandle<()>,
+}
+
+/// What the tasks of the thread share.
+#[derive(Clone)]
+pub(super) struct Context {
+    pub(super) ops: Arc<StoreOps>,
+    pub(super) decoder: Decoder,
+    pub(super) news: Sender<News>,
+    pub(super) is_lost: Arc<AtomicBool>,
+}
+
+/// Starts the thread. `stop` removes the own entry and ends the thread.
+///
+/// # Errors
+///
+/// Fails if no thread or runtime can be started.
+pub fn start(settings: StoreSettings, stop: CancellationToken) -> io::Result<Asks> {
+    let (news_in, news) = mpsc::channel(NEWS_RING);
+    let (record, asked) = mpsc::channel(ASKS_RING);
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let thread = thread::Builder::new()
+        .name("store".to_owned())
+        .spawn(move || runtime.block_on(run(settings, news_in, asked, stop)))?;
+    Ok(Asks {
+        news,
+        record,
+        thread,
+    })
+}
+
+async fn run(
+    settings: StoreSettings,
+    news: Sender<News>,
+    mut asked: Receiver<Recorded>,
+    stop: CancellationToken,
+) {
+    let context = Context {
+        ops: Arc::new((settings.connect)(settings.address)),
+        decoder: settings.decoder,
+        news,
+        is_lost: Arc::new(AtomicBool::new(false)),
+    };
+    let followed = settings
+        .keys
+        .followed
+        .iter()
+        .chain([&settings.keys.members]);
+    let mut followers: Vec<_> = followed
+        .map(|prefix| tokio::spawn(follow::follow(context.clone(), prefix.clone())))
+        .collect();
+    let recording = {
+        let (context, prefix) = (context.clone(), settings.keys.verdicts.clone());
+        tokio::spawn(async move {
+            while let Some(wanted) = asked.recv().await {
+                let key = format!("{prefix}{}", wanted.service);
+                verdict::record(&context, &key, &wanted).await;
+            }
+        })
+    };
+    followers.push(recording);
+    let key = format!("{}{}", settings.keys.members, settings.entry.name);
+    own_entry::keep(context, key, settings.entry, stop).await;
+    for follower in followers {
+        follower.abort();
+    }
+}
--- /dev/null
+++ b/crates/edge/src/upstream/state.rs
@@ -0,0 +1,214 @@
+//! The upstreams by identifier, with the decisions about when one may be used.
+
+use super::{Health, Load};
+use crate::{cold::ColdGate, place::PartCache};
+use carobwheel_core::time::Millis;
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+/// Time for which an entry may be missing after the store was away, in milliseconds.
+const RETURN_GRACE_MS: u64 = 2_300;
+/// Time for which a leaving upstream may still get requests if there is no other, in milliseconds.
+const LEAVING_USE_MS: u64 = 1_500;
+/// Age of a peer's report of its work after which it no longer counts, in milliseconds.
+const REPORT_AGE_MS: u64 = 1_500;
+/// Prompt tokens that an engine reads in a millisecond, before any measurement.
+const START_TOKENS_PER_MS: f64 = 40.0;
+/// Weight of one measurement of the reading speed.
+const SPEED_WEIGHT: f64 = 0.1;
+
+/// Whether an upstream takes part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Takes requests.
+    Ready,
+    /// Is leaving.
+    Draining,
+}
+
+/// What an upstream says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sighting {
+    /// Identifier of the upstream.
+    pub id: Arc<str>,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Data centre that it stands in.
+    pub data_centre: Arc<str>,
+    /// Version of its software.
+    pub version: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes part.
+    pub stage: Stage,
+    /// How much longer it stays cold, in milliseconds.
+    pub cold_left_ms: u64,
+    /// Time until it is gone, in milliseconds, where it leaves at short notice.
+    pub time_left_ms: Option<u64>,
+    /// Its start in civil time, in milliseconds, where it is told.
+    pub born_unix_ms: Option<u64>,
+}
+
+/// Why an upstream is used or not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// It may be used.
+    Usable,
+    /// It is leaving or gone.
+    Leaving,
+    /// It was ejected after failures.
+    Ejected,
+    /// Its data centre is evacuated.
+    Evacuated,
+    /// Its version must not be used.
+    Version,
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What it said last.
+    pub seen: Sighting,
+    /// Region that it stands in.
+    pub region: Arc<str>,
+    /// When it was first seen.
+    pub first_seen_at: Millis,
+    /// When it was first seen as leaving or gone.
+    pub leaving_at: Option<Millis>,
+    /// Its entry is missing; it counts as gone then.
+    pub gone_at: Option<Millis>,
+    /// Work of this instance.
+    pub own: Load,
+    /// Work of other instances, by their names, and when it was reported.
+    pub others: HashMap<Arc<str>, (Load, Millis)>,
+    /// Health as this instance has seen it.
+    pub health: Health,
+    /// Parts of prompts that it probably holds.
+    pub cache: PartCache,
+    /// Bound on requests while it is cold.
+    pub cold: ColdGate,
+    /// Prompt tokens that it reads in a millisecond.
+    pub tokens_per_ms: f64,
+}
+
+impl Upstream {
+    /// Work of all instances that is known at `now`.
+    pub fn load(&self, now: Millis) -> Load {
+        let mut load = self.own;
+        for (other, reported_at) in self.others.values() {
+            if now.since(*reported_at) <= REPORT_AGE_MS {
+                load += *other;
+            }
+        }
+        load
+    }
+
+    /// Takes note that `tokens` were read within `ms` milliseconds.
+    pub fn note_speed(&mut self, tokens: f64, ms: f64) {
+        let sample = (tokens / ms.max(1.0)).clamp(5.0, 200.0);
+        self.tokens_per_ms += SPEED_WEIGHT * (sample - self.tokens_per_ms);
+    }
+
+    /// Whether it takes new requests; a leaving one only for a short time and as the last resort.
+    pub fn is_taking(&self, is_last_resort: bool, now: Millis) -> bool {
+        match self.leaving_at {
+            None => true,
+            Some(at) => is_last_resort && now.since(at) < LEAVING_USE_MS,
+        }
+    }
+}
+
+/// All upstreams that are known.
+#[derive(Clone, Debug, Default)]
+pub struct Upstreams {
+    /// Upstreams by identifier.
+    pub by_id: HashMap<Arc<str>, Upstream>,
+}
+
+impl Upstreams {
+    /// Takes note of an entry. `memory_tokens` is the size of its cache, 0 where it has none.
+    /// Returns true if anything changed that concerns requests.
+    pub fn saw(
+        &mut self,
+        seen: Sighting,
+        region: &Arc<str>,
+        memory_tokens: u64,
+        now: Millis,
+    ) -> bool {
+        let leaving_at = (seen.stage == Stage::Draining).then_some(now);
+        let is_same_life = |known: &Upstream| {
+            known.seen.address == seen.address
+                && known.seen.service == seen.service
+                && known.seen.born_unix_ms == seen.born_unix_ms
+        };
+        if let Some(known) = self
+            .by_id
+            .get_mut(&seen.id)
+            .filter(|known| is_same_life(known))
+        {
+            let is_change = known.seen != seen || known.gone_at.is_some();
+            known.cold.set_left(seen.cold_left_ms, now);
+            known.leaving_at = leaving_at.map(|at| known.leaving_at.unwrap_or(at));
+            known.gone_at = None;
+            known.seen = seen;
+            return is_change;
+        }
+        let mut cold = ColdGate::default();
+        cold.set_left(seen.cold_left_ms, now);
+        let upstream = Upstream {
+            region: Arc::clone(region),
+            first_seen_at: now,
+            leaving_at,
+            gone_at: None,
+            own: Load::default(),
+            others: HashMap::new(),
+            health: Health::default(),
+            cache: PartCache::new(memory_tokens),
+            cold,
+            tokens_per_ms: START_TOKENS_PER_MS,
+            seen,
+        };
+        self.by_id.insert(Arc::clone(&upstream.seen.id), upstream);
+        true
+    }
+
+    /// Takes note that the entry of `id` is gone. After an outage of the store it has a short time
+    /// to come back.
+    pub fn missing(&mut self, id: &str, is_after_outage: bool, now: Millis) {
+        let Some(upstream) = self.by_id.get_mut(id) else {
+            return;
+        };
+        if is_after_outage && upstream.leaving_at.is_none() {
+            upstream.gone_at.get_or_insert(now.plus(RETURN_GRACE_MS));
+        } else {
+            upstream.leaving_at.get_or_insert(now);
+            upstream.gone_at = Some(now);
+        }
+    }
+
+    /// Forgets upstreams that are gone and have no work left. Returns their identifiers.
+    pub fn sweep(&mut self, now: Millis) -> Vec<Arc<str>> {
+        for upstream in self.by_id.values_mut() {
+            if upstream.gone_at.is_some_and(|at| now >= at) {
+                upstream.leaving_at.get_or_insert(now);
+            }
+            upstream
+                .others
+                .retain(|_, (_, at)| now.since(*at) <= REPORT_AGE_MS);
+        }
+        let is_over = |upstream: &Upstream| {
+            upstream.gone_at.is_some_and(|at| now >= at) && upstream.own.requests == 0
+        };
+        let over: Vec<_> = self
+            .by_id
+            .values()
+            .filter(|upstream| is_over(upstream))
+            .map(|upstream| Arc::clone(&upstream.seen.id))
+            .collect();
+        for id in &over {
+            self.by_id.remove(id);
+        }
+        over
+    }
+}
--- a/crates/gateway/src/options/mod.rs
+++ b/crates/gateway/src/options/mod.rs
@@ -1,5 +1,6 @@
 //! The command line of the daemon.
 
+mod edge;
 mod serve;
 
 use crate::settings::Settings;
@@ -28,6 +29,15 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Serve requests on the platform, with the settings file that it names, until SIGTERM.
+    Edge {
+        /// Settings file (JSON), in place of the one that the platform names.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+        /// Only check the settings file and name every fault.
+        #[arg(long)]
+        check: bool,
+    },
     /// Check a settings file and name every fault.
     Check {
         /// Settings file (JSON).
@@ -47,6 +57,7 @@
 pub fn run(options: &Options) -> ExitCode {
     match &options.command {
         Command::Check { settings } => check(settings),
+        Command::Edge { settings, check } => edge::run(settings.as_deref(), *check),
         Command::Serve { settings } => serve::run(settings),
     }
 }
