Keep a floor under the congestion window of links; go back to an upstream that answers

Cause: forwarded requests waited over a second on a link with a round trip of 160 ms and occasional loss, since the window had shrunk to a few packets (traced by one request's log lines on both ends).

--- a/crates/edge/src/front/side.rs
+++ b/crates/edge/src/front/side.rs
@@ -14,6 +14,8 @@
 /// A question to the directory.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Question {
+    /// Host that the caller wants to reach.
+    pub host: String,
     /// Region of the caller.
     pub region: String,
     /// Data centre of the caller.
@@ -103,7 +105,7 @@
     }
     let mut named = match by_region.remove(&question.region) {
         Some(addresses) => addresses,
-        None => by_region.into_values().flatten().collect(),
+        None => in_other_regions(node, by_region, &question.host),
     };
     named.sort_unstable();
     named.truncate(MAX_NAMED);
@@ -117,6 +119,21 @@
     response
 }
 
+/// Instances of other regions, in those that may serve every route of the host if there are any.
+fn in_other_regions(
+    node: &Node,
+    by_region: BTreeMap<String, Vec<SocketAddr>>,
+    host: &str,
+) -> Vec<SocketAddr> {
+    let config = node.config().unwrap_or_default();
+    let is_home = |region: &String| config.is_home_of_host(region, host);
+    let has_home = by_region.keys().any(is_home);
+    let named = by_region
+        .into_iter()
+        .filter(|(region, _)| !has_home || is_home(region));
+    named.flat_map(|(_, addresses)| addresses).collect()
+}
+
 fn metrics(node: &Rc<Node>) -> String {
     let now = node.now();
     let state = node.state.borrow();
--- a/crates/edge/src/model/lookup.rs
+++ b/crates/edge/src/model/lookup.rs
@@ -40,6 +40,16 @@
     }
 }
 
+impl Config {
+    /// Whether `region` may serve every route of the host.
+    pub fn is_home_of_host(&self, region: &str, host: &str) -> bool {
+        let routes = self.routes.get(&host.to_ascii_lowercase());
+        routes.into_iter().flatten().all(|route| {
+            route.home_regions.is_empty() || route.home_regions.iter().any(|home| home == region)
+        })
+    }
+}
+
 /// The service that takes a request of `route`, by `draw` from 0 up to 1.
 pub fn split_service(route: &Route, draw: f64) -> Option<Arc<str>> {
     let total: u32 = route.shares.iter().map(|share| share.weight).sum();
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! pinned by the digest that stands in the instance's entry in the store.
 
 mod accept;
+mod congestion;
 mod dial;
 mod tls;
 
--- a/crates/edge/src/peers/tls.rs
+++ b/crates/edge/src/peers/tls.rs
@@ -1,6 +1,6 @@
 //! Certificates of instances: self-signed, and pinned by their digests.
 
-use super::LINK_IDLE;
+use super::{congestion::FlooredConfig, LINK_IDLE};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rustls::{
     client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier},
@@ -124,6 +124,7 @@
     transport
         .max_idle_timeout(quinn::IdleTimeout::try_from(LINK_IDLE).ok())
         .mtu_discovery_config(None)
+        .congestion_controller_factory(Arc::new(FlooredConfig::default()))
         .initial_rtt(FIRST_ROUND_TRIP)
         .max_concurrent_bidi_streams(MAX_REQUESTS.into())
         .datagram_receive_buffer_size(Some(32 * 1_024))
--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -42,6 +42,16 @@
     pub(super) sends: u32,
     /// Sends after which it may have run.
     pub(super) runs: u32,
+    /// Sends that an upstream has answered with a failure.
+    pub(super) answered: u32,
+}
+
+impl Tries {
+    /// Whether the upstreams that had the request may have it again: they work, and have failed
+    /// only this request.
+    fn may_go_back(&self) -> bool {
+        self.answered > 0 && self.answered as usize == self.tried.len()
+    }
 }
 
 /// An answer's head with its body still at the upstream.
@@ -92,6 +102,10 @@
             }
         }
         (Choice::NoUpstream, None) if is_home => run_here(node, ticket).await,
+        (Choice::NoUpstream, None) if caller.regions.is_empty() => Err(Refusal::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no region may serve the request",
+        )),
         (Choice::NoUpstream, None) => Err(Refusal::not_run(
             "no instance of a home region is in reach",
             NO_UPSTREAM_RETRY_MS,
@@ -142,6 +156,7 @@
             Sending::Failed(reason, answer) => {
                 tries.sends += 1;
                 tries.runs += 1;
+                tries.answered += u32::from(answer.is_some());
                 passable = answer.or(passable);
                 (reason, true)
             }
@@ -198,6 +213,12 @@
     loop {
         match node.place(&offered(ticket, &tries.tried)) {
             Choice::Placed(placed) => return in_time(node, ticket, tries, placed),
+            Choice::NoUpstream if tries.may_go_back() => {
+                return match node.place(&offered(ticket, &[])) {
+                    Choice::Placed(placed) => in_time(node, ticket, tries, placed),
+                    Choice::NoUpstream => Err(Refusal::may_have_run("the upstream failed")),
+                };
+            }
             Choice::NoUpstream if node.now() < wait_until => {
                 tokio::time::sleep(Duration::from_millis(PLACE_AGAIN_MS)).await;
             }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -12,6 +12,9 @@
 mod verdict;
 
 pub use news::{Decoder, MemberChange, News};
-pub use ops::{Call, StoreResult, Change, Changes, Commit, Expected, Item, Listing, StoreError, StoreOps, Write};
+pub use ops::{
+    Call, Change, Changes, Commit, Expected, Item, Listing, StoreError, StoreOps, StoreResult,
+    Write,
+};
 pub use task::{start, Asks, Keys, StoreSettings};
 pub use verdict::Recorded;
