Spread the store's changes between instances; refuse requests late after a signal to stop

Causes: an instance that the store turned away knew no evacuation and no cold engine (FAILBACK); requests taken over 3 s after SIGTERM were cut at its end (LOST); with no instance ready in a region the directory named regions that are no home (HOME). Ruled out: the cold gate itself, which held on every instance that had seen the entry.

--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -7,10 +7,10 @@
     member::MemberEntry,
     metrics::Metrics,
     names::HeaderNames,
-    node::Node,
-    peers::{Identity, Links},
+    node::{Node, State},
+    peers::{self, Identity, Links},
     settings::Settings,
-    store::{self, Decoder, Keys, News, StoreOps, StoreSettings},
+    store::{self, Decoder, Keys, Replica, StoreEvent, StoreOps, StoreSettings},
 };
 use anyhow::Context as _;
 use carobwheel_core::time::Clock;
@@ -105,7 +105,11 @@
         links,
         record: asks.record,
         in_flight: Cell::new(0),
-        state: RefCell::default(),
+        decoder: deployment.decoder,
+        state: RefCell::new(State {
+            replica: Replica::new(deployment.keys.all_followed()),
+            ..State::default()
+        }),
         settings,
     });
     node.log.event(Event::Started {
@@ -114,7 +118,7 @@
     });
     let drain = CancellationToken::new();
     let connections = Rc::new(Connections::default());
-    tokio::task::spawn_local(apply_all(Rc::clone(&node), asks.news));
+    tokio::task::spawn_local(apply_all(Rc::clone(&node), asks.events));
     tokio::task::spawn_local(Links::dial_all(Rc::clone(&node), dialled));
     tokio::task::spawn_local(Links::accept_all(Rc::clone(&node)));
     tokio::task::spawn_local(tick_all(Rc::clone(&node), Rc::clone(&connections)));
@@ -181,9 +185,9 @@
     }
 }
 
-async fn apply_all(node: Rc<Node>, mut news: Receiver<News>) {
-    while let Some(piece) = news.recv().await {
-        node.apply(piece);
+async fn apply_all(node: Rc<Node>, mut events: Receiver<StoreEvent>) {
+    while let Some(event) = events.recv().await {
+        node.store_event(event);
     }
 }
 
@@ -194,6 +198,9 @@
     loop {
         ticks.tick().await;
         node.tick();
+        for pull in node.pulls() {
+            tokio::task::spawn_local(peers::pull(Rc::clone(&node), pull));
+        }
         count += 1;
         if count.is_multiple_of(SWEEP_TICKS) {
             let now = node.now();
@@ -241,7 +248,7 @@
     node.log.event(Event::Stopping {
         in_flight: node.in_flight.get(),
     });
-    node.state.borrow_mut().is_leaving = true;
+    node.state.borrow_mut().leaving_at = Some(started_at);
     stop_store.cancel();
     sleep(LEAVING).await;
     drain.cancel();
--- a/crates/edge/src/front/handler.rs
+++ b/crates/edge/src/front/handler.rs
@@ -9,6 +9,9 @@
 use hyper::{body::Incoming, http::request::Parts, Request, StatusCode};
 use std::rc::Rc;
 
+/// Time after which a caller may ask another instance when this one is stopping, in milliseconds.
+const STOPPING_RETRY_MS: u64 = 50;
+
 /// Counts a request for as long as it is under way.
 struct InFlight(Rc<Node>);
 
@@ -86,6 +89,12 @@
     labels: &mut Labels,
 ) -> Result<Answer, Refusal> {
     let started_at = node.now();
+    if node.is_closed() {
+        return Err(Refusal::not_run(
+            "the instance is stopping",
+            STOPPING_RETRY_MS,
+        ));
+    }
     let (config, route, account) = identify(node, &head)?;
     labels.route = route.name.to_string();
     labels.account = account
--- a/crates/edge/src/front/side.rs
+++ b/crates/edge/src/front/side.rs
@@ -119,18 +119,18 @@
     response
 }
 
-/// Instances of other regions, in those that may serve every route of the host if there are any.
+/// Instances of the regions that may serve the most routes of the host.
 fn in_other_regions(
     node: &Node,
     by_region: BTreeMap<String, Vec<SocketAddr>>,
     host: &str,
 ) -> Vec<SocketAddr> {
     let config = node.config().unwrap_or_default();
-    let is_home = |region: &String| config.is_home_of_host(region, host);
-    let has_home = by_region.keys().any(is_home);
+    let served = |region: &String| config.routes_at_home(region, host);
+    let most = by_region.keys().map(served).max().unwrap_or_default();
     let named = by_region
         .into_iter()
-        .filter(|(region, _)| !has_home || is_home(region));
+        .filter(|(region, _)| served(region) == most);
     named.flat_map(|(_, addresses)| addresses).collect()
 }
 
@@ -155,7 +155,7 @@
         ("carobwheel_log_lines_left_out_total", node.log.left_out()),
         (
             "carobwheel_ready",
-            u64::from(state.config.is_some() && !state.is_leaving),
+            u64::from(state.config.is_some() && state.leaving_at.is_none()),
         ),
     ];
     node.metrics.text(&gauges)
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -77,6 +77,17 @@
     MemberForgotten {
         member: &'a str,
     },
+    Pulled {
+        member: &'a str,
+        prefix: usize,
+        after: u64,
+        revision: u64,
+        facts: usize,
+    },
+    PullFailed {
+        member: &'a str,
+        reason: &'a str,
+    },
     LinkUp {
         member: &'a str,
     },
--- a/crates/edge/src/member/mod.rs
+++ b/crates/edge/src/member/mod.rs
@@ -50,6 +50,8 @@
     pub heard_at: Option<Millis>,
     /// When its entry was seen last.
     pub entry_at: Millis,
+    /// Revisions up to which it knows the followed parts of the store.
+    pub revisions: Vec<u64>,
     /// Shortest wait for each of its region's services, by a hash of the name, in milliseconds.
     pub waits_ms: HashMap<u32, u32>,
 }
@@ -88,6 +90,7 @@
             is_ready: false,
             heard_at: None,
             entry_at: now,
+            revisions: Vec::new(),
             waits_ms: HashMap::new(),
             entry,
         };
--- a/crates/edge/src/model/lookup.rs
+++ b/crates/edge/src/model/lookup.rs
@@ -41,12 +41,13 @@
 }
 
 impl Config {
-    /// Whether `region` may serve every route of the host.
-    pub fn is_home_of_host(&self, region: &str, host: &str) -> bool {
+    /// How many routes of the host `region` may serve.
+    pub fn routes_at_home(&self, region: &str, host: &str) -> usize {
         let routes = self.routes.get(&host.to_ascii_lowercase());
-        routes.into_iter().flatten().all(|route| {
+        let is_home = |route: &&Rc<Route>| {
             route.home_regions.is_empty() || route.home_regions.iter().any(|home| home == region)
-        })
+        };
+        routes.into_iter().flatten().filter(is_home).count()
     }
 }
 
--- a/crates/edge/src/node/apply.rs
+++ b/crates/edge/src/node/apply.rs
@@ -6,10 +6,10 @@
     member::MemberEntry,
     model::{Config, ConfigParts},
     rollout::{Order, Trial, Verdict},
-    store::{MemberChange, News},
+    store::{Fact, Facts, MemberChange, News, Replica, StoreEvent},
     upstream::{Sighting, Stage},
 };
-use std::{collections::HashSet, rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc};
 
 /// Time after an outage of the store in which missing entries may come back, in milliseconds.
 const AFTER_OUTAGE_MS: u64 = 2_500;
@@ -34,29 +34,75 @@
             }
             News::Upstream(seen) => self.apply_upstream(seen),
             News::UpstreamGone(id) => self.upstream_gone(&id),
-            News::UpstreamsAre(ids) => self.upstreams_are(&ids),
-            News::OrdersAre(services, data_centres) => self.orders_are(&services, &data_centres),
             News::Member(MemberChange::Seen(entry)) => self.apply_member(entry),
             News::Member(MemberChange::Gone(name)) => {
                 self.state.borrow_mut().members.entry_gone(&name);
             }
-            News::MembersAre(names) => self.members_are(&names),
             News::Ignored(key, reason) => {
                 self.log.event(Event::EntryIgnored {
                     key: &key,
                     reason: &reason,
                 });
             }
-            News::StoreLost(reason) => self.store_lost(&reason),
-            News::StoreBack => self.store_back(),
-            News::LeaseLost(reason) => self.log.event(Event::LeaseLost { reason: &reason }),
-            News::VerdictFailed(service, err) => self.log.event(Event::VerdictNotRecorded {
+        }
+    }
+
+    /// Takes note of an event of the store.
+    pub fn store_event(&self, event: StoreEvent) {
+        match event {
+            StoreEvent::Listed(prefix, listing) => {
+                let fresh = self.with_replica(&prefix, |replica, at| {
+                    replica.listed(at, &listing.items, listing.revision)
+                });
+                self.apply_facts(&fresh);
+            }
+            StoreEvent::Changed(prefix, news) => {
+                let fresh = self.with_replica(&prefix, |replica, at| {
+                    replica.changed(at, news.changes, news.revision)
+                });
+                self.apply_facts(&fresh);
+            }
+            StoreEvent::Lost(reason) => self.store_lost(&reason),
+            StoreEvent::Back => self.store_back(),
+            StoreEvent::LeaseLost(reason) => self.log.event(Event::LeaseLost { reason: &reason }),
+            StoreEvent::Recorded(news) => self.apply(news),
+            StoreEvent::NotRecorded(service, err) => self.log.event(Event::VerdictNotRecorded {
                 service: &service,
                 reason: &err.to_string(),
             }),
         }
     }
 
+    fn with_replica(
+        &self,
+        prefix: &str,
+        learn: impl FnOnce(&mut Replica, usize) -> Vec<Fact>,
+    ) -> Vec<Fact> {
+        let mut state = self.state.borrow_mut();
+        let Some(at) = state.replica.prefix(prefix) else {
+            return Vec::new();
+        };
+        learn(&mut state.replica, at)
+    }
+
+    /// Takes facts that another instance has told.
+    pub fn learn(&self, prefix: usize, facts: Facts) {
+        let fresh = self.state.borrow_mut().replica.learn(prefix, facts);
+        self.apply_facts(&fresh);
+    }
+
+    fn apply_facts(&self, facts: &[Fact]) {
+        for fact in facts {
+            let news = match &fact.value {
+                Some(value) => Some((self.decoder.written)(&fact.key, value)),
+                None => (self.decoder.removed)(&fact.key),
+            };
+            if let Some(news) = news {
+                self.apply(news);
+            }
+        }
+    }
+
     fn apply_config(&self, parts: ConfigParts) {
         let config = Rc::new(Config::from(parts));
         let mut state = self.state.borrow_mut();
@@ -172,7 +218,7 @@
             .and_then(|service| service.engine);
         let memory_tokens = engine.map_or(0, |engine| engine.memory_tokens);
         let version = (Arc::clone(&seen.service), Arc::clone(&seen.version));
-        let first_at = if state.has_upstreams {
+        let first_at = if state.replica.is_complete() {
             now
         } else {
             carobwheel_core::time::Millis(0)
@@ -212,34 +258,6 @@
         });
     }
 
-    fn upstreams_are(&self, ids: &HashSet<Arc<str>>) {
-        let gone: Vec<Arc<str>> = {
-            let mut state = self.state.borrow_mut();
-            state.has_upstreams = true;
-            let known = state.upstreams.by_id.values();
-            let missing = known.filter(|up| !ids.contains(&up.seen.id) && up.gone_at.is_none());
-            missing.map(|up| Arc::clone(&up.seen.id)).collect()
-        };
-        for id in gone {
-            self.upstream_gone(&id);
-        }
-    }
-
-    fn orders_are(&self, services: &HashSet<Arc<str>>, data_centres: &HashSet<Arc<str>>) {
-        let over: Vec<_> = {
-            let mut state = self.state.borrow_mut();
-            state.trials.retain(|service, _| services.contains(service));
-            let over = state
-                .evacuated
-                .iter()
-                .filter(|name| !data_centres.contains(*name));
-            over.cloned().collect()
-        };
-        for data_centre in over {
-            self.set_evacuated(&data_centre, false);
-        }
-    }
-
     fn apply_member(&self, entry: MemberEntry) {
         if entry.name == self.name {
             return;
@@ -259,20 +277,6 @@
         }
     }
 
-    fn members_are(&self, names: &HashSet<Arc<str>>) {
-        let mut state = self.state.borrow_mut();
-        let gone: Vec<_> = {
-            let known = state.members.by_name.keys();
-            known
-                .filter(|name| !names.contains(*name))
-                .cloned()
-                .collect()
-        };
-        for name in gone {
-            state.members.entry_gone(&name);
-        }
-    }
-
     fn store_lost(&self, reason: &str) {
         self.state
             .borrow_mut()
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -32,6 +32,8 @@
     pub life: u64,
     /// The sender takes requests.
     pub is_ready: bool,
+    /// Revisions up to which the sender knows the followed parts of the store.
+    pub revisions: Vec<u64>,
     /// Work of the sender, by hash of the upstream's identifier; only within a region.
     pub loads: Vec<(u32, Load)>,
     /// Tokens that the sender has used, by hash of the account's name.
@@ -103,6 +105,7 @@
         Gossip {
             life: self.life,
             is_ready,
+            revisions: state.replica.revisions(),
             loads: if is_same_region {
                 loads.collect()
             } else {
@@ -127,6 +130,7 @@
             state.hear_loads(name, &gossip, now);
             if let Some(member) = state.members.by_name.get_mut(name) {
                 member.waits_ms = gossip.waits_ms.iter().copied().collect();
+                member.revisions.clone_from(&gossip.revisions);
             }
             for (account, bucket) in &mut state.buckets {
                 let hash = short_hash(account);
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -9,3 +9,4 @@
 pub use evidence::Sent;
 pub use gossip::{short_hash, Gossip};
 pub use state::{urgency, Node, Offered, State};
+pub use tick::Pull;
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -14,7 +14,7 @@
     retry::{RetryBounds, RetryBudget},
     rollout::{Trial, TrialBounds, Verdict},
     settings::Settings,
-    store::Recorded,
+    store::{Decoder, Recorded, Replica},
     upstream::Upstreams,
 };
 use carobwheel_core::time::{Clock, Millis};
@@ -26,6 +26,8 @@
 };
 use tokio::sync::mpsc::Sender;
 
+/// Time after a signal to stop in which requests are still taken, in milliseconds.
+const LEAVING_TAKES_MS: u64 = 2_700;
 /// Time for which a version without an order is not used, in milliseconds.
 const UNORDERED_MS: u64 = 3_000;
 
@@ -41,6 +43,8 @@
     pub life: u64,
     /// Header names.
     pub names: HeaderNames,
+    /// Turns items of the store into news.
+    pub decoder: Decoder,
     /// Clock.
     pub clock: Clock,
     /// Logs.
@@ -80,14 +84,16 @@
     pub verdicts: HashMap<(Arc<str>, Arc<str>), Verdict>,
     /// Versions of services and when they were first seen.
     pub versions: HashMap<(Arc<str>, Arc<str>), Millis>,
-    /// The upstreams were listed once.
-    pub has_upstreams: bool,
+    /// Copy of the followed parts of the store.
+    pub replica: Replica,
+    /// Prefixes of which another instance knows more, and since when.
+    pub behind: HashMap<usize, Millis>,
     /// The store does not answer since then.
     pub store_lost_at: Option<Millis>,
     /// The store answered again then.
     pub store_back_at: Option<Millis>,
-    /// The instance is stopping.
-    pub is_leaving: bool,
+    /// The instance was told to stop then.
+    pub leaving_at: Option<Millis>,
 }
 
 /// What is asked of the upstreams of a region.
@@ -111,7 +117,13 @@
     /// Whether the instance takes requests.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.config.is_some() && state.has_upstreams && !state.is_leaving
+        state.config.is_some() && state.replica.is_complete() && state.leaving_at.is_none()
+    }
+
+    /// Whether the instance was told to stop so long ago that a new request might be cut.
+    pub fn is_closed(&self) -> bool {
+        let leaving_at = self.state.borrow().leaving_at;
+        leaving_at.is_some_and(|at| self.now().since(at) >= LEAVING_TAKES_MS)
     }
 
     /// The configuration in force.
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -7,6 +7,20 @@
 /// Time that an instance leaves to those before it to record a verdict, in milliseconds.
 const VERDICT_TURN_MS: u64 = 300;
 
+/// Time for which another instance has to know more before it is asked, in milliseconds.
+const BEHIND_MS: u64 = 400;
+
+/// A question to another instance for a part of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pull {
+    /// Instance.
+    pub member: Arc<str>,
+    /// Position of the prefix.
+    pub prefix: usize,
+    /// Revision up to which it is known here.
+    pub after: u64,
+}
+
 impl Node {
     /// Looks at everything that changes with time alone.
     pub fn tick(&self) {
@@ -26,6 +40,39 @@
         self.step_trials();
     }
 
+    /// Parts of the store of which another instance has known more for a while.
+    pub fn pulls(&self) -> Vec<Pull> {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let own = state.replica.revisions();
+        let mut pulls = Vec::new();
+        for (prefix, after) in own.into_iter().enumerate() {
+            let up = state
+                .members
+                .by_name
+                .values()
+                .filter(|member| member.is_heard(BEHIND_MS, now));
+            let ahead = up.filter_map(|member| {
+                let revision = *member.revisions.get(prefix)?;
+                (revision > after).then(|| (revision, Arc::clone(&member.entry.name)))
+            });
+            let Some((_, member)) = ahead.max() else {
+                state.behind.remove(&prefix);
+                continue;
+            };
+            let since = *state.behind.entry(prefix).or_insert(now);
+            if now.since(since) >= BEHIND_MS {
+                state.behind.insert(prefix, now);
+                pulls.push(Pull {
+                    member,
+                    prefix,
+                    after,
+                });
+            }
+        }
+        pulls
+    }
+
     fn step_trials(&self) {
         let now = self.now();
         let turn = self.verdict_turn();
--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -1,13 +1,18 @@
 //! Links that other instances dial.
 
-use super::{decode, tls::peer_digest, Links, MAX_GOSSIP_BYTES, REFUSED_HEADER, TICKET_HEADER};
+use super::{
+    decode, exchange::READ_BYTES, pull, tls::peer_digest, Links, MAX_GOSSIP_BYTES, PULL_HEADER,
+    REFUSED_HEADER, TICKET_HEADER,
+};
 use crate::{
     front::read_body,
     node::Node,
     pipeline::{self, Answer, FarTicket, Refusal, Ticket},
+    relay::AnswerBody,
 };
 use hyper::{
     body::Incoming, header::HeaderValue, server::conn::http1, service::service_fn, Request,
+    StatusCode,
 };
 use hyper_util::rt::TokioIo;
 use std::{convert::Infallible, rc::Rc, sync::Arc, time::Duration};
@@ -17,8 +22,6 @@
 const ENTRY_LOOKS: u32 = 20;
 /// Time between two such looks.
 const ENTRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest read at once from a link, in bytes.
-const READ_BYTES: usize = 32 * 1024;
 
 impl Links {
     /// Serves the links that other instances dial.
@@ -113,6 +116,12 @@
 }
 
 async fn forwarded(node: &Rc<Node>, request: Request<Incoming>) -> Answer {
+    if let Some(question) = request.headers().get(PULL_HEADER) {
+        return match pull::answer(node, question) {
+            Some(facts) => Answer::new(AnswerBody::whole(facts)),
+            None => Refusal::new(StatusCode::BAD_REQUEST, "not a question").into_answer(),
+        };
+    }
     let outcome = match far_ticket(node, request).await {
         Ok(ticket) => pipeline::run_here(node, ticket).await,
         Err(refusal) => Err(refusal),
--- /dev/null
+++ b/crates/edge/src/peers/exchange.rs
@@ -0,0 +1,48 @@
+//! One HTTP exchange with another instance, on a stream of its own.
+
+use crate::node::Node;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{body::Incoming, client::conn::http1, Request, Response};
+use hyper_util::rt::TokioIo;
+
+/// Longest read at once from a link, in bytes.
+pub(super) const READ_BYTES: usize = 32 * 1024;
+
+/// Why an exchange brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ExchangeError {
+    /// Nothing was sent.
+    NotSent,
+    /// The request may have arrived.
+    Broken(String),
+}
+
+/// Sends a request to an instance and waits for the head of its answer.
+pub(crate) async fn exchange(
+    node: &Node,
+    member: &str,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, ExchangeError> {
+    let connection = node
+        .links
+        .connection(member)
+        .ok_or(ExchangeError::NotSent)?;
+    let (send, receive) = connection
+        .open_bi()
+        .await
+        .map_err(|_| ExchangeError::NotSent)?;
+    let io = TokioIo::new(tokio::io::join(receive, send));
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(READ_BYTES);
+    let (mut sender, driver) = builder
+        .handshake(io)
+        .await
+        .map_err(|_| ExchangeError::NotSent)?;
+    // Errors of the driver also reach the request that they concern.
+    tokio::task::spawn_local(async move { drop(driver.await) });
+    sender
+        .send_request(request)
+        .await
+        .map_err(|err| ExchangeError::Broken(err.to_string()))
+}
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -7,9 +7,13 @@
 mod accept;
 mod congestion;
 mod dial;
+mod exchange;
+mod pull;
 mod tls;
 
 pub use dial::Links;
+pub(crate) use exchange::{exchange, ExchangeError};
+pub use pull::pull;
 pub use tls::{Identity, PeerError};
 
 use crate::node::Gossip;
@@ -19,6 +23,8 @@
 pub(crate) const TICKET_HEADER: &str = "cw-ticket";
 /// Header of an answer that the other instance itself gave.
 pub(crate) const REFUSED_HEADER: &str = "cw-refused";
+/// Header of a question for a part of the store.
+pub(crate) const PULL_HEADER: &str = "cw-pull";
 /// Silence after which a link counts as lost.
 const LINK_IDLE: Duration = Duration::from_millis(2_500);
 /// Longest gossip message, in bytes.
--- /dev/null
+++ b/crates/edge/src/peers/pull.rs
@@ -0,0 +1,82 @@
+//! Asking another instance for changes of the store that this one has not heard.
+
+use super::{exchange, ExchangeError, PULL_HEADER};
+use crate::{
+    log::Event,
+    node::{Node, Pull},
+    store::Facts,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{header::HeaderValue, Request};
+use serde::{Deserialize, Serialize};
+use std::{rc::Rc, time::Duration};
+use tokio::time::timeout;
+
+/// Time that an answer may take.
+const ANSWER: Duration = Duration::from_millis(1_500);
+/// Largest answer, in bytes.
+const MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// The question on the wire.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct Question {
+    prefix: usize,
+    after: u64,
+}
+
+/// Asks, and applies what is new.
+pub async fn pull(node: Rc<Node>, pull: Pull) {
+    let result = match timeout(ANSWER, ask(&node, &pull)).await {
+        Ok(result) => result,
+        Err(_) => Err("no answer in time".to_owned()),
+    };
+    match result {
+        Ok(facts) => {
+            node.log.event(Event::Pulled {
+                member: &pull.member,
+                prefix: pull.prefix,
+                after: pull.after,
+                revision: facts.revision,
+                facts: facts.facts.len(),
+            });
+            node.learn(pull.prefix, facts);
+        }
+        Err(reason) => node.log.event(Event::PullFailed {
+            member: &pull.member,
+            reason: &reason,
+        }),
+    }
+}
+
+async fn ask(node: &Node, pull: &Pull) -> Result<Facts, String> {
+    let question = Question {
+        prefix: pull.prefix,
+        after: pull.after,
+    };
+    let question = serde_json::to_string(&question).map_err(|err| err.to_string())?;
+    let mut request = Request::new(Full::<Bytes>::default());
+    let value = HeaderValue::from_str(&question).map_err(|err| err.to_string())?;
+    request.headers_mut().insert(PULL_HEADER, value);
+    let response = exchange(node, &pull.member, request).await;
+    let response = response.map_err(|err| match err {
+        ExchangeError::NotSent => "the link is lost".to_owned(),
+        ExchangeError::Broken(reason) => reason,
+    })?;
+    let body = Limited::new(response.into_body(), MAX_BYTES)
+        .collect()
+        .await;
+    let body = body.map_err(|err| err.to_string())?.to_bytes();
+    postcard::from_bytes(&body).map_err(|err| err.to_string())
+}
+
+/// The answer to a question in a header.
+pub(super) fn answer(node: &Node, question: &HeaderValue) -> Option<Vec<u8>> {
+    let question: Question = serde_json::from_slice(question.as_bytes()).ok()?;
+    let facts = node
+        .state
+        .borrow()
+        .replica
+        .since(question.prefix, question.after);
+    postcard::to_stdvec(&facts).ok()
+}
--- a/crates/edge/src/pipeline/forward.rs
+++ b/crates/edge/src/pipeline/forward.rs
@@ -4,13 +4,12 @@
 use crate::{
     log::Event,
     node::{short_hash, Node},
-    peers::{REFUSED_HEADER, TICKET_HEADER},
+    peers::{exchange, ExchangeError, REFUSED_HEADER, TICKET_HEADER},
     relay::AnswerBody,
 };
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{client::conn::http1, header::HeaderValue, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper::{header::HeaderValue, Request, Response, StatusCode};
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::timeout;
 
@@ -20,8 +19,6 @@
 const STAY_PART: f64 = 0.8;
 /// Part of the own region's wait that the other region must stay below.
 const FAR_PART: f64 = 0.6;
-/// Longest read at once from a link, in bytes.
-const READ_BYTES: usize = 32 * 1024;
 /// Time after which a caller may come back when a forwarded request was refused, in milliseconds.
 const REFUSED_RETRY_MS: u64 = 700;
 
@@ -91,15 +88,15 @@
     });
     node.metrics.forwarded.add(1);
     let gone = Refusal::not_run("the link to another region is lost", REFUSED_RETRY_MS);
-    let Some(connection) = node.links.connection(&far.member) else {
+    let Some(request) = far_request(node, ticket) else {
         return Err(gone);
     };
     let left = Duration::from_millis(ticket.left_ms(node).max(1));
-    let exchange = exchange(node, ticket, &connection);
+    let exchange = exchange(node, &far.member, request);
     let response = match timeout(left, exchange).await {
         Ok(Ok(response)) => response,
-        Ok(Err(Exchange::NotSent)) => return Err(gone),
-        Ok(Err(Exchange::Broken(reason))) => {
+        Ok(Err(ExchangeError::NotSent)) => return Err(gone),
+        Ok(Err(ExchangeError::Broken(reason))) => {
             log_failure(node, ticket, &far.member, &reason);
             return Err(Refusal::may_have_run("the link to another region broke"));
         }
@@ -118,30 +115,6 @@
     Ok(answer)
 }
 
-enum Exchange {
-    NotSent,
-    Broken(String),
-}
-
-async fn exchange(
-    node: &Node,
-    ticket: &Ticket,
-    connection: &quinn::Connection,
-) -> Result<Response<hyper::body::Incoming>, Exchange> {
-    let (send, receive) = connection.open_bi().await.map_err(|_| Exchange::NotSent)?;
-    let io = TokioIo::new(tokio::io::join(receive, send));
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(READ_BYTES);
-    let (mut sender, driver) = builder.handshake(io).await.map_err(|_| Exchange::NotSent)?;
-    // Errors of the driver also reach the request that they concern.
-    tokio::task::spawn_local(async move { drop(driver.await) });
-    let request = far_request(node, ticket).ok_or(Exchange::NotSent)?;
-    sender
-        .send_request(request)
-        .await
-        .map_err(|err| Exchange::Broken(err.to_string()))
-}
-
 fn far_request(node: &Node, ticket: &Ticket) -> Option<Request<Full<Bytes>>> {
     let mut far = ticket.far.clone();
     far.left_ms = ticket.left_ms(node);
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -1,7 +1,7 @@
 //! Following all changes below a prefix.
 
-use super::{backoff::Backoff, task::Context, Change, Listing, News, StoreError};
-use std::time::Duration;
+use super::{backoff::Backoff, task::Context, StoreError, StoreEvent};
+use std::{sync::atomic::Ordering, time::Duration};
 use tokio::time::sleep;
 
 /// Longest wait of one watch, in milliseconds.
@@ -35,58 +35,45 @@
 }
 
 async fn list(context: &Context, prefix: &str) -> Result<u64, StoreError> {
-    let Listing { items, revision } = (context.ops.list)(prefix).await?;
-    for item in &items {
-        context.send((context.decoder.written)(item)).await;
-    }
-    if let Some(names) = (context.decoder.listed)(prefix, &items) {
-        context.send(names).await;
-    }
+    let listing = (context.ops.list)(prefix).await?;
+    let revision = listing.revision;
+    context
+        .send(StoreEvent::Listed(prefix.to_owned(), listing))
+        .await;
     Ok(revision)
 }
 
 async fn watch(context: &Context, prefix: &str, after: u64) -> Result<u64, StoreError> {
     let news = (context.ops.watch)(prefix, after, WATCH_MS).await?;
+    let revision = news.revision.max(after);
     let is_empty = news.changes.is_empty();
-    for change in &news.changes {
-        match change {
-            Change::Written(item) => context.send((context.decoder.written)(item)).await,
-            Change::Removed(key) => {
-                if let Some(gone) = (context.decoder.removed)(key) {
-                    context.send(gone).await;
-                }
-            }
-        }
-    }
+    context
+        .send(StoreEvent::Changed(prefix.to_owned(), news))
+        .await;
     if !is_empty {
         sleep(Duration::from_millis(GATHER_MS)).await;
     }
-    Ok(news.revision.max(after))
+    Ok(revision)
 }
 
 impl Context {
-    async fn send(&self, news: News) {
+    /// Tells an event.
+    pub(super) async fn send(&self, event: StoreEvent) {
         // The receiver is gone only while the process ends.
-        let _ = self.news.send(news).await;
+        let _ = self.events.send(event).await;
     }
 
     /// Takes note that the store has answered.
     pub(super) async fn reachable(&self) {
-        if self
-            .is_lost
-            .swap(false, std::sync::atomic::Ordering::Relaxed)
-        {
-            self.send(News::StoreBack).await;
+        if self.is_lost.swap(false, Ordering::Relaxed) {
+            self.send(StoreEvent::Back).await;
         }
     }
 
     /// Takes note that the store has not answered.
     pub(super) async fn unreachable(&self, err: &StoreError) {
-        if !self
-            .is_lost
-            .swap(true, std::sync::atomic::Ordering::Relaxed)
-        {
-            self.send(News::StoreLost(err.to_string())).await;
+        if !self.is_lost.swap(true, Ordering::Relaxed) {
+            self.send(StoreEvent::Lost(err.to_string())).await;
         }
     }
 }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -8,13 +8,15 @@
 mod news;
 mod ops;
 mod own_entry;
+mod replica;
 mod task;
 mod verdict;
 
-pub use news::{Decoder, MemberChange, News};
+pub use news::{Decoder, MemberChange, News, StoreEvent};
 pub use ops::{
     Call, Change, Changes, Commit, Expected, Item, Listing, StoreError, StoreOps, StoreResult,
     Write,
 };
+pub use replica::{Fact, Facts, Replica};
 pub use task::{start, Asks, Keys, StoreSettings};
 pub use verdict::Recorded;
--- a/crates/edge/src/store/news.rs
+++ b/crates/edge/src/store/news.rs
@@ -1,13 +1,13 @@
 //! What the store tells, in the project's words.
 
-use super::{Item, StoreError};
+use super::{Changes, Listing, StoreError};
 use crate::{
     member::MemberEntry,
     model::ConfigParts,
     rollout::{Order, Verdict},
     upstream::Sighting,
 };
-use std::{collections::HashSet, sync::Arc};
+use std::sync::Arc;
 
 /// A change of the members' entries.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,36 +37,38 @@
     Upstream(Sighting),
     /// The entry of this upstream is gone.
     UpstreamGone(Arc<str>),
-    /// A whole listing of upstreams was read: all others are gone.
-    UpstreamsAre(HashSet<Arc<str>>),
-    /// A whole listing of the operators' orders was read: services with an order, evacuated data
-    /// centres.
-    OrdersAre(HashSet<Arc<str>>, HashSet<Arc<str>>),
     /// A change of the members.
     Member(MemberChange),
-    /// A whole listing of members was read: all others are gone.
-    MembersAre(HashSet<Arc<str>>),
     /// An entry that names nothing to use: key and reason.
     Ignored(String, String),
+}
+
+/// What the thread of the store tells.
+#[derive(Clone, Debug)]
+pub enum StoreEvent {
+    /// All items below a prefix were read.
+    Listed(String, Listing),
+    /// Changes below a prefix, perhaps none.
+    Changed(String, Changes),
     /// The store does not answer any more.
-    StoreLost(String),
+    Lost(String),
     /// The store answers again.
-    StoreBack,
+    Back,
     /// This instance's lease has lapsed.
     LeaseLost(String),
+    /// A verdict on a move stands.
+    Recorded(News),
     /// A verdict could not be recorded: service and reason.
-    VerdictFailed(Arc<str>, StoreError),
+    NotRecorded(Arc<str>, StoreError),
 }
 
 /// How the adapter turns items into news.
 #[derive(Clone, Copy, Debug)]
 pub struct Decoder {
     /// News of a written item.
-    pub written: fn(&Item) -> News,
+    pub written: fn(&str, &[u8]) -> News,
     /// News of a removed key.
     pub removed: fn(&str) -> Option<News>,
-    /// Names of a whole listing of a prefix.
-    pub listed: fn(&str, &[Item]) -> Option<News>,
     /// The stored form of a verdict on a target.
     pub encode_verdict: fn(&str, Verdict) -> Vec<u8>,
 }
--- a/crates/edge/src/store/ops.rs
+++ b/crates/edge/src/store/ops.rs
@@ -28,8 +28,13 @@
 pub enum Change {
     /// An item was written.
     Written(Item),
-    /// The item with this key was removed.
-    Removed(String),
+    /// An item was removed.
+    Removed {
+        /// Its key.
+        key: String,
+        /// Revision of the removal.
+        revision: u64,
+    },
 }
 
 /// Changes below a prefix, in order.
--- a/crates/edge/src/store/own_entry.rs
+++ b/crates/edge/src/store/own_entry.rs
@@ -1,6 +1,6 @@
 //! The instance's own entry, kept under a lease.
 
-use super::{backoff::Backoff, task::Context, Commit, News, StoreError, Write};
+use super::{backoff::Backoff, task::Context, Commit, StoreError, StoreEvent, Write};
 use crate::member::MemberEntry;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -25,7 +25,7 @@
     }
     if lease != 0 {
         if let Err(err) = (context.ops.end)(lease).await {
-            let _ = context.news.send(News::LeaseLost(err.to_string())).await;
+            context.send(StoreEvent::LeaseLost(err.to_string())).await;
         }
     }
 }
@@ -46,9 +46,8 @@
             }
             Err(StoreError::NotFound) => {
                 *lease = 0;
-                let _ = context
-                    .news
-                    .send(News::LeaseLost("lapsed".to_owned()))
+                context
+                    .send(StoreEvent::LeaseLost("lapsed".to_owned()))
                     .await;
             }
             Err(err) => {
--- a/crates/edge/src/store/task.rs
+++ b/crates/edge/src/store/task.rs
@@ -3,7 +3,7 @@
 use super::{
     follow, own_entry,
     verdict::{self, Recorded},
-    Decoder, News, StoreOps,
+    Decoder, StoreEvent, StoreOps,
 };
 use crate::member::MemberEntry;
 use std::{
@@ -17,8 +17,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
-/// News that may wait to be applied.
-const NEWS_RING: usize = 256;
+/// Events that may wait to be applied.
+const EVENTS_RING: usize = 256;
 /// States that may wait to be recorded.
 const ASKS_RING: usize = 32;
 
@@ -33,6 +33,15 @@
     pub verdicts: String,
 }
 
+impl Keys {
+    /// All prefixes that are followed.
+    pub fn all_followed(&self) -> Vec<String> {
+        let mut prefixes = self.followed.clone();
+        prefixes.push(self.members.clone());
+        prefixes
+    }
+}
+
 /// What the thread needs.
 #[derive(Debug)]
 pub struct StoreSettings {
@@ -51,8 +60,8 @@
 /// Ways to and from the thread.
 #[derive(Debug)]
 pub struct Asks {
-    /// News in the order in which they were read.
-    pub news: Receiver<News>,
+    /// Events in the order in which they happened.
+    pub events: Receiver<StoreEvent>,
     /// States to record.
     pub record: Sender<Recorded>,
     /// Ends once the own entry was removed.
@@ -64,7 +73,7 @@
 pub(super) struct Context {
     pub(super) ops: Arc<StoreOps>,
     pub(super) decoder: Decoder,
-    pub(super) news: Sender<News>,
+    pub(super) events: Sender<StoreEvent>,
     pub(super) is_lost: Arc<AtomicBool>,
 }
 
@@ -74,16 +83,16 @@
 ///
 /// Fails if no thread or runtime can be started.
 pub fn start(settings: StoreSettings, stop: CancellationToken) -> io::Result<Asks> {
-    let (news_in, news) = mpsc::channel(NEWS_RING);
+    let (events_in, events) = mpsc::channel(EVENTS_RING);
     let (record, asked) = mpsc::channel(ASKS_RING);
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let thread = thread::Builder::new()
         .name("store".to_owned())
-        .spawn(move || runtime.block_on(run(settings, news_in, asked, stop)))?;
+        .spawn(move || runtime.block_on(run(settings, events_in, asked, stop)))?;
     Ok(Asks {
-        news,
+        events,
         record,
         thread,
     })
@@ -91,23 +100,19 @@
 
 async fn run(
     settings: StoreSettings,
-    news: Sender<News>,
+    events: Sender<StoreEvent>,
     mut asked: Receiver<Recorded>,
     stop: CancellationToken,
 ) {
     let context = Context {
         ops: Arc::new((settings.connect)(settings.address)),
         decoder: settings.decoder,
-        news,
+        events,
         is_lost: Arc::new(AtomicBool::new(false)),
     };
-    let followed = settings
-        .keys
-        .followed
-        .iter()
-        .chain([&settings.keys.members]);
+    let followed = settings.keys.all_followed().into_iter();
     let mut followers: Vec<_> = followed
-        .map(|prefix| tokio::spawn(follow::follow(context.clone(), prefix.clone())))
+        .map(|prefix| tokio::spawn(follow::follow(context.clone(), prefix)))
         .collect();
     let recording = {
         let (context, prefix) = (context.clone(), settings.keys.verdicts.clone());
--- a/crates/edge/src/store/verdict.rs
+++ b/crates/edge/src/store/verdict.rs
@@ -1,6 +1,8 @@
 //! Recording the state of a move to a new version.
 
-use super::{backoff::Backoff, task::Context, Commit, Expected, Item, News, StoreError, Write};
+use super::{
+    backoff::Backoff, task::Context, Commit, Expected, Item, News, StoreError, StoreEvent, Write,
+};
 use crate::rollout::Verdict;
 use std::{sync::Arc, time::Duration};
 use tokio::time::sleep;
@@ -25,13 +27,13 @@
     for _ in 0..TRIES {
         match try_record(context, key, wanted).await {
             Ok(news) => {
-                let _ = context.news.send(news).await;
+                context.send(StoreEvent::Recorded(news)).await;
                 return;
             }
             Err(StoreError::Conflict) => {}
             Err(err) => {
-                let failed = News::VerdictFailed(Arc::clone(&wanted.service), err);
-                let _ = context.news.send(failed).await;
+                let failed = StoreEvent::NotRecorded(Arc::clone(&wanted.service), err);
+                context.send(failed).await;
                 sleep(Duration::from_millis(backoff.failed(rand::random()))).await;
             }
         }
@@ -71,7 +73,7 @@
 
 /// The news of what stands already, if it goes before what is wanted.
 fn standing(context: &Context, item: &Item, wanted: &Recorded) -> Option<News> {
-    let news = (context.decoder.written)(item);
+    let news = (context.decoder.written)(&item.key, &item.value);
     match &news {
         News::Verdict(_, target, verdict) if *target == wanted.target => {
             let is_final = *verdict != Verdict::Active || wanted.verdict == Verdict::Active;
