--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -105,6 +105,7 @@
         links,
         record: asks.record,
         in_flight: Cell::new(0),
+        peer_exchanges: Cell::new(0),
         decoder: deployment.decoder,
         state: RefCell::new(State {
             replica: Replica::new(deployment.keys.all_followed()),
@@ -256,13 +257,14 @@
     let grace_ms = (node.settings.bounds.stop_grace_s * GRACE_PART * 1_000.0) as u64;
     loop {
         let passed_ms = node.now().since(started_at);
-        let is_quiet = connections.count() == 0 && u128::from(passed_ms) >= QUIET_END.as_millis();
+        let open = connections.count() + node.peer_exchanges.get();
+        let is_quiet = open == 0 && u128::from(passed_ms) >= QUIET_END.as_millis();
         if is_quiet || passed_ms >= grace_ms {
             break;
         }
         sleep(END_LOOK).await;
     }
-    let in_flight = node.in_flight.get();
+    let in_flight = connections.count() + node.peer_exchanges.get();
     node.log.event(Event::Stopped { in_flight });
     in_flight
 }
--- a/crates/edge/src/front/side.rs
+++ b/crates/edge/src/front/side.rs
@@ -119,7 +119,8 @@
     response
 }
 
-/// Instances of the regions that may serve the most routes of the host.
+/// Instances of the regions that may serve the most routes of the host. Callers that were sent
+/// elsewhere would ask for what no instance there may serve.
 fn in_other_regions(
     node: &Node,
     by_region: BTreeMap<String, Vec<SocketAddr>>,
@@ -127,7 +128,8 @@
 ) -> Vec<SocketAddr> {
     let config = node.config().unwrap_or_default();
     let served = |region: &String| config.routes_at_home(region, host);
-    let most = by_region.keys().map(served).max().unwrap_or_default();
+    let all = node.settings.regions.values();
+    let most = all.map(served).max().unwrap_or_default();
     let named = by_region
         .into_iter()
         .filter(|(region, _)| served(region) == most);
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -57,8 +57,10 @@
     pub links: Links,
     /// States of moves to record in the store.
     pub record: Sender<Recorded>,
-    /// Requests under way.
+    /// Requests of callers that wait for the head of their answer.
     pub in_flight: Cell<usize>,
+    /// Exchanges with other instances that are under way.
+    pub peer_exchanges: Cell<usize>,
     /// Everything that decisions look at.
     pub state: RefCell<State>,
 }
--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -100,7 +100,24 @@
     }
 }
 
+/// Counts an exchange for as long as it is under way.
+struct Counted(Rc<Node>);
+
+impl Counted {
+    fn new(node: &Rc<Node>) -> Self {
+        node.peer_exchanges.set(node.peer_exchanges.get() + 1);
+        Self(Rc::clone(node))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.peer_exchanges.set(self.0.peer_exchanges.get() - 1);
+    }
+}
+
 async fn serve_stream(node: Rc<Node>, send: quinn::SendStream, receive: quinn::RecvStream) {
+    let _counted = Counted::new(&node);
     let io = TokioIo::new(tokio::io::join(receive, send));
     let service = service_fn(move |request| {
         let node = Rc::clone(&node);
