--- a/crates/gateway/tests/platform_path.rs
+++ b/crates/gateway/tests/platform_path.rs
@@ -459,6 +459,7 @@
         let answer = late.answer();
         assert!(matches!(answer.status, 200 | 503), "{answer:?}");
         refused = (answer.status == 503).then_some(answer);
+        std::thread::sleep(Duration::from_millis(50));
     }
     assert!(refused.unwrap().header("retry-after").is_some());
     let answer = stream.answer();
