Let low ranks wait while engines read prompts for over half of their time

Under load an engine that always reads prompts makes tokens at a quarter of its speed, so long answers ran into their timeout.

--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -150,6 +150,8 @@
     pub accounts: HashMap<Arc<str>, Rc<Account>>,
     /// Accounts by key.
     pub keys: HashMap<String, Rc<Account>>,
+    /// Highest rank among the routes of each service.
+    pub first_ranks: HashMap<Arc<str>, u8>,
     /// Limits on callers.
     pub limits: CallerLimits,
 }
@@ -177,6 +179,11 @@
             ..Self::default()
         };
         for route in parts.routes {
+            for share in &route.shares {
+                let service = Arc::clone(&share.service);
+                let first = config.first_ranks.entry(service).or_insert(route.rank);
+                *first = route.rank.min(*first);
+            }
             let routes = config.routes.entry(route.host.clone()).or_default();
             routes.push(Rc::new(route));
         }
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -77,12 +77,10 @@
             waits_ms.collect()
         };
         let state = self.state.borrow();
-        let busy = state
-            .upstreams
-            .by_id
-            .iter()
-            .filter(|(_, up)| !up.own.is_idle());
-        let loads = busy.map(|(id, up)| (short_hash(id), up.own));
+        let now = self.now();
+        let loads = state.upstreams.by_id.iter();
+        let loads = loads.map(|(id, up)| (short_hash(id), up.own_load(now)));
+        let loads = loads.filter(|(_, load)| !load.is_idle());
         let trials = state.trials.values().map(|trial| TrialNews {
             service: short_hash(&trial.order.service),
             target: short_hash(&trial.order.target),
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -228,6 +228,9 @@
             let expected_ms = placed.wait_ms.max(0.0) as u64;
             upstream.health.sent(expected_ms * 2 + 500, now);
             upstream.own += placed.load;
+            upstream
+                .reads
+                .add(f64::from(placed.load.unread_tokens), now);
             upstream.cache.insert(&job.parts);
         }
     }
--- a/crates/edge/src/pipeline/forward.rs
+++ b/crates/edge/src/pipeline/forward.rs
@@ -31,6 +31,13 @@
 }
 
 impl Far {
+    /// Whether the request would be in time there.
+    pub(super) fn is_roomy(&self, ticket: &Ticket) -> bool {
+        #[allow(clippy::cast_precision_loss)]
+        let aim_ms = ticket.far.aim_ms as f64;
+        self.wait_ms + FAR_MS < aim_ms * STAY_PART
+    }
+
     /// Whether the request should rather go there than wait `local_ms` in the own region.
     pub(super) fn is_better(&self, ticket: &Ticket, local_ms: f64) -> bool {
         #[allow(clippy::cast_precision_loss)]
--- a/crates/edge/src/pipeline/identify.rs
+++ b/crates/edge/src/pipeline/identify.rs
@@ -145,7 +145,9 @@
             .to_owned();
         let last_event =
             text(&head.headers, &names.last_event_id).and_then(|text| text.trim().parse().ok());
-        let job = job(names, &head.headers);
+        let first_rank = config.first_ranks.get(&service).copied();
+        let is_yielding = first_rank.is_some_and(|first| self.route.rank > first);
+        let job = job(names, &head.headers, is_yielding);
         let far = FarTicket {
             request,
             route: Arc::clone(&self.route.name),
@@ -155,6 +157,7 @@
             pause_aim_ms: self.route.pause_aim_ms,
             max_attempts: self.route.max_attempts.max(1),
             account: self.account_name(),
+            is_yielding,
             urgency: urgency(&self.route, self.account.as_deref()),
             draw: rand::random(),
             left_ms: total_ms,
@@ -182,7 +185,7 @@
 }
 
 /// The prompt that a request's headers describe.
-pub(super) fn job(names: &HeaderNames, headers: &HeaderMap) -> Job {
+pub(super) fn job(names: &HeaderNames, headers: &HeaderMap, is_yielding: bool) -> Job {
     let (prompt_tokens, answer_tokens) = text(headers, &names.token_use)
         .and_then(parse_token_use)
         .unwrap_or_default();
@@ -193,6 +196,7 @@
         parts,
         prompt_tokens,
         answer_tokens,
+        is_yielding,
     }
 }
 
--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -36,6 +36,10 @@
 const NO_UPSTREAM_WAIT_MS: u64 = 300;
 /// Time after which callers come back when no upstream can be used, in milliseconds.
 const NO_UPSTREAM_RETRY_MS: u64 = 700;
+/// Part of its aim, as a divisor, for which a request waits while all upstreams are crowded.
+const CROWDED_AIM_PARTS: u64 = 2;
+/// Time after which callers come back when all upstreams are crowded, in milliseconds.
+const CROWDED_RETRY_MS: u64 = 1_200;
 /// Largest answer that is gathered before its head is sent on, in bytes.
 const GATHERED_BYTES: u64 = 128 * 1024;
 /// Longest idle time of a connection for a request that may not be repeated, in milliseconds.
@@ -107,31 +111,31 @@
     } else {
         Choice::NoUpstream
     };
-    match (local, far) {
-        (Choice::Placed(placed), Some(far)) if !far.is_better(&ticket, placed.wait_ms) => {
-            run_here(node, ticket).await
-        }
-        (Choice::Placed(_), None) => run_here(node, ticket).await,
-        (local, Some(far)) => {
-            let local_wait_ms = match &local {
-                Choice::Placed(placed) => Some(placed.wait_ms),
-                Choice::NoUpstream => None,
-            };
-            match forward::forward(node, &ticket, &far, local_wait_ms).await {
-                Err(refusal) if refusal.is_not_run() && is_home => run_here(node, ticket).await,
-                other => other,
-            }
+    let local_wait_ms = match &local {
+        Choice::Placed(placed) => Some(placed.wait_ms),
+        Choice::Crowded | Choice::NoUpstream => None,
+    };
+    let is_far_better = |far: &forward::Far| match &local {
+        Choice::Placed(placed) => far.is_better(&ticket, placed.wait_ms),
+        Choice::Crowded => far.is_roomy(&ticket),
+        Choice::NoUpstream => true,
+    };
+    if let Some(far) = far.filter(is_far_better) {
+        let outcome = forward::forward(node, &ticket, &far, local_wait_ms).await;
+        let is_not_run = outcome.as_ref().is_err_and(Refusal::is_not_run);
+        if !(is_not_run && is_home) {
+            return outcome;
         }
-        (Choice::NoUpstream, None) if is_home => run_here(node, ticket).await,
-        (Choice::NoUpstream, None) if caller.regions.is_empty() => Err(Refusal::new(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no region may serve the request",
-        )),
-        (Choice::NoUpstream, None) => Err(Refusal::not_run(
-            "no instance of a home region is in reach",
-            NO_UPSTREAM_RETRY_MS,
-        )),
     }
+    if is_home {
+        return run_here(node, ticket).await;
+    }
+    if caller.regions.is_empty() {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(Refusal::new(status, "no region may serve the request"));
+    }
+    let reason = "no instance of a home region is in reach";
+    Err(Refusal::not_run(reason, NO_UPSTREAM_RETRY_MS))
 }
 
 /// Runs a request at upstreams of the own region.
@@ -252,9 +256,19 @@
             Choice::NoUpstream if tries.may_go_back() => {
                 return match node.place(&offered(ticket, &[])) {
                     Choice::Placed(placed) => in_time(node, ticket, tries, placed),
-                    Choice::NoUpstream => Err(Refusal::may_have_run("the upstream failed")),
+                    Choice::Crowded | Choice::NoUpstream => {
+                        Err(Refusal::may_have_run("the upstream failed"))
+                    }
                 };
             }
+            Choice::Crowded => {
+                let waited_ms = node.now().since(ticket.started_at);
+                if waited_ms >= ticket.far.aim_ms / CROWDED_AIM_PARTS {
+                    let refusal = Refusal::not_run("all upstreams are crowded", CROWDED_RETRY_MS);
+                    return Err(not_run_or(tries, refusal));
+                }
+                tokio::time::sleep(Duration::from_millis(PLACE_AGAIN_MS)).await;
+            }
             Choice::NoUpstream if node.now() < wait_until => {
                 tokio::time::sleep(Duration::from_millis(PLACE_AGAIN_MS)).await;
             }
--- a/crates/edge/src/pipeline/ticket.rs
+++ b/crates/edge/src/pipeline/ticket.rs
@@ -53,6 +53,8 @@
     pub max_attempts: u32,
     /// Account, empty on open routes.
     pub account: Arc<str>,
+    /// It yields to requests of a higher rank at the same upstreams.
+    pub is_yielding: bool,
     /// Urgency for the upstream.
     pub urgency: u8,
     /// Draw from 0 up to 1 that decides about versions.
@@ -76,7 +78,7 @@
         Self {
             method: head.method,
             uri: head.uri,
-            job: job(&node.names, &head.headers),
+            job: job(&node.names, &head.headers, far.is_yielding),
             last_event: last_event.and_then(|text| text.trim().parse().ok()),
             headers: head.headers,
             body,
--- a/crates/edge/src/place/choose.rs
+++ b/crates/edge/src/place/choose.rs
@@ -20,6 +20,13 @@
 const TURN_MS: f64 = 2_000.0;
 /// Time to an answer of a service that nothing is known of, in milliseconds.
 const START_ANSWER_MS: f64 = 20.0;
+/// Part of its time that an engine may read prompts before requests of a lower rank wait. The rest
+/// makes the tokens of answers that run already.
+const YIELDING_READING_PART: f64 = 0.55;
+/// Part of its time that an engine may read prompts before all requests wait.
+const READING_PART: f64 = 0.9;
+/// Wait that a region reports while all of its engines are crowded, in milliseconds.
+const CROWDED_MS: f64 = 3_000.0;
 /// Penalty for each moving share of failures, in milliseconds.
 const ERROR_MS: f64 = 200.0;
 
@@ -32,6 +39,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub answer_tokens: u32,
+    /// It yields to requests of a higher rank at the same upstreams.
+    pub is_yielding: bool,
 }
 
 /// What may be used at the moment.
@@ -68,6 +77,8 @@
 pub enum Choice {
     /// An upstream was found.
     Placed(Placed),
+    /// All upstreams read prompts for as much of their time as they should.
+    Crowded,
     /// No upstream may be used.
     NoUpstream,
 }
@@ -76,8 +87,15 @@
 pub fn choose(upstreams: &Upstreams, job: &Job, rules: &Rules<'_>, now: Millis) -> Choice {
     for is_last_resort in [false, true] {
         let usable = usable(upstreams, rules, is_last_resort, now);
-        if let Some(placed) = shortest(&usable, job, rules, now) {
-            return Choice::Placed(placed);
+        let has_any = !usable.is_empty();
+        let roomy: Vec<&Upstream> = usable
+            .into_iter()
+            .filter(|up| has_room(up, job, rules, now))
+            .collect();
+        match shortest(&roomy, job, rules, now) {
+            Some(placed) => return Choice::Placed(placed),
+            None if has_any => return Choice::Crowded,
+            None => {}
         }
     }
     Choice::NoUpstream
@@ -86,6 +104,13 @@
 /// Shortest wait for a request of no size in the region, in milliseconds; `None` without upstreams.
 pub fn region_wait_ms(upstreams: &Upstreams, rules: &Rules<'_>, now: Millis) -> Option<f64> {
     let usable = usable(upstreams, rules, false, now);
+    let job = Job {
+        is_yielding: true,
+        ..Job::default()
+    };
+    if !usable.is_empty() && !usable.iter().any(|up| has_room(up, &job, rules, now)) {
+        return Some(CROWDED_MS);
+    }
     let waits = usable
         .iter()
         .map(|up| wait_ms(up, &Job::default(), 0.0, rules, now));
@@ -122,6 +147,19 @@
     candidates
 }
 
+/// Whether the engine may read one more prompt.
+fn has_room(up: &Upstream, job: &Job, rules: &Rules<'_>, now: Millis) -> bool {
+    if rules.memory_tokens == 0 {
+        return true;
+    }
+    let most = if job.is_yielding {
+        YIELDING_READING_PART
+    } else {
+        READING_PART
+    };
+    up.reading_part(now) < most
+}
+
 fn shortest(usable: &[&Upstream], job: &Job, rules: &Rules<'_>, now: Millis) -> Option<Placed> {
     let key = affinity_key(&job.parts);
     let weight = |up: &Upstream| rendezvous(&up.seen.id, key);
@@ -145,6 +183,7 @@
             requests: 1,
             unread_tokens: to_u32(unread),
             memory_tokens: job.prompt_tokens.saturating_add(job.answer_tokens),
+            read_per_s: 0,
         },
     })
 }
--- a/crates/edge/src/upstream/load.rs
+++ b/crates/edge/src/upstream/load.rs
@@ -12,6 +12,8 @@
     pub unread_tokens: u32,
     /// Tokens of memory that the requests may take.
     pub memory_tokens: u32,
+    /// Prompt tokens sent for reading in a second.
+    pub read_per_s: u32,
 }
 
 impl Load {
@@ -26,9 +28,11 @@
         self.requests = self.requests.saturating_add(other.requests);
         self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
         self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+        self.read_per_s = self.read_per_s.saturating_add(other.read_per_s);
     }
 }
 
+/// Takes away work that has ended; the rate falls by itself.
 impl SubAssign for Load {
     fn sub_assign(&mut self, other: Self) {
         self.requests = self.requests.saturating_sub(other.requests);
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -1,6 +1,6 @@
 //! The upstreams by identifier, with the decisions about when one may be used.
 
-use super::{Health, Load};
+use super::{Health, Load, ReadRate};
 use crate::{cold::ColdGate, place::PartCache};
 use carobwheel_core::time::Millis;
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
@@ -80,6 +80,8 @@
     pub gone_at: Option<Millis>,
     /// Work of this instance.
     pub own: Load,
+    /// Rate of prompt tokens that this instance sends.
+    pub reads: ReadRate,
     /// Work of other instances, by their names, and when it was reported.
     pub others: HashMap<Arc<str>, (Load, Millis)>,
     /// Health as this instance has seen it.
@@ -93,9 +95,24 @@
 }
 
 impl Upstream {
+    /// Work of this instance, with its rate.
+    pub fn own_load(&self, now: Millis) -> Load {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let read_per_s = self.reads.per_s(now) as u32;
+        Load {
+            read_per_s,
+            ..self.own
+        }
+    }
+
+    /// Part of the time that the upstream spends reading prompts.
+    pub fn reading_part(&self, now: Millis) -> f64 {
+        f64::from(self.load(now).read_per_s) / (self.tokens_per_ms * 1_000.0)
+    }
+
     /// Work of all instances that is known at `now`.
     pub fn load(&self, now: Millis) -> Load {
-        let mut load = self.own;
+        let mut load = self.own_load(now);
         for (other, reported_at) in self.others.values() {
             if now.since(*reported_at) <= REPORT_AGE_MS {
                 load += *other;
@@ -162,6 +179,7 @@
             leaving_at,
             gone_at: None,
             own: Load::default(),
+            reads: ReadRate::default(),
             others: HashMap::new(),
             health: Health::default(),
             cache: PartCache::new(memory_tokens),
