--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -104,6 +104,7 @@
         pools: Pools::default(),
         links,
         record: asks.record,
+        is_watcher: asks.is_watcher,
         in_flight: Cell::new(0),
         peer_exchanges: Cell::new(0),
         decoder: deployment.decoder,
--- a/crates/edge/src/front/side.rs
+++ b/crates/edge/src/front/side.rs
@@ -139,7 +139,7 @@
 fn metrics(node: &Rc<Node>) -> String {
     let now = node.now();
     let state = node.state.borrow();
-    let fleet = state.members.fleet(now);
+    let fleet = state.members.fleet(&node.region, now);
     let usable = state
         .upstreams
         .by_id
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod daemon;
 pub mod dispatch;
 pub mod front;
+pub mod hash;
 pub mod limit;
 pub mod log;
 pub mod member;
--- a/crates/edge/src/member/mod.rs
+++ b/crates/edge/src/member/mod.rs
@@ -9,10 +9,22 @@
 use serde_with::{hex::Hex, serde_as};
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
+/// Time between two messages to an instance of the same region in a small fleet, in milliseconds.
+const NEAR_PERIOD_MS: u64 = 100;
+/// Time between two messages to an instance of another region in a small fleet, in milliseconds.
+const FAR_PERIOD_MS: u64 = 250;
+/// Other instances up to which a fleet is small; in a larger one the periods grow, so that the
+/// messages of one instance stay as many.
+const SMALL_FLEET: u64 = 10;
+/// Instances of each region that watch the store; the others hear from them.
+const WATCHERS: usize = 3;
+/// Longest time between two messages, in milliseconds.
+const LONGEST_PERIOD_MS: u64 = 1_000;
 /// Silence after which an instance is no longer named to callers, in milliseconds.
-const NAMED_SILENCE_MS: u64 = 1_500;
-/// Silence after which an instance's use of accounts counts as unknown, in milliseconds.
-const USE_SILENCE_MS: u64 = 700;
+const NAMED_SILENCE_MS: u64 = 2_200;
+/// Silence besides one period after which an instance's use of accounts counts as unknown, in
+/// milliseconds.
+const USE_SILENCE_MS: u64 = 450;
 /// Silence after which an instance without an entry is forgotten, in milliseconds.
 const FORGET_MS: u64 = 10_000;
 
@@ -46,6 +58,8 @@
     pub has_entry: bool,
     /// It takes requests.
     pub is_ready: bool,
+    /// The store answers it.
+    pub has_store: bool,
     /// When it was heard last.
     pub heard_at: Option<Millis>,
     /// When its entry was seen last.
@@ -88,6 +102,7 @@
         let member = Member {
             has_entry: true,
             is_ready: false,
+            has_store: false,
             heard_at: None,
             entry_at: now,
             revisions: Vec::new(),
@@ -140,15 +155,41 @@
     }
 
     /// How many instances there are and how many are heard, this one included.
-    pub fn fleet(&self, now: Millis) -> Fleet {
+    pub fn fleet(&self, region: &str, now: Millis) -> Fleet {
+        let silence_ms = USE_SILENCE_MS + self.period_ms(region, false);
         let may_serve = |member: &&Member| member.has_entry || member.is_heard(FORGET_MS, now);
-        let heard = |member: &&Member| member.is_heard(USE_SILENCE_MS, now);
+        let heard = |member: &&Member| member.is_heard(silence_ms, now);
         Fleet {
             instances: 1 + self.by_name.values().filter(may_serve).count(),
             heard: 1 + self.by_name.values().filter(heard).count(),
         }
     }
 
+    /// Time between two messages to an instance of the own region or of another one, in
+    /// milliseconds. It grows with the fleet, so that an instance's messages stay about as many.
+    pub fn period_ms(&self, region: &str, is_near: bool) -> u64 {
+        let near = self
+            .by_name
+            .values()
+            .filter(|member| &*member.entry.region == region);
+        let near = near.count() as u64;
+        let (small_ms, others) = if is_near {
+            (NEAR_PERIOD_MS, near)
+        } else {
+            (FAR_PERIOD_MS, self.by_name.len() as u64 - near)
+        };
+        let period_ms = small_ms * others.max(SMALL_FLEET) / SMALL_FLEET;
+        period_ms.min(LONGEST_PERIOD_MS)
+    }
+
+    /// Whether `own` is one of the instances of its region that watch the store for the others.
+    pub fn is_watcher(&self, own: &str, region: &str, now: Millis) -> bool {
+        let ahead = self
+            .up_in(region, now)
+            .filter(|member| member.has_store && &*member.entry.name < own);
+        ahead.count() < WATCHERS
+    }
+
     /// Instances of `region` that take requests.
     pub fn up_in<'a>(&'a self, region: &'a str, now: Millis) -> impl Iterator<Item = &'a Member> {
         let is_there = move |member: &&Member| &*member.entry.region == region && member.is_up(now);
--- a/crates/edge/src/node/evidence.rs
+++ b/crates/edge/src/node/evidence.rs
@@ -1,7 +1,8 @@
 //! How the ends of requests change what the instance believes of upstreams and versions.
 
-use super::{short_hash, Node};
+use super::Node;
 use crate::{
+    hash::short_hash,
     log::Event,
     rollout::Counts,
     upstream::{Load, Outcome},
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -1,6 +1,7 @@
 //! What instances tell each other.
 
 use super::Node;
+use crate::hash::short_hash;
 use crate::{
     log::Event,
     rollout::{RouteEvidence, Verdict},
@@ -8,7 +9,7 @@
 };
 use carobwheel_core::time::Millis;
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
+use std::{collections::HashMap, sync::Arc};
 
 /// State of one move as an instance sees it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -32,6 +33,8 @@
     pub life: u64,
     /// The sender takes requests.
     pub is_ready: bool,
+    /// The store answers the sender.
+    pub has_store: bool,
     /// Revisions up to which the sender knows the followed parts of the store.
     pub revisions: Vec<u64>,
     /// Work of the sender, by hash of the upstream's identifier; only within a region.
@@ -44,16 +47,13 @@
     pub trials: Vec<TrialNews>,
 }
 
-/// A hash of a name, alike on all instances (32-bit FNV-1a).
-pub fn short_hash(name: &str) -> u32 {
-    const OFFSET: u32 = 0x811c_9dc5;
-    const PRIME: u32 = 0x0100_0193;
-    name.bytes().fold(OFFSET, |hash, byte| {
-        (hash ^ u32::from(byte)).wrapping_mul(PRIME)
-    })
-}
-
 impl Node {
+    /// Time between two messages to an instance, in milliseconds.
+    pub fn gossip_period_ms(&self, is_near: bool) -> u64 {
+        let state = self.state.borrow();
+        state.members.period_ms(&self.region, is_near)
+    }
+
     /// What another instance should hear; loads only within the region.
     pub fn gossip(&self, is_same_region: bool) -> Gossip {
         let is_ready = self.is_ready();
@@ -79,7 +79,7 @@
         let state = self.state.borrow();
         let now = self.now();
         let loads = state.upstreams.by_id.iter();
-        let loads = loads.map(|(id, up)| (short_hash(id), up.own_load(now)));
+        let loads = loads.map(|(_, up)| (up.hash, up.own_load(now)));
         let loads = loads.filter(|(_, load)| !load.is_idle());
         let trials = state.trials.values().map(|trial| TrialNews {
             service: short_hash(&trial.order.service),
@@ -103,6 +103,7 @@
         Gossip {
             life: self.life,
             is_ready,
+            has_store: state.store_lost_at.is_none() && state.replica.is_complete(),
             revisions: state.replica.revisions(),
             loads: if is_same_region {
                 loads.collect()
@@ -129,6 +130,7 @@
             if let Some(member) = state.members.by_name.get_mut(name) {
                 member.waits_ms = gossip.waits_ms.iter().copied().collect();
                 member.revisions.clone_from(&gossip.revisions);
+                member.has_store = gossip.has_store;
             }
             for (account, bucket) in &mut state.buckets {
                 let hash = short_hash(account);
@@ -146,10 +148,10 @@
 
 impl super::State {
     fn hear_loads(&mut self, name: &Arc<str>, gossip: &Gossip, now: Millis) {
-        for (id, upstream) in &mut self.upstreams.by_id {
-            let hash = short_hash(id);
-            match gossip.loads.iter().find(|(id, _)| *id == hash) {
-                Some((_, load)) => {
+        let loads: HashMap<u32, Load> = gossip.loads.iter().copied().collect();
+        for upstream in self.upstreams.by_id.values_mut() {
+            match loads.get(&upstream.hash) {
+                Some(load) => {
                     upstream.others.insert(Arc::clone(name), (*load, now));
                 }
                 None => {
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -7,6 +7,6 @@
 mod tick;
 
 pub use evidence::Sent;
-pub use gossip::{short_hash, Gossip};
+pub use gossip::Gossip;
 pub use state::{urgency, Node, Offered, State};
 pub use tick::Pull;
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -3,6 +3,7 @@
 use crate::{
     cold::{ColdRate, COLD_USERS},
     dispatch::Pools,
+    hash::short_hash,
     limit::{AccountLimit, Bucket},
     log::Log,
     member::Members,
@@ -28,6 +29,10 @@
 
 /// Time after a signal to stop in which requests are still taken, in milliseconds.
 const LEAVING_TAKES_MS: u64 = 2_700;
+/// Other instances of a region below which each looks at all upstreams.
+const SMALL_REGION: usize = 6;
+/// Upstreams that an instance of a larger region looks at by chance.
+const SAMPLED: usize = 3;
 /// Time for which a version without an order is not used, in milliseconds.
 const UNORDERED_MS: u64 = 3_000;
 
@@ -57,6 +62,8 @@
     pub links: Links,
     /// States of moves to record in the store.
     pub record: Sender<Recorded>,
+    /// Whether this instance watches the store for others of its region.
+    pub is_watcher: tokio::sync::watch::Sender<bool>,
     /// Requests of callers that wait for the head of their answer.
     pub in_flight: Cell<usize>,
     /// Exchanges with other instances that are under way.
@@ -168,7 +175,7 @@
         }
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let fleet = state.members.fleet(now);
+        let fleet = state.members.fleet(&self.region, now);
         let limit = AccountLimit {
             tokens_per_s: account.tokens_per_s,
             burst_tokens: account.burst_tokens,
@@ -210,7 +217,7 @@
     pub fn try_repeat(&self, service: &Arc<str>) -> bool {
         let (bounds, now) = (self.retry_bounds(), self.now());
         let mut state = self.state.borrow_mut();
-        let instances = state.members.fleet(now).instances;
+        let instances = state.members.fleet(&self.region, now).instances;
         let budget = state.budgets.entry(Arc::clone(service)).or_default();
         budget.try_take(&bounds, instances, now)
     }
@@ -287,6 +294,11 @@
             is_cold_user: &is_cold_user,
             memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
             tried: offered.tried,
+            sampled: if self.region_members(node, now).len() < SMALL_REGION {
+                0
+            } else {
+                SAMPLED
+            },
         };
         decide(&rules)
     }
@@ -326,7 +338,7 @@
 
 /// Hash of a pair of names, alike on all instances.
 fn short_pair_hash(a: &str, b: &str) -> u32 {
-    super::short_hash(&format!("{a}/{b}"))
+    short_hash(&format!("{a}/{b}"))
 }
 
 /// How urgent a request is to an upstream, from 0 (first) to 9.
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -37,6 +37,12 @@
             self.links.forget(name);
             self.log.event(Event::MemberForgotten { member: name });
         }
+        let is_watcher = {
+            let state = self.state.borrow();
+            state.members.is_watcher(&self.name, &self.region, now)
+        };
+        self.is_watcher
+            .send_if_modified(|known| std::mem::replace(known, is_watcher) != is_watcher);
         self.step_trials();
     }
 
--- a/crates/edge/src/peers/dial.rs
+++ b/crates/edge/src/peers/dial.rs
@@ -2,6 +2,8 @@
 
 use super::{encode, tls::Identity, PeerError, LINK_IDLE};
 use crate::{log::Event, member::MemberEntry, node::Node};
+use bytes::Bytes;
+use carobwheel_core::time::Millis;
 use std::{
     cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
@@ -11,10 +13,8 @@
 };
 use tokio_util::sync::CancellationToken;
 
-/// Time between two messages to an instance of the same region.
-const NEAR_PERIOD: Duration = Duration::from_millis(100);
-/// Time between two messages to an instance of another region.
-const FAR_PERIOD: Duration = Duration::from_millis(250);
+/// Age up to which a message serves for several instances, in milliseconds.
+const SAME_MESSAGE_MS: u64 = 40;
 /// Pauses between attempts to dial: the first and the longest.
 const REDIAL: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_500)];
 /// Members that may wait to be dialled.
@@ -34,6 +34,7 @@
     /// The endpoint that other instances dial; new links start from it as well.
     pub(super) endpoint: quinn::Endpoint,
     by_name: RefCell<HashMap<Arc<str>, Link>>,
+    made: [RefCell<Option<(Millis, Bytes)>>; 2],
     to_dial: Sender<MemberEntry>,
 }
 
@@ -54,6 +55,7 @@
             identity,
             endpoint,
             by_name: RefCell::default(),
+            made: Default::default(),
             to_dial,
         };
         Ok((links, dialled))
@@ -176,18 +178,18 @@
 /// Sends gossip until the link is lost.
 async fn tell(node: &Node, entry: &MemberEntry, connection: &quinn::Connection) -> PeerError {
     let is_near = entry.region == node.region;
-    let period = if is_near { NEAR_PERIOD } else { FAR_PERIOD };
     loop {
-        let message = match encode(&node.gossip(is_near)) {
+        let message = match message(node, is_near) {
             Ok(message) => message,
             Err(err) => return err,
         };
+        let period = Duration::from_millis(node.gossip_period_ms(is_near));
         let is_small = connection
             .max_datagram_size()
             .is_some_and(|most| message.len() <= most);
         let sent = if is_small {
             connection
-                .send_datagram(message.into())
+                .send_datagram(message)
                 .map_err(|err| PeerError(err.to_string()))
         } else {
             send_stream(connection, &message).await
@@ -202,6 +204,21 @@
     }
 }
 
+/// The message for all instances of the own region, or of other regions. It is made once for
+/// those who hear it at about the same time.
+fn message(node: &Node, is_near: bool) -> Result<Bytes, PeerError> {
+    let now = node.now();
+    let made = &node.links.made[usize::from(is_near)];
+    if let Some((at, message)) = &*made.borrow() {
+        if now.since(*at) < SAME_MESSAGE_MS {
+            return Ok(message.clone());
+        }
+    }
+    let message = Bytes::from(encode(&node.gossip(is_near))?);
+    *made.borrow_mut() = Some((now, message.clone()));
+    Ok(message)
+}
+
 async fn send_stream(connection: &quinn::Connection, message: &[u8]) -> Result<(), PeerError> {
     let mut stream = connection
         .open_uni()
--- a/crates/edge/src/pipeline/forward.rs
+++ b/crates/edge/src/pipeline/forward.rs
@@ -2,8 +2,9 @@
 
 use super::{answer::Answer, refusal::Refusal, run::caller_headers, Ticket};
 use crate::{
+    hash::short_hash,
     log::Event,
-    node::{short_hash, Node},
+    node::Node,
     peers::{exchange, ExchangeError, REFUSED_HEADER, TICKET_HEADER},
     relay::AnswerBody,
 };
--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -58,16 +58,6 @@
     pub(super) sends: u32,
     /// Sends after which it may have run.
     pub(super) runs: u32,
-    /// Sends that an upstream has answered with a failure.
-    pub(super) answered: u32,
-}
-
-impl Tries {
-    /// Whether the upstreams that had the request may have it again: they work, and have failed
-    /// only this request.
-    fn may_go_back(&self) -> bool {
-        self.answered > 0 && self.answered as usize == self.tried.len()
-    }
 }
 
 /// An answer as far as it was read.
@@ -128,7 +118,7 @@
         }
     }
     if is_home {
-        return run_here(node, ticket).await;
+        return run_here_first(node, ticket, caller).await;
     }
     if caller.regions.is_empty() {
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -138,11 +128,52 @@
     Err(Refusal::not_run(reason, NO_UPSTREAM_RETRY_MS))
 }
 
+/// Runs a request in the own region, and in another one if it fails here and may be repeated.
+async fn run_here_first(
+    node: &Rc<Node>,
+    ticket: Ticket,
+    caller: &Caller,
+) -> Result<Answer, Refusal> {
+    if !ticket.far.kind.is_repeatable() {
+        return run_here(node, ticket).await;
+    }
+    let mut tries = Tries::default();
+    let again = ticket.clone();
+    let outcome = run_counted(node, ticket, &mut tries).await;
+    let has_failed = match &outcome {
+        Ok(answer) => answer.status().is_server_error(),
+        Err(refusal) => !refusal.is_not_run(),
+    };
+    let runs_left = again.far.max_attempts.saturating_sub(tries.runs);
+    if !has_failed || runs_left == 0 || !again.is_in_time_far(node) {
+        return outcome;
+    }
+    let Some(far) = forward::best_far(node, &again, &caller.regions) else {
+        return outcome;
+    };
+    if !node.try_repeat(&again.far.service) {
+        return outcome;
+    }
+    let mut again = again;
+    again.far.max_attempts = runs_left;
+    match forward::forward(node, &again, &far, None).await {
+        Ok(answer) if !answer.status().is_server_error() => Ok(answer),
+        Ok(_) | Err(_) => outcome,
+    }
+}
+
 /// Runs a request at upstreams of the own region.
 pub async fn run_here(node: &Rc<Node>, ticket: Ticket) -> Result<Answer, Refusal> {
-    let mut tries = Tries::default();
+    run_counted(node, ticket, &mut Tries::default()).await
+}
+
+async fn run_counted(
+    node: &Rc<Node>,
+    ticket: Ticket,
+    tries: &mut Tries,
+) -> Result<Answer, Refusal> {
     node.note_request(&ticket.far.service);
-    let taken = take(node, &ticket, &mut tries).await?;
+    let taken = take(node, &ticket, tries).await?;
     let Taken {
         head,
         body,
@@ -157,7 +188,13 @@
                 work,
                 upstream,
             };
-            Ok(stream::relay(node, ticket, tries, &head, source))
+            Ok(stream::relay(
+                node,
+                ticket,
+                std::mem::take(tries),
+                &head,
+                source,
+            ))
         }
         TakenBody::Open(body, _) => Ok(pass(&head, AnswerBody::Passed(body, Box::new(work)))),
         TakenBody::Whole(body) => Ok(pass(&head, AnswerBody::whole(body))),
@@ -196,7 +233,6 @@
             Sending::Failed(reason, answer) => {
                 tries.sends += 1;
                 tries.runs += 1;
-                tries.answered += u32::from(answer.is_some());
                 passable = answer.or(passable);
                 (reason, true)
             }
@@ -253,14 +289,6 @@
     loop {
         match node.place(&offered(ticket, &tries.tried)) {
             Choice::Placed(placed) => return in_time(node, ticket, tries, placed),
-            Choice::NoUpstream if tries.may_go_back() => {
-                return match node.place(&offered(ticket, &[])) {
-                    Choice::Placed(placed) => in_time(node, ticket, tries, placed),
-                    Choice::Crowded | Choice::NoUpstream => {
-                        Err(Refusal::may_have_run("the upstream failed"))
-                    }
-                };
-            }
             Choice::Crowded => {
                 let waited_ms = node.now().since(ticket.started_at);
                 if waited_ms >= ticket.far.aim_ms / CROWDED_AIM_PARTS {
@@ -269,7 +297,7 @@
                 }
                 tokio::time::sleep(Duration::from_millis(PLACE_AGAIN_MS)).await;
             }
-            Choice::NoUpstream if node.now() < wait_until => {
+            Choice::NoUpstream if tries.tried.is_empty() && node.now() < wait_until => {
                 tokio::time::sleep(Duration::from_millis(PLACE_AGAIN_MS)).await;
             }
             Choice::NoUpstream => {
--- a/crates/edge/src/pipeline/ticket.rs
+++ b/crates/edge/src/pipeline/ticket.rs
@@ -11,6 +11,9 @@
 /// Pause between events after which a caller gives a stream up, at least, in milliseconds.
 const PATIENCE_MS: u64 = 2_000;
 
+/// Time for a way to another region and back, with the work there, in milliseconds.
+const FAR_WAY_MS: u64 = 220;
+
 /// One request.
 #[derive(Clone, Debug)]
 pub struct Ticket {
@@ -93,6 +96,11 @@
         self.deadline.since(node.now())
     }
 
+    /// Whether the time that is left allows a way to another region and back.
+    pub fn is_in_time_far(&self, node: &Node) -> bool {
+        self.left_ms(node) > FAR_WAY_MS
+    }
+
     /// Longest time to the first byte that can still be of use, counted from the start, in
     /// milliseconds.
     pub fn patience_ms(&self) -> u64 {
--- a/crates/edge/src/place/choose.rs
+++ b/crates/edge/src/place/choose.rs
@@ -1,10 +1,13 @@
 //! The choice among the upstreams of one service in one region.
 
 use super::Part;
+use crate::hash::rendezvous;
 use crate::upstream::{Load, Upstream, Upstreams};
 use carobwheel_core::time::Millis;
-use std::{collections::HashSet, sync::Arc};
+use std::{cmp::Reverse, collections::HashSet, sync::Arc};
 
+/// Upstreams that are looked at for what their cache probably holds.
+const PREFERRED: usize = 3;
 /// Part of an engine's memory that requests may fill before others wait.
 const MEMORY_PART: f64 = 0.92;
 /// Part of a shared prefix that counts as held at the upstream that all instances prefer for it.
@@ -59,6 +62,9 @@
     pub memory_tokens: u64,
     /// Upstreams that have had the request.
     pub tried: &'a [Arc<str>],
+    /// Upstreams that are looked at besides the preferred ones; the draws differ between
+    /// instances, so that many of them do not all choose the same one. 0: all are looked at.
+    pub sampled: usize,
 }
 
 /// The upstream that takes a request.
@@ -92,7 +98,8 @@
             .into_iter()
             .filter(|up| has_room(up, job, rules, now))
             .collect();
-        match shortest(&roomy, job, rules, now) {
+        let looked_at = sample(roomy, job, rules.sampled);
+        match shortest(&looked_at, job, rules, now) {
             Some(placed) => return Choice::Placed(placed),
             None if has_any => return Choice::Crowded,
             None => {}
@@ -147,6 +154,21 @@
     candidates
 }
 
+/// The upstreams that are preferred for the prompt, and some others by chance.
+fn sample<'a>(mut all: Vec<&'a Upstream>, job: &Job, sampled: usize) -> Vec<&'a Upstream> {
+    if sampled == 0 || all.len() <= sampled + PREFERRED {
+        return all;
+    }
+    let key = affinity_key(&job.parts);
+    all.sort_by_cached_key(|up| Reverse(rendezvous(&up.seen.id, key)));
+    let mut chosen: Vec<&Upstream> = all.drain(..PREFERRED).collect();
+    for _ in 0..sampled {
+        let at = rand::random_range(0..all.len());
+        chosen.push(all.swap_remove(at));
+    }
+    chosen
+}
+
 /// Whether the engine may read one more prompt.
 fn has_room(up: &Upstream, job: &Job, rules: &Rules<'_>, now: Millis) -> bool {
     if rules.memory_tokens == 0 {
@@ -244,18 +266,6 @@
     }
 }
 
-/// Rendezvous weight: each instance ranks the upstreams for a part alike.
-fn rendezvous(id: &str, key: u64) -> u64 {
-    /// Offset and prime of the 64-bit FNV-1a hash.
-    const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const FNV_PRIME: u64 = 0x0100_0000_01b3;
-    let hash = id.bytes().fold(FNV_OFFSET ^ key, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    });
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    hash ^ (hash >> 27)
-}
-
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn to_u32(tokens: f64) -> u32 {
     tokens.max(0.0) as u32
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -7,13 +7,25 @@
 /// Longest wait of one watch, in milliseconds.
 const WATCH_MS: u64 = 25_000;
 /// Pause after news, so that changes gather and one call tells of several, in milliseconds.
-const GATHER_MS: u64 = 60;
+const GATHER_MS: u64 = 120;
 
-/// Lists the prefix, then watches it, and lists it again whenever the history is gone.
-pub(super) async fn follow(context: Context, prefix: String) {
+/// Lists the prefix, then watches it, and lists it again whenever the history is gone. While
+/// another instance watches for this one, nothing is asked.
+pub(super) async fn follow(
+    context: Context,
+    prefix: String,
+    mut watching: tokio::sync::watch::Receiver<bool>,
+) {
     let mut backoff = Backoff::default();
     let mut position = None;
     loop {
+        if position.is_some() && !*watching.borrow() {
+            // The other end is gone only while the process ends.
+            if watching.wait_for(|is_watcher| *is_watcher).await.is_err() {
+                return;
+            }
+            position = None;
+        }
         let result = match position {
             None => list(&context, &prefix).await,
             Some(revision) => watch(&context, &prefix, revision).await,
--- a/crates/edge/src/store/task.rs
+++ b/crates/edge/src/store/task.rs
@@ -13,7 +13,10 @@
 };
 use tokio::{
     runtime,
-    sync::mpsc::{self, Receiver, Sender},
+    sync::{
+        mpsc::{self, Receiver, Sender},
+        watch,
+    },
 };
 use tokio_util::sync::CancellationToken;
 
@@ -64,6 +67,8 @@
     pub events: Receiver<StoreEvent>,
     /// States to record.
     pub record: Sender<Recorded>,
+    /// Whether this instance watches the store, or hears of changes from others.
+    pub is_watcher: watch::Sender<bool>,
     /// Ends once the own entry was removed.
     pub thread: thread::JoinHandle<()>,
 }
@@ -85,15 +90,17 @@
 pub fn start(settings: StoreSettings, stop: CancellationToken) -> io::Result<Asks> {
     let (events_in, events) = mpsc::channel(EVENTS_RING);
     let (record, asked) = mpsc::channel(ASKS_RING);
+    let (is_watcher, watching) = watch::channel(true);
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let thread = thread::Builder::new()
         .name("store".to_owned())
-        .spawn(move || runtime.block_on(run(settings, events_in, asked, stop)))?;
+        .spawn(move || runtime.block_on(run(settings, events_in, asked, watching, stop)))?;
     Ok(Asks {
         events,
         record,
+        is_watcher,
         thread,
     })
 }
@@ -102,6 +109,7 @@
     settings: StoreSettings,
     events: Sender<StoreEvent>,
     mut asked: Receiver<Recorded>,
+    watching: watch::Receiver<bool>,
     stop: CancellationToken,
 ) {
     let context = Context {
@@ -112,7 +120,7 @@
     };
     let followed = settings.keys.all_followed().into_iter();
     let mut followers: Vec<_> = followed
-        .map(|prefix| tokio::spawn(follow::follow(context.clone(), prefix)))
+        .map(|prefix| tokio::spawn(follow::follow(context.clone(), prefix, watching.clone())))
         .collect();
     let recording = {
         let (context, prefix) = (context.clone(), settings.keys.verdicts.clone());
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -1,7 +1,7 @@
 //! The upstreams by identifier, with the decisions about when one may be used.
 
 use super::{Health, Load, ReadRate};
-use crate::{cold::ColdGate, place::PartCache};
+use crate::{cold::ColdGate, hash::short_hash, place::PartCache};
 use carobwheel_core::time::Millis;
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
@@ -70,6 +70,8 @@
 pub struct Upstream {
     /// What it said last.
     pub seen: Sighting,
+    /// Short name of it in messages between instances.
+    pub hash: u32,
     /// Region that it stands in.
     pub region: Arc<str>,
     /// When it was first seen.
@@ -174,6 +176,7 @@
         let mut cold = ColdGate::default();
         cold.set_left(seen.cold_left_ms, now);
         let upstream = Upstream {
+            hash: short_hash(&seen.id),
             region: Arc::clone(region),
             first_seen_at: now,
             leaving_at,
