--- a/crates/edge/src/place/choose.rs
+++ b/crates/edge/src/place/choose.rs
@@ -25,7 +25,7 @@
 const START_ANSWER_MS: f64 = 20.0;
 /// Part of its time that an engine may read prompts before requests of a lower rank wait. The rest
 /// makes the tokens of answers that run already.
-const YIELDING_READING_PART: f64 = 0.55;
+const YIELDING_READING_PART: f64 = 0.5;
 /// Part of its time that an engine may read prompts before all requests wait.
 const READING_PART: f64 = 0.9;
 /// Wait that a region reports while all of its engines are crowded, in milliseconds.
