--- a/crates/edge/src/front/handler.rs
+++ b/crates/edge/src/front/handler.rs
@@ -4,7 +4,7 @@
 use crate::{
     log::Event,
     node::Node,
-    pipeline::{identify, run_anywhere, Answer, Caller, Refusal},
+    pipeline::{identify, run_anywhere, Answer, Caller, Identified, Refusal},
 };
 use hyper::{body::Incoming, http::request::Parts, Request, StatusCode};
 use std::rc::Rc;
@@ -95,7 +95,11 @@
             STOPPING_RETRY_MS,
         ));
     }
-    let (config, route, account) = identify(node, &head)?;
+    let Identified {
+        config,
+        route,
+        account,
+    } = identify(node, &head)?;
     labels.route = route.name.to_string();
     labels.account = account
         .as_ref()
--- a/crates/edge/src/limit/mod.rs
+++ b/crates/edge/src/limit/mod.rs
@@ -11,7 +11,7 @@
 
 /// Sum of the shares that an account has while nobody asks for it: more than one, so that the first
 /// requests are not refused wherever they come.
-const IDLE_SHARES: f64 = 1.6;
+const IDLE_SHARES: f64 = 2.0;
 /// Silence after which an instance's demand is no longer known, in milliseconds.
 const SILENCE_MS: u64 = 1_300;
 /// Silence after which an instance no longer takes part, in milliseconds.
@@ -24,6 +24,9 @@
     pub tokens_per_s: f64,
     /// Tokens at once.
     pub burst_tokens: f64,
+    /// Tokens that all instances together may use besides, so that no request within the limit is
+    /// refused for want of a share.
+    pub slack_tokens: f64,
 }
 
 /// How many instances there are, and how many of them are heard (this one included).
@@ -65,7 +68,7 @@
     /// A bucket that starts with an even share of the burst.
     pub fn new(limit: &AccountLimit, fleet: Fleet, now: Millis) -> Self {
         Self {
-            level_tokens: limit.burst_tokens / fleet.size(),
+            level_tokens: limit.burst_tokens * (IDLE_SHARES / fleet.size()).min(1.0),
             filled_at: now,
             asked_tokens: 0,
             demand: MeanRate::default(),
@@ -91,7 +94,8 @@
         let share = self.share(limit, fleet, now);
         self.fill(limit, share, now);
         // A request above the burst may run once the bucket is full.
-        let needed = wanted.min(limit.burst_tokens * share);
+        let debt = limit.slack_tokens / fleet.size();
+        let needed = wanted.min(limit.burst_tokens * share) - debt;
         if self.level_tokens < needed {
             let rate = (limit.tokens_per_s * share).max(1.0);
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/crates/edge/src/log/writer.rs
+++ b/crates/edge/src/log/writer.rs
@@ -140,8 +140,6 @@
             batch.extend_from_slice(&line);
         }
         // A reader that has left must not end the instance.
-        if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
-            continue;
-        }
+        drop(out.write_all(&batch).and_then(|()| out.flush()));
     }
 }
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -33,6 +33,8 @@
 const SMALL_REGION: usize = 6;
 /// Upstreams that an instance of a larger region looks at by chance.
 const SAMPLED: usize = 3;
+/// Part of the deployment's slack on limits that is used; the rest covers lateness.
+const SLACK_PART: f64 = 0.5;
 /// Time for which a version without an order is not used, in milliseconds.
 const UNORDERED_MS: u64 = 3_000;
 
@@ -179,6 +181,7 @@
         let limit = AccountLimit {
             tokens_per_s: account.tokens_per_s,
             burst_tokens: account.burst_tokens,
+            slack_tokens: self.settings.bounds.limit_extra_tokens * SLACK_PART,
         };
         let bucket = state
             .buckets
--- a/crates/edge/src/pipeline/identify.rs
+++ b/crates/edge/src/pipeline/identify.rs
@@ -22,6 +22,17 @@
 /// Longest time that a caller over its limit is told to wait, in milliseconds.
 const LONGEST_LIMIT_WAIT_MS: u64 = 4_000;
 
+/// What a request's head says.
+#[derive(Clone, Debug)]
+pub struct Identified {
+    /// Configuration by which it was identified.
+    pub config: Rc<Config>,
+    /// Route.
+    pub route: Rc<Route>,
+    /// Account of its key, where the route needs one.
+    pub account: Option<Rc<Account>>,
+}
+
 /// Who sent a request and where it may be served.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -40,10 +51,7 @@
 /// # Errors
 ///
 /// Returns the answer for a request that may not run.
-pub fn identify(
-    node: &Node,
-    head: &Parts,
-) -> Result<(Rc<Config>, Rc<Route>, Option<Rc<Account>>), Refusal> {
+pub fn identify(node: &Node, head: &Parts) -> Result<Identified, Refusal> {
     let Some(config) = node.config() else {
         return Err(Refusal::not_run(
             "no configuration is known yet",
@@ -53,7 +61,11 @@
     let host = text(&head.headers, &hyper::header::HOST).unwrap_or_default();
     let key = text(&head.headers, &node.names.key);
     match config.find(host, head.uri.path(), key) {
-        RouteMatch::Found(route, account) => Ok((config, route, account)),
+        RouteMatch::Found(route, account) => Ok(Identified {
+            config,
+            route,
+            account,
+        }),
         RouteMatch::NoRoute => Err(Refusal::new(StatusCode::NOT_FOUND, "no such route")),
         RouteMatch::NoAccount => Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key")),
     }
--- a/crates/edge/src/pipeline/mod.rs
+++ b/crates/edge/src/pipeline/mod.rs
@@ -9,7 +9,7 @@
 mod ticket;
 
 pub use answer::Answer;
-pub use identify::{identify, Caller};
+pub use identify::{identify, Caller, Identified};
 pub use refusal::Refusal;
 pub use run::{run_anywhere, run_here};
 pub use ticket::{FarTicket, Ticket};
--- a/crates/edge/src/place/choose.rs
+++ b/crates/edge/src/place/choose.rs
@@ -12,6 +12,9 @@
 const MEMORY_PART: f64 = 0.92;
 /// Part of a shared prefix that counts as held at the upstream that all instances prefer for it.
 const PREFERRED_PART: f64 = 0.6;
+/// Weight of reading a prompt's own tokens against waiting for those of others: what is read here
+/// also delays whoever comes next.
+const REREAD_WEIGHT: f64 = 1.5;
 /// Time that reading a prompt takes besides its tokens, in milliseconds.
 const FIRST_STEP_MS: f64 = 16.0;
 /// How much the steps of running requests slow reading down, per running request and slot.
@@ -237,8 +240,9 @@
         return answer_ms * turns.max(1.0) + running + errors_ms;
     }
     let slowdown = 1.0 + BATCH_SLOWDOWN * running / slots;
-    let reading_ms =
-        (f64::from(load.unread_tokens) + unread) / up.tokens_per_ms * slowdown + FIRST_STEP_MS;
+    let reading_ms = (f64::from(load.unread_tokens) + unread * REREAD_WEIGHT) / up.tokens_per_ms
+        * slowdown
+        + FIRST_STEP_MS;
     let is_full = running >= slots;
     let queue_ms = if is_full {
         (running - slots + 1.0) * TURN_MS / slots
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -14,8 +14,8 @@
 
 pub use news::{Decoder, MemberChange, News, StoreEvent};
 pub use ops::{
-    Call, Change, Changes, Commit, Expected, Item, Listing, StoreError, StoreOps, StoreResult,
-    Write,
+    ByName, ByNumber, Call, Change, Changes, Commit, Expected, Item, Listing, StoreError, StoreOps,
+    StoreResult, Watch, Write,
 };
 pub use replica::{Fact, Facts, Replica};
 pub use task::{start, Asks, Keys, StoreSettings};
--- a/crates/edge/src/store/ops.rs
+++ b/crates/edge/src/store/ops.rs
@@ -114,22 +114,29 @@
 /// A call under way.
 pub type Call<T> = BoxFuture<'static, StoreResult<T>>;
 
+/// A call about a key or a prefix.
+pub type ByName<T> = Box<dyn Fn(&str) -> Call<T> + Send + Sync>;
+/// A call about a lease, or with a time in milliseconds.
+pub type ByNumber<T> = Box<dyn Fn(u64) -> Call<T> + Send + Sync>;
+/// A wait for changes: prefix, revision, time in milliseconds.
+pub type Watch = Box<dyn Fn(&str, u64, u64) -> Call<Changes> + Send + Sync>;
+
 /// The operations of the store, each with a deadline of its own.
 pub struct StoreOps {
     /// Reads all items below a prefix.
-    pub list: Box<dyn Fn(&str) -> Call<Listing> + Send + Sync>,
+    pub list: ByName<Listing>,
     /// Waits up to a time in milliseconds for changes below a prefix after a revision.
-    pub watch: Box<dyn Fn(&str, u64, u64) -> Call<Changes> + Send + Sync>,
+    pub watch: Watch,
     /// Reads one item.
-    pub get: Box<dyn Fn(&str) -> Call<Item> + Send + Sync>,
+    pub get: ByName<Item>,
     /// Commits a change; returns its revision.
     pub commit: Box<dyn Fn(Commit) -> Call<u64> + Send + Sync>,
     /// Grants a lease for a time in milliseconds.
-    pub grant: Box<dyn Fn(u64) -> Call<u64> + Send + Sync>,
+    pub grant: ByNumber<u64>,
     /// Renews a lease.
-    pub renew: Box<dyn Fn(u64) -> Call<()> + Send + Sync>,
+    pub renew: ByNumber<()>,
     /// Ends a lease.
-    pub end: Box<dyn Fn(u64) -> Call<()> + Send + Sync>,
+    pub end: ByNumber<()>,
 }
 
 impl fmt::Debug for StoreOps {
