--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -127,10 +127,8 @@
     listeners.serve(&node, &connections, &drain, deployment.interface);
     wait_for_stop(&node, &deployment).await?;
     let cut = leave(&node, &connections, &drain, &stop_store).await;
-    drop(asks.thread);
-    drop(node);
-    // Tasks that still hold the node end with the event loop, so the writer is not waited for.
-    drop(log_end);
+    node.log.close();
+    log_end.join();
     Ok(cut)
 }
 
--- a/crates/edge/src/log/writer.rs
+++ b/crates/edge/src/log/writer.rs
@@ -4,14 +4,18 @@
 use carobwheel_core::time::{Clock, Millis};
 use serde::Serialize;
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io::{self, Write as _},
-    sync::mpsc::{self, Receiver, SyncSender, TrySendError},
+    sync::mpsc::{self, Receiver, SyncSender},
     thread,
+    time::Duration,
 };
 
 /// Lines that may wait for the writer.
 const RING_LINES: usize = 2_048;
+/// Looks at the writer at the end, and the pause between two of them.
+const END_LOOKS: u32 = 20;
+const END_PAUSE: Duration = Duration::from_millis(10);
 /// Lines of ordinary work that are written in a second at most.
 const ORDINARY_PER_S: u32 = 300;
 /// Lines of all kinds that are written in a second at most.
@@ -31,22 +35,25 @@
 pub struct Log {
     instance: String,
     clock: Clock,
-    lines: SyncSender<Vec<u8>>,
+    lines: RefCell<Option<SyncSender<Vec<u8>>>>,
     second: Cell<u64>,
     written: Cell<u32>,
     left_out: Cell<u64>,
     left_out_in_all: Cell<u64>,
 }
 
-/// The thread that writes lines; it ends once the [`Log`] is dropped.
+/// The thread that writes lines; it ends once the [`Log`] is closed.
 #[derive(Debug)]
 pub struct LogEnd(thread::JoinHandle<()>);
 
 impl LogEnd {
-    /// Waits until the last line is written.
+    /// Waits until the last line is written, but not for a reader that has stopped.
     pub fn join(self) {
-        if self.0.join().is_err() {
-            eprintln!("the thread that writes logs has panicked");
+        for _ in 0..END_LOOKS {
+            if self.0.is_finished() {
+                return;
+            }
+            thread::sleep(END_PAUSE);
         }
     }
 }
@@ -65,7 +72,7 @@
         let log = Self {
             instance: instance.to_owned(),
             clock,
-            lines,
+            lines: RefCell::new(Some(lines)),
             second: Cell::new(0),
             written: Cell::new(0),
             left_out: Cell::new(0),
@@ -91,6 +98,11 @@
         self.write(event, now);
     }
 
+    /// Takes no more events, so that the writer ends after the last one.
+    pub fn close(&self) {
+        self.lines.borrow_mut().take();
+    }
+
     /// Lines that were left out since the start.
     pub fn left_out(&self) -> u64 {
         self.left_out_in_all.get()
@@ -121,9 +133,13 @@
             return;
         };
         text.push(b'\n');
-        match self.lines.try_send(text) {
-            Ok(()) => {}
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => self.leave_out(),
+        let sent = self
+            .lines
+            .borrow()
+            .as_ref()
+            .map(|lines| lines.try_send(text));
+        if !matches!(sent, Some(Ok(()))) {
+            self.leave_out();
         }
     }
 
--- a/crates/edge/src/names/mod.rs
+++ b/crates/edge/src/names/mod.rs
@@ -17,8 +17,6 @@
     pub account: HeaderName,
     /// Identifier of the one upstream that may run the request; set by the gateway.
     pub only_upstream: HeaderName,
-    /// Identifier of the upstream that answers.
-    pub upstream_id: HeaderName,
     /// Present on answers of upstreams that have not run the request.
     pub not_run: HeaderName,
     /// The upstream's proof that an answer is its own.
--- a/crates/edge/src/pipeline/mod.rs
+++ b/crates/edge/src/pipeline/mod.rs
@@ -5,7 +5,9 @@
 mod identify;
 mod refusal;
 mod run;
+mod send_once;
 mod stream;
+mod take;
 mod ticket;
 
 pub use answer::Answer;
--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -2,7 +2,8 @@
 
 use super::{
     answer::Answer,
-    run::{caller_headers, take, Taken, TakenBody, Tries},
+    run::caller_headers,
+    take::{take, Taken, TakenBody, Tries},
     Ticket,
 };
 use crate::{
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -33,8 +33,6 @@
     /// Address of the store.
     #[serde_as(as = "DisplayFromStr")]
     pub store: SocketAddr,
-    /// Size of the machine.
-    pub machine: Machine,
     /// Bounds that the instance has to keep.
     pub bounds: Bounds,
 }
@@ -60,19 +58,6 @@
     pub metrics: SocketAddr,
 }
 
-/// Size of the machine.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
-pub struct Machine {
-    /// Share of one core.
-    pub cpu_cores: f64,
-    /// Memory, in megabytes.
-    pub memory_mb: u64,
-    /// Open descriptors.
-    pub max_descriptors: u64,
-    /// Bandwidth of the machine's link, in megabits a second.
-    pub link_mbps: f64,
-}
-
 /// Bounds that come from the deployment.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 pub struct Bounds {
@@ -84,20 +69,10 @@
     pub retry_window_s: f64,
     /// Repeats that a window allows besides the share, over the whole fleet.
     pub retry_extra: f64,
-    /// Window over which use of an account is counted, in seconds.
-    pub limit_window_s: f64,
-    /// Share of an account's limit that may be used besides.
-    pub limit_over_share: f64,
     /// Tokens of an account that may be used besides, in a window.
     pub limit_extra_tokens: f64,
     /// Share of a service's requests that a version on trial may get.
     pub trial_share: f64,
-    /// Requests that a version on trial may get besides its share.
-    pub trial_extra: f64,
-    /// How far a cold upstream's rate may be exceeded, as a factor.
-    pub cold_factor: f64,
-    /// Requests that a cold upstream may get in a second besides its rate.
-    pub cold_extra: f64,
     /// Longest lifetime of a directory answer, in seconds.
     pub directory_ttl_s: f64,
 }
@@ -142,14 +117,6 @@
             self.regions.get(&self.data_centre) == Some(&self.region),
             "`regions` does not place `data_centre` in `region`",
         );
-        require(
-            self.machine.cpu_cores > 0.0,
-            "`machine.cpu_cores` must be above 0",
-        );
-        require(
-            self.machine.memory_mb > 0,
-            "`machine.memory_mb` must be above 0",
-        );
         require(
             self.bounds.stop_grace_s >= 1.0,
             "`bounds.stop_grace_s` must be 1 or more",
@@ -158,10 +125,6 @@
             self.bounds.retry_window_s > 0.0,
             "`bounds.retry_window_s` must be above 0",
         );
-        require(
-            self.bounds.limit_window_s > 0.0,
-            "`bounds.limit_window_s` must be above 0",
-        );
         require(
             (0.0..=1.0).contains(&self.bounds.retry_share),
             "`bounds.retry_share` must be from 0 to 1",
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -74,8 +74,6 @@
     pub hash: u32,
     /// Region that it stands in.
     pub region: Arc<str>,
-    /// When it was first seen.
-    pub first_seen_at: Millis,
     /// When it was first seen as leaving or gone.
     pub leaving_at: Option<Millis>,
     /// Its entry is missing; it counts as gone then.
@@ -178,7 +176,6 @@
         let upstream = Upstream {
             hash: short_hash(&seen.id),
             region: Arc::clone(region),
-            first_seen_at: now,
             leaving_at,
             gone_at: None,
             own: Load::default(),
--- a/crates/edge/tests/small_parts.rs
+++ b/crates/edge/tests/small_parts.rs
@@ -162,11 +162,11 @@
             "\"data_centre\": \"north-a\"",
             "\"data_centre\": \"elsewhere\"",
         )
-        .replace("\"memory_mb\": 260", "\"memory_mb\": 0");
+        .replace("\"stop_grace_s\": 8", "\"stop_grace_s\": 0");
     insta::assert_json_snapshot!(Settings::parse(&faulty).unwrap_err().0, @r###"
     [
       "`regions` does not place `data_centre` in `region`",
-      "`machine.memory_mb` must be above 0",
+      "`bounds.stop_grace_s` must be 1 or more",
       "`bounds.retry_share` must be from 0 to 1"
     ]
     "###);
--- a/crates/gateway/tests/platform_support/instance.rs
+++ b/crates/gateway/tests/platform_support/instance.rs
@@ -56,12 +56,10 @@
             "listen": {"callers": callers, "ready": ready, "directory": directory,
                 "peers": peers, "metrics": metrics},
             "store": options.store,
-            "machine": {"cpu_cores": 0.25, "memory_mb": 260, "max_descriptors": 4100,
-                "link_mbps": 1000.0},
             "bounds": {"stop_grace_s": 8, "retry_share": 0.2, "retry_window_s": 10,
-                "retry_extra": 52, "limit_window_s": 8, "limit_over_share": 0.1,
-                "limit_extra_tokens": 110_000, "trial_share": 0.1, "trial_extra": 50,
-                "cold_factor": 1.5, "cold_extra": 3, "directory_ttl_s": 5}});
+                "retry_extra": 52, 
+                "limit_extra_tokens": 110_000, "trial_share": 0.1,
+                "directory_ttl_s": 5}});
         let path = folder.join("settings.json");
         fs::write(&path, settings.to_string()).unwrap();
         let log = folder.join("log");
