--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -127,6 +127,7 @@
     listeners.serve(&node, &connections, &drain, deployment.interface);
     wait_for_stop(&node, &deployment).await?;
     let cut = leave(&node, &connections, &drain, &stop_store).await;
+    node.links.close().await;
     node.log.close();
     log_end.join();
     Ok(cut)
--- a/crates/edge/src/peers/dial.rs
+++ b/crates/edge/src/peers/dial.rs
@@ -17,6 +17,8 @@
 const SAME_MESSAGE_MS: u64 = 40;
 /// Pauses between attempts to dial: the first and the longest.
 const REDIAL: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_500)];
+/// Time for telling other ends that links are closed.
+const CLOSE: Duration = Duration::from_millis(100);
 /// Members that may wait to be dialled.
 const DIAL_RING: usize = 1_024;
 /// Name that certificates bear.
@@ -69,6 +71,13 @@
         let _ = self.to_dial.try_send(entry);
     }
 
+    /// Closes all links, and tells the other ends.
+    pub async fn close(&self) {
+        self.endpoint.close(0u8.into(), b"stopping");
+        // Other ends that do not answer notice by themselves.
+        drop(timeout(CLOSE, self.endpoint.wait_idle()).await);
+    }
+
     /// Gives up the link to an instance.
     pub fn forget(&self, name: &str) {
         if let Some(link) = self.by_name.borrow_mut().remove(name) {
