--- a/crates/gateway/tests/platform_fleet.rs
+++ b/crates/gateway/tests/platform_fleet.rs
@@ -68,17 +68,19 @@
     let mut second = Instance::start_ready(&options("south-1", "south", &store));
     wait_for_links(&[&first, &second]);
     // The first region hears of the other one's upstreams a little after of its instances.
+    let whole = |until, pause_ms| Script::Events {
+        until,
+        pause_ms,
+        is_whole: true,
+    };
+    engine.script([whole(1, 0)]);
     let mut early = first.caller();
     wait_until("requests are forwarded", || {
         early.send("POST", "/chat/x", "early", "", "");
         early.answer().status == 200
     });
     let before = engine.seen().len();
-    engine.script([Script::Events {
-        until: 50,
-        pause_ms: 100,
-        is_whole: true,
-    }]);
+    engine.script([whole(50, 100)]);
     let mut caller = first.caller();
     caller.write(
         "POST /chat/x HTTP/1.1\r\nHost: rugs.example\r\nX-Carobwheel-Attempt-Id: a-1\r\n\
