--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -40,8 +40,10 @@
 const QUIET_END: Duration = Duration::from_millis(3_200);
 /// Time between two looks for requests that are left.
 const END_LOOK: Duration = Duration::from_millis(50);
+/// Time for the last bytes to reach another region, also if they are sent twice.
+const LAST_WAY: Duration = Duration::from_millis(500);
 /// Part of the time to stop after which requests that are left are cut.
-const GRACE_PART: f64 = 0.93;
+const GRACE_PART: f64 = 0.89;
 
 /// What a deployment's adapter supplies.
 #[derive(Clone, Debug)]
@@ -264,6 +266,8 @@
         }
         sleep(END_LOOK).await;
     }
+    // The end of the last answer may still be on its way over a link.
+    sleep(LAST_WAY).await;
     let in_flight = connections.count() + node.peer_exchanges.get();
     node.log.event(Event::Stopped { in_flight });
     in_flight
