--- /dev/null
+++ b/crates/core/src/crash/report.rs
@@ -0,0 +1,35 @@
+//! What instances tell each other about crashes.
+
+use super::PartId;
+use serde::{Deserialize, Serialize};
+
+/// Crash of one engine as seen by one instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Hash of the engine's identifier and of the start time of its process.
+    pub engine: u32,
+    /// Age of the observation, in milliseconds.
+    pub age_ms: u32,
+    /// Shared parts of the sender's requests that waited for their first output.
+    pub parts: Vec<PartId>,
+}
+
+/// Part of which requests are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldPart {
+    /// The part.
+    pub part: PartId,
+    /// Time until the hold lapses, in milliseconds.
+    pub left_ms: u32,
+}
+
+/// An instance's evidence for the others. Empty while no engine crashes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Recent crashes that the sender has seen itself.
+    pub crashes: Vec<Crash>,
+    /// Suspected parts of which the sender has recently seen an answer.
+    pub answered: Vec<PartId>,
+    /// Parts that the sender holds.
+    pub held: Vec<HeldPart>,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! in the daemon, in seeded randomised tests and in experiments.
 
 pub mod admit;
+pub mod crash;
 pub mod document;
 pub mod evidence;
 pub mod id;
