Move the links' certificate verifiers to a module of their own and write the shared checks once

Change: verify.rs holds them, a macro writes the shared methods; tls.rs builds configurations only. No change of behaviour.

--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -11,6 +11,7 @@
 mod exchange;
 mod pull;
 mod tls;
+mod verify;
 
 pub use dial::Links;
 pub(crate) use exchange::{exchange, ExchangeError};
--- a/crates/edge/src/peers/tls.rs
+++ b/crates/edge/src/peers/tls.rs
@@ -1,13 +1,14 @@
 //! Self-signed certificates of instances, pinned by their digests.
 
-use super::{congestion::WindowFloorConfig, LINK_IDLE_TIMEOUT};
+use super::{
+    congestion::WindowFloorConfig,
+    verify::{AnyClient, PinnedServer},
+    LINK_IDLE_TIMEOUT,
+};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rustls::{
-    client::danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier},
-    crypto::{verify_tls12_signature, verify_tls13_signature, CryptoProvider},
-    pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer, ServerName, UnixTime},
-    server::danger::{ClientCertVerified, ClientCertVerifier},
-    DigitallySignedStruct, DistinguishedName, SignatureScheme,
+    crypto::CryptoProvider,
+    pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer},
 };
 use sha2::{Digest as _, Sha256};
 use std::{fmt, sync::Arc, time::Duration};
@@ -69,7 +70,7 @@
 
     /// Configuration of the endpoint that other instances dial.
     pub(super) fn server(&self) -> Result<quinn::ServerConfig, PeerError> {
-        let verifier = Arc::new(AnyClient(Arc::clone(&self.provider)));
+        let verifier = Arc::new(AnyClient::new(Arc::clone(&self.provider)));
         let mut config = rustls::ServerConfig::builder_with_provider(Arc::clone(&self.provider))
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(peer_error)?
@@ -86,10 +87,7 @@
 
     /// Configuration for dialling the instance whose certificate has `digest`.
     pub(super) fn client(&self, digest: [u8; 32]) -> Result<quinn::ClientConfig, PeerError> {
-        let verifier = Arc::new(PinnedServer {
-            digest,
-            provider: Arc::clone(&self.provider),
-        });
+        let verifier = Arc::new(PinnedServer::new(digest, Arc::clone(&self.provider)));
         let mut config = rustls::ClientConfig::builder_with_provider(Arc::clone(&self.provider))
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(peer_error)?
@@ -131,123 +129,3 @@
         .datagram_send_buffer_size(16 * 1_024);
     transport
 }
-
-/// Verifier that accepts any client certificate. The instance is looked up by its digest after the
-/// handshake.
-#[derive(Debug)]
-struct AnyClient(Arc<CryptoProvider>);
-
-/// Verifier that accepts a single server certificate.
-#[derive(Debug)]
-struct PinnedServer {
-    digest: [u8; 32],
-    provider: Arc<CryptoProvider>,
-}
-
-type Signed<'a> = (&'a [u8], &'a CertificateDer<'a>, &'a DigitallySignedStruct);
-
-fn verify12(
-    provider: &CryptoProvider,
-    signed: Signed<'_>,
-) -> Result<HandshakeSignatureValid, rustls::Error> {
-    let (message, cert, dss) = signed;
-    verify_tls12_signature(
-        message,
-        cert,
-        dss,
-        &provider.signature_verification_algorithms,
-    )
-}
-
-fn verify13(
-    provider: &CryptoProvider,
-    signed: Signed<'_>,
-) -> Result<HandshakeSignatureValid, rustls::Error> {
-    let (message, cert, dss) = signed;
-    verify_tls13_signature(
-        message,
-        cert,
-        dss,
-        &provider.signature_verification_algorithms,
-    )
-}
-
-impl ClientCertVerifier for AnyClient {
-    fn root_hint_subjects(&self) -> &[DistinguishedName] {
-        &[]
-    }
-
-    fn verify_client_cert(
-        &self,
-        _: &CertificateDer<'_>,
-        _: &[CertificateDer<'_>],
-        _: UnixTime,
-    ) -> Result<ClientCertVerified, rustls::Error> {
-        Ok(ClientCertVerified::assertion())
-    }
-
-    fn verify_tls12_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, rustls::Error> {
-        verify12(&self.0, (message, cert, dss))
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, rustls::Error> {
-        verify13(&self.0, (message, cert, dss))
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.0.signature_verification_algorithms.supported_schemes()
-    }
-}
-
-impl ServerCertVerifier for PinnedServer {
-    fn verify_server_cert(
-        &self,
-        end_entity: &CertificateDer<'_>,
-        _: &[CertificateDer<'_>],
-        _: &ServerName<'_>,
-        _: &[u8],
-        _: UnixTime,
-    ) -> Result<ServerCertVerified, rustls::Error> {
-        if digest(end_entity) == self.digest {
-            Ok(ServerCertVerified::assertion())
-        } else {
-            Err(rustls::Error::General(
-                "another instance has this address".to_owned(),
-            ))
-        }
-    }
-
-    fn verify_tls12_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, rustls::Error> {
-        verify12(&self.provider, (message, cert, dss))
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, rustls::Error> {
-        verify13(&self.provider, (message, cert, dss))
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.provider
-            .signature_verification_algorithms
-            .supported_schemes()
-    }
-}
