--- a/crates/gateway/tests/promise_answers.rs
+++ b/crates/gateway/tests/promise_answers.rs
@@ -21,11 +21,7 @@
         token_ms: 1,
         ..EngineOptions::default()
     };
-    Fleet::start(FleetOptions {
-        engine,
-        ..FleetOptions::default()
-    })
-    .await
+    Fleet::start_with_engines(engine).await
 }
 
 /// Guards against answers that are truncated or reach another caller: many callers at once, some of
@@ -95,11 +91,7 @@
         answer_tokens: LONG_TOKENS,
         ..EngineOptions::default()
     };
-    let fleet = Fleet::start(FleetOptions {
-        engine,
-        ..FleetOptions::default()
-    })
-    .await;
+    let fleet = Fleet::start_with_engines(engine).await;
     for engine in fleet.engines.values() {
         engine.add_fault(FaultRule::random(
             Fault::CloseAfterBytes(CUT_AFTER_BYTES),
--- a/crates/gateway/tests/promise_forward.rs
+++ b/crates/gateway/tests/promise_forward.rs
@@ -6,7 +6,7 @@
 
 use carobwheel_standin::engine::EngineOptions;
 use futures::future::join_all;
-use support::{eventually, expected_answer, Caller, Fleet, FleetOptions, PROPAGATION_LIMIT};
+use support::{eventually, expected_answer, Caller, Fleet, PROPAGATION_LIMIT};
 use test_case::test_case;
 
 const TOKENS: u64 = 50;
@@ -16,11 +16,7 @@
         answer_tokens: TOKENS,
         ..EngineOptions::default()
     };
-    Fleet::start(FleetOptions {
-        engine,
-        ..FleetOptions::default()
-    })
-    .await
+    Fleet::start_with_engines(engine).await
 }
 
 #[test_case(true; "streamed")]
--- a/crates/gateway/tests/promise_operation.rs
+++ b/crates/gateway/tests/promise_operation.rs
@@ -55,11 +55,7 @@
         token_ms: 10,
         ..EngineOptions::default()
     };
-    let mut fleet = Fleet::start(FleetOptions {
-        engine,
-        ..FleetOptions::default()
-    })
-    .await;
+    let mut fleet = Fleet::start_with_engines(engine).await;
     let url = fleet.instance("north").url.clone();
     let send_question = |number: usize| {
         let url = url.clone();
--- a/crates/gateway/tests/promise_streams.rs
+++ b/crates/gateway/tests/promise_streams.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use carobwheel_standin::engine::{EngineOptions, Fault};
-use support::{expected_answer, Caller, Fleet, FleetOptions};
+use support::{expected_answer, Caller, Fleet};
 use test_case::test_case;
 
 const TOKENS: u64 = 200;
@@ -15,11 +15,7 @@
         answer_tokens: TOKENS,
         ..EngineOptions::default()
     };
-    Fleet::start(FleetOptions {
-        engine,
-        ..FleetOptions::default()
-    })
-    .await
+    Fleet::start_with_engines(engine).await
 }
 
 /// Guards against duplicated or lost tokens when the connection breaks at the first byte, within an
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -87,6 +87,15 @@
 }
 
 impl Fleet {
+    /// Starts a fleet with default options, apart from the engines.
+    pub(crate) async fn start_with_engines(engine: EngineOptions) -> Self {
+        Self::start(FleetOptions {
+            engine,
+            ..FleetOptions::default()
+        })
+        .await
+    }
+
     /// Starts one engine and one service per region, the platform and the instances, and waits
     /// until all instances are ready.
     pub(crate) async fn start(options: FleetOptions) -> Self {
