Detect prompt parts that crash engines

Cause: a request whose prompt crashes an engine was sent again and again, by repeats and by new requests with the same part. Change: carobwheel_core::crash counts the separate crashes of engines on which a part waited for its first output, since the part's last answer, and holds the part. Reports carry own crashes, answers and holds between instances. HeldPart gains age_ms and the list of answers their ages, so that the newer of a hold and an answer wins whatever the order of messages.

--- a/crates/core/src/crash/detector.rs
+++ b/crates/core/src/crash/detector.rs
@@ -1,102 +1,236 @@
 //! Evidence on prompt parts, and the decision whether a request may be sent.
 
-use super::{CrashReport, PartId};
+use super::answers::RecentAnswers;
+use super::evidence::{CrashEvidence, Sighting};
+use super::holds::Holds;
+use super::in_flight::InFlight;
+use super::{Gate, HoldChange, PartId};
 use crate::time::Millis;
 
-/// Decision on a request, by its shared prompt parts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Gate {
-    /// The request may be sent.
-    Open,
-    /// A part is suspected and another request with it is in flight here: wait for its outcome.
-    Wait {
-        /// The suspected part.
-        part: PartId,
-    },
-    /// A part is held: refuse the request.
-    Held {
-        /// The held part.
-        part: PartId,
-        /// Time until the hold lapses, in milliseconds.
-        left_ms: u64,
-    },
-}
-
-/// Change of a part's state, for the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HoldChange {
-    /// Requests with the part are refused from now on.
-    Held {
-        /// The part.
-        part: PartId,
-        /// Number of separate crashes that speak against it.
-        crashes: u32,
-        /// Duration of the hold, in milliseconds.
-        for_ms: u64,
-    },
-    /// An answer cleared the part.
-    Released {
-        /// The part.
-        part: PartId,
-    },
-    /// The hold has lapsed; the next crash renews it.
-    Lapsed {
-        /// The part.
-        part: PartId,
-    },
-}
+/// Number of separate crashes from which a part is suspected.
+pub(super) const SUSPECT_CRASHES: u32 = 2;
+/// Number of separate crashes from which a part is held.
+pub(super) const HOLD_CRASHES: u32 = 3;
+/// Number of separate crashes from which a part is held again after its hold has lapsed.
+pub(super) const RENEW_CRASHES: u32 = 1;
+/// Period for which an answer speaks for a repeat, in milliseconds.
+const ANSWERED_LATELY_MS: u64 = 30_000;
 
 /// Evidence of one instance on prompt parts, from its own requests and from other instances.
 #[derive(Clone, Debug, Default)]
-pub struct CrashDetector {}
+pub struct CrashDetector {
+    pub(super) in_flight: InFlight,
+    pub(super) answers: RecentAnswers,
+    pub(super) evidence: CrashEvidence,
+    pub(super) holds: Holds,
+    /// Last answer known here, with whatever parts.
+    pub(super) last_answer: Option<Millis>,
+    /// Whether a part has enough crashes to be held, but there was no answer since the first.
+    needs_answer: bool,
+    /// Whether an answer has changed what counts since the last decision.
+    needs_recount: bool,
+}
 
 impl CrashDetector {
     /// Decides on a request with these shared parts (all parts of its prompt but the last).
-    pub fn gate(&self, _parts: &[PartId], _now: Millis) -> Gate {
-        Gate::Open
+    pub fn gate(&self, parts: &[PartId], now: Millis) -> Gate {
+        if self.holds.is_empty() && self.evidence.is_empty() {
+            return Gate::Open;
+        }
+        let held = |part: &PartId| Some((*part, self.holds.left_ms(*part, now)?));
+        if let Some((part, left_ms)) = parts.iter().find_map(held) {
+            return Gate::Held { part, left_ms };
+        }
+        let must_wait = |part: &&PartId| {
+            self.in_flight.contains(**part)
+                && (self.is_suspected(**part) || self.holds.is_lapsed(**part, now))
+        };
+        match parts.iter().find(must_wait) {
+            Some(part) => Gate::Wait { part: *part },
+            None => Gate::Open,
+        }
     }
 
     /// Records that a request with these shared parts is sent to an engine. Call
     /// [`Self::send_ended`] once for each call of this.
-    pub fn sent(&mut self, _parts: &[PartId], _now: Millis) {}
+    pub fn sent(&mut self, parts: &[PartId], _now: Millis) {
+        self.in_flight.add(parts);
+    }
 
     /// Records that a send no longer waits for its first output, whatever the outcome.
-    pub fn send_ended(&mut self, _parts: &[PartId]) {}
+    pub fn send_ended(&mut self, parts: &[PartId]) {
+        self.in_flight.remove(parts);
+    }
 
     /// Records that a request with these shared parts has got its first output.
-    pub fn answered(&mut self, _parts: &[PartId], _now: Millis) -> Vec<HoldChange> {
-        Vec::new()
+    pub fn answered(&mut self, parts: &[PartId], now: Millis) -> Vec<HoldChange> {
+        self.last_answer = self.last_answer.max(Some(now));
+        let mut changes = Vec::new();
+        for part in parts {
+            self.answers.insert(*part, now);
+            self.clear(*part, now, now, &mut changes);
+        }
+        self.decide_after(&mut changes, now);
+        changes
     }
 
     /// Records that the connection to an engine broke before the first output of a request with
     /// these shared parts. Several requests of one crash are merged by `engine`, the hash of the
     /// engine's identifier and of the start time of its process.
-    pub fn crashed(&mut self, _engine: u32, _parts: &[PartId], _now: Millis) -> Vec<HoldChange> {
-        Vec::new()
+    pub fn crashed(&mut self, engine: u32, parts: &[PartId], now: Millis) -> Vec<HoldChange> {
+        let mut changes = Vec::new();
+        let mut is_changed = false;
+        for part in parts {
+            is_changed |= self.add_sighting(engine, *part, now, true);
+        }
+        if is_changed {
+            self.decide(&mut changes, now);
+        }
+        changes
     }
 
-    /// Evidence for other instances.
-    pub fn report(&self, _now: Millis) -> CrashReport {
-        CrashReport::default()
+    /// Drops expired evidence and lets holds lapse.
+    pub fn expire(&mut self, now: Millis) -> Vec<HoldChange> {
+        let mut changes = Vec::new();
+        self.end_holds(&mut changes, now);
+        if self.evidence.expire(now) || !changes.is_empty() {
+            self.decide(&mut changes, now);
+        }
+        changes
     }
 
-    /// Takes in the evidence of another instance.
-    pub fn receive(&mut self, _report: &CrashReport, _now: Millis) -> Vec<HoldChange> {
-        Vec::new()
-    }
-
-    /// Drops expired evidence and lets holds lapse.
-    pub fn expire(&mut self, _now: Millis) -> Vec<HoldChange> {
-        Vec::new()
+    /// Number of entries of all tables, for a metric of the memory in use.
+    pub fn entry_count(&self) -> usize {
+        self.in_flight.len() + self.answers.len() + self.evidence.len() + self.holds.len()
     }
 
     /// Number of parts that are held.
     pub fn held_count(&self) -> usize {
-        0
+        self.holds.held_count()
     }
 
     /// Number of parts that are suspected but not held.
     pub fn suspect_count(&self) -> usize {
-        0
+        self.evidence
+            .counted(SUSPECT_CRASHES)
+            .filter(|(part, ..)| !self.holds.is_active(*part))
+            .count()
+    }
+
+    /// Whether a request with the part got its first output from this instance in the last 30 s.
+    pub fn is_answered_lately(&self, part: PartId, now: Millis) -> bool {
+        self.answers
+            .last(part)
+            .is_some_and(|at| now.since(at) <= ANSWERED_LATELY_MS)
+    }
+
+    /// Whether a request under which an engine ended may be sent again. Such a request is itself
+    /// the likeliest cause of the crash, so each of its shared parts must have been answered
+    /// lately, or no crash may speak against it; nor may any be suspected or held. Call this after
+    /// [`Self::crashed`].
+    pub fn may_repeat(&self, parts: &[PartId], now: Millis) -> bool {
+        parts.iter().all(|part| {
+            let count = self.evidence.count(*part);
+            let is_cleared = count == 0 || self.is_answered_lately(*part, now);
+            is_cleared && count < SUSPECT_CRASHES && !self.holds.contains(*part)
+        })
+    }
+
+    fn is_suspected(&self, part: PartId) -> bool {
+        self.evidence.count(part) >= SUSPECT_CRASHES
+    }
+
+    /// Adds a crash with the part. Returns whether the evidence has changed.
+    pub(super) fn add_sighting(
+        &mut self,
+        engine: u32,
+        part: PartId,
+        at: Millis,
+        is_own: bool,
+    ) -> bool {
+        let cleared_until = self
+            .answers
+            .last(part)
+            .max(self.holds.released_at(part))
+            .max(self.holds.lapsed_at(part));
+        let sighting = Sighting { part, at, is_own };
+        self.evidence.add(engine, sighting, cleared_until)
+    }
+
+    /// Takes in an answer with the part: crashes until then do not count, and a hold ends.
+    pub(super) fn clear(
+        &mut self,
+        part: PartId,
+        answered_at: Millis,
+        now: Millis,
+        changes: &mut Vec<HoldChange>,
+    ) {
+        let has_counted = self.evidence.clear(part, answered_at);
+        let is_released = self.holds.contains(part) && self.holds.release(part, answered_at, now);
+        if is_released {
+            changes.push(HoldChange::Released { part });
+        }
+        self.needs_recount |= has_counted || is_released;
+    }
+
+    /// Decides again if answers have changed what counts.
+    pub(super) fn decide_after(&mut self, changes: &mut Vec<HoldChange>, now: Millis) {
+        if self.needs_recount || self.needs_answer {
+            self.decide(changes, now);
+        }
+    }
+
+    /// Lets holds lapse. Crashes of requests that were sent before do not renew them.
+    fn end_holds(&mut self, changes: &mut Vec<HoldChange>, now: Millis) {
+        for part in self.holds.expire(now) {
+            self.evidence
+                .clear(part, self.holds.lapsed_at(part).unwrap_or(now));
+            changes.push(HoldChange::Lapsed { part });
+        }
+    }
+
+    /// Counts the crashes of each part and holds those with the most, until none is left that the
+    /// held ones do not explain.
+    pub(super) fn decide(&mut self, changes: &mut Vec<HoldChange>, now: Millis) {
+        self.needs_recount = false;
+        self.end_holds(changes, now);
+        loop {
+            let holds = &self.holds;
+            self.evidence.recount(|part| holds.is_held(part, now));
+            let suspects = self.parts_to_hold(now);
+            if suspects.is_empty() {
+                return;
+            }
+            for (part, crashes) in suspects {
+                let for_ms = self.holds.hold(part, now);
+                changes.push(HoldChange::Held {
+                    part,
+                    crashes,
+                    for_ms,
+                });
+            }
+        }
+    }
+
+    /// Parts that must be held and have the most crashes, with their numbers.
+    fn parts_to_hold(&mut self, now: Millis) -> Vec<(PartId, u32)> {
+        let mut suspects: Vec<(PartId, u32, Millis)> = self
+            .evidence
+            .counted(RENEW_CRASHES)
+            .filter(|(part, count, _)| {
+                !self.holds.is_held(*part, now)
+                    && (*count >= HOLD_CRASHES || self.holds.is_lapsed(*part, now))
+            })
+            .collect();
+        let count_before = suspects.len();
+        suspects.retain(|(_, _, first_at)| self.last_answer.is_some_and(|at| at >= *first_at));
+        self.needs_answer = suspects.len() < count_before;
+        let most = suspects.iter().map(|(_, count, _)| *count).max();
+        suspects.retain(|(_, count, _)| Some(*count) == most);
+        suspects.sort_unstable();
+        suspects
+            .into_iter()
+            .map(|(part, count, _)| (part, count))
+            .collect()
     }
 }
--- a/crates/core/src/crash/mod.rs
+++ b/crates/core/src/crash/mod.rs
@@ -5,11 +5,18 @@
 //! crashes, and no request with it has been answered since. See
 //! `docs/design/crashing-prompts.md`.
 
+mod answers;
 mod detector;
+mod evidence;
+mod gate;
+mod holds;
+mod in_flight;
 mod report;
+mod share;
 
-pub use detector::{CrashDetector, Gate, HoldChange};
-pub use report::{Crash, CrashReport, HeldPart};
+pub use detector::CrashDetector;
+pub use gate::{Gate, HoldChange};
+pub use report::{AnsweredPart, Crash, CrashReport, HeldPart};
 
 /// Identifier of a prompt part, equal on all instances.
 pub type PartId = u64;
--- a/crates/core/src/crash/report.rs
+++ b/crates/core/src/crash/report.rs
@@ -10,7 +10,8 @@
     pub engine: u32,
     /// Age of the observation, in milliseconds.
     pub age_ms: u32,
-    /// Shared parts of the sender's requests that waited for their first output.
+    /// Shared parts of the sender's requests that waited for their first output, without those
+    /// that were answered since.
     pub parts: Vec<PartId>,
 }
 
@@ -21,6 +22,17 @@
     pub part: PartId,
     /// Time until the hold lapses, in milliseconds.
     pub left_ms: u32,
+    /// Time since the hold was decided, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Part of which the sender has seen an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnsweredPart {
+    /// The part.
+    pub part: PartId,
+    /// Age of the last answer, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// An instance's evidence for the others. Empty while no engine crashes.
@@ -28,8 +40,8 @@
 pub struct CrashReport {
     /// Recent crashes that the sender has seen itself.
     pub crashes: Vec<Crash>,
-    /// Suspected parts of which the sender has recently seen an answer.
-    pub answered: Vec<PartId>,
+    /// Parts of crashes, and released parts, of which the sender knows a recent answer.
+    pub answered: Vec<AnsweredPart>,
     /// Parts that the sender holds.
     pub held: Vec<HeldPart>,
 }
