Log each connection that closes under a request that was read

Change: connection_closed, with the request, who closed (caller or instance), the reason and the time since the request was read. The end of an answer is taken from the last flush after the end of its body, so an answered request has no such line. Evidence: platform_connections checks a stream that the upstream breaks, a caller that leaves, and answered requests. No change of logic.

--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -284,6 +284,7 @@
     // The last response may still be in transit on a link.
     sleep(LINK_FLUSH_TIME).await;
     let in_flight = connections.count() + node.peer_exchanges.get();
+    connections.log_open_requests(&node.log);
     node.log.event(Event::Stopped { in_flight });
     in_flight
 }
--- a/crates/edge/src/front/connections.rs
+++ b/crates/edge/src/front/connections.rs
@@ -1,5 +1,6 @@
 //! Callers' connections and their timeouts.
 
+use crate::log::{Event, Log};
 use carobwheel_core::time::{Clock, Millis};
 use std::{
     cell::{Cell, RefCell},
@@ -26,11 +27,20 @@
     Busy,
 }
 
+/// Request whose body was read and whose answer is not written yet.
+#[derive(Clone, Debug)]
+pub(super) struct OpenRequest {
+    id: String,
+    read_at: Millis,
+}
+
 /// Activity of one connection, which the sweep checks for timeouts.
 #[derive(Debug)]
 pub(super) struct ConnectionActivity {
     phase: Cell<Phase>,
     clock: Clock,
+    open_request: RefCell<Option<OpenRequest>>,
+    has_body_ended: Cell<bool>,
     /// Cancelled to close the connection.
     pub(super) close: CancellationToken,
 }
@@ -41,6 +51,39 @@
         self.phase.set(Phase::Busy);
     }
 
+    /// Records that a request was read completely.
+    pub(super) fn request_read(&self, id: &str) {
+        self.has_body_ended.set(false);
+        self.open_request.replace(Some(OpenRequest {
+            id: id.to_owned(),
+            read_at: self.clock.now(),
+        }));
+    }
+
+    /// Records that the end of the answer's body was handed to the connection.
+    pub(super) fn body_ended(&self) {
+        self.has_body_ended.set(true);
+    }
+
+    /// Records that all bytes handed to the connection were written.
+    fn flushed(&self) {
+        if self.has_body_ended.replace(false) {
+            self.open_request.take();
+        }
+    }
+
+    /// Logs that the connection closed, if its request was read and has no complete answer.
+    pub(super) fn log_close(&self, log: &Log, closed_by: &str, reason: &str) {
+        if let Some(request) = self.open_request.take() {
+            log.event(Event::ConnectionClosed {
+                request: &request.id,
+                closed_by,
+                reason,
+                after_ms: self.clock.now().since(request.read_at),
+            });
+        }
+    }
+
     /// Records that the response was handed to the connection.
     pub(super) fn set_idle(&self) {
         self.phase.set(Phase::Idle(self.clock.now()));
@@ -76,6 +119,8 @@
         let activity = Rc::new(ConnectionActivity {
             phase: Cell::new(Phase::Idle(clock.now())),
             clock,
+            open_request: RefCell::default(),
+            has_body_ended: Cell::new(false),
             close: CancellationToken::new(),
         });
         self.open.borrow_mut().insert(id, Rc::clone(&activity));
@@ -92,6 +137,13 @@
         self.open.borrow().len()
     }
 
+    /// Logs the open requests, whose connections close with the process.
+    pub fn log_open_requests(&self, log: &Log) {
+        for activity in self.open.borrow().values() {
+            activity.log_close(log, "instance", "the grace period has ended");
+        }
+    }
+
     /// Closes connections that have exceeded the idle timeout or the timeout for a request's head.
     pub fn sweep(&self, head_timeout_ms: u64, idle_timeout_ms: u64, now: Millis) {
         for activity in self.open.borrow().values() {
@@ -152,7 +204,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.activity.flushed();
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/edge/src/front/handler.rs
+++ b/crates/edge/src/front/handler.rs
@@ -1,6 +1,6 @@
 //! Handling of one request from a caller.
 
-use super::read_body;
+use super::{connections::ConnectionActivity, read_body};
 use crate::{
     log::Event,
     node::Node,
@@ -37,7 +37,11 @@
 }
 
 /// Handles a request and records its outcome in logs and metrics.
-pub async fn handle(node: Rc<Node>, request: Request<Incoming>) -> Answer {
+pub(super) async fn handle(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    activity: &ConnectionActivity,
+) -> Answer {
     let in_flight = InFlight::new(&node);
     let started_at = node.now();
     let (head, body) = request.into_parts();
@@ -50,7 +54,7 @@
         route: String::new(),
         account: String::new(),
     };
-    let outcome = serve(&node, head, body, &mut labels).await;
+    let outcome = serve(&node, head, body, &mut labels, activity).await;
     let after_ms = node.now().since(started_at);
     drop(in_flight);
     match outcome {
@@ -90,6 +94,7 @@
     head: Parts,
     body: Incoming,
     labels: &mut Labels,
+    activity: &ConnectionActivity,
 ) -> Result<Answer, Refusal> {
     let started_at = node.now();
     if node.is_refusing_requests() {
@@ -109,6 +114,7 @@
         .map_or_else(String::new, |account| account.name.to_string());
     check_head(&head, config.limits.max_head_bytes)?;
     let body = read_body(node, body, started_at.plus(route.timeout_ms)).await?;
+    activity.request_read(&labels.request);
     let admission = Admission::admit(node, &head, route, account)?;
     let ctx = admission.context(node, &config, head, body, started_at)?;
     let outcome = run_in_allowed_region(node, ctx, &admission).await;
--- a/crates/edge/src/front/listen.rs
+++ b/crates/edge/src/front/listen.rs
@@ -1,10 +1,15 @@
 //! Listening sockets and the tasks that accept connections.
 
-use super::{connections::TrackedStream, handle, AuxEndpoint, AuxInterface, Connections};
-use crate::node::Node;
-use hyper::{server::conn::http1, service::service_fn};
+use super::{
+    connections::{ConnectionActivity, TrackedStream},
+    handler::handle,
+    tracked_body::TrackedBody,
+    AuxEndpoint, AuxInterface, Connections,
+};
+use crate::{node::Node, relay::AnswerBroken};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn, Request};
 use hyper_util::rt::TokioIo;
-use std::{convert::Infallible, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, error::Error as _, io, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     time::sleep,
@@ -68,14 +73,15 @@
         stream,
         activity: Rc::clone(&activity),
     });
-    let served = Rc::clone(&activity);
-    let service = service_fn(move |request| {
-        let (node, activity) = (Rc::clone(&node), Rc::clone(&served));
+    let (served, serving) = (Rc::clone(&activity), Rc::clone(&node));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (node, activity) = (Rc::clone(&serving), Rc::clone(&served));
         async move {
             activity.set_busy();
-            let answer = handle(node, request).await;
+            let method = request.method().clone();
+            let answer = handle(node, request, &activity).await;
             activity.set_idle();
-            Ok::<_, Infallible>(answer)
+            Ok::<_, Infallible>(TrackedBody::track(answer, &method, &activity))
         }
     });
     // A connection opened while draining serves a single request, which is refused.
@@ -86,18 +92,32 @@
         .auto_date_header(false)
         .keep_alive(!is_draining);
     let mut connection = std::pin::pin!(builder.serve_connection(io, service));
-    tokio::select! {
-        // The caller notices a broken connection itself.
-        result = connection.as_mut() => drop(result),
-        () = activity.close.cancelled() => {}
+    let result = tokio::select! {
+        result = connection.as_mut() => Some(result),
+        () = activity.close.cancelled() => None,
         () = drain.cancelled(), if !is_draining => {
             connection.as_mut().graceful_shutdown();
-            drop(connection.await);
+            Some(connection.await)
         }
+    };
+    match result {
+        Some(result) => log_end(&node, &activity, &result),
+        None => activity.log_close(&node.log, "instance", "the idle or head timeout has passed"),
     }
     connections.closed(id);
 }
 
+/// Logs the end of a connection under a request that was read.
+fn log_end(node: &Node, activity: &ConnectionActivity, result: &hyper::Result<()>) {
+    match result {
+        Ok(()) => activity.log_close(&node.log, "caller", "closed"),
+        Err(err) => match err.source().and_then(|cause| cause.downcast_ref()) {
+            Some(AnswerBroken(reason)) => activity.log_close(&node.log, "instance", reason),
+            None => activity.log_close(&node.log, "caller", &err.to_string()),
+        },
+    }
+}
+
 /// Serves an auxiliary endpoint.
 pub async fn serve_aux(
     node: Rc<Node>,
--- a/crates/edge/src/front/mod.rs
+++ b/crates/edge/src/front/mod.rs
@@ -5,9 +5,9 @@
 mod connections;
 mod handler;
 mod listen;
+mod tracked_body;
 
 pub use aux_endpoint::{AuxEndpoint, AuxInterface, DirectoryQuery};
 pub use body::read_body;
 pub use connections::Connections;
-pub use handler::handle;
 pub use listen::{bind, serve_aux, serve_callers};
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -187,6 +187,13 @@
         request: &'a str,
         after_ms: u64,
     },
+    /// A caller's connection has closed under a request that was read and has no complete answer.
+    ConnectionClosed {
+        request: &'a str,
+        closed_by: &'a str,
+        reason: &'a str,
+        after_ms: u64,
+    },
     LinesLeftOut {
         lines: u64,
     },
--- a/crates/gateway/tests/platform_support/config.rs
+++ b/crates/gateway/tests/platform_support/config.rs
@@ -14,6 +14,7 @@
     accounts: Vec<Value>,
     max_body_bytes: u64,
     header_timeout_ms: u64,
+    idle_timeout_ms: u64,
 }
 
 impl ConfigBuilder {
@@ -28,6 +29,7 @@
             ],
             max_body_bytes: 100_000,
             header_timeout_ms: 1_000,
+            idle_timeout_ms: 15_000,
         };
         builder
             .route("/read/", "idempotent", "registry", 2, json!({}))
@@ -74,6 +76,12 @@
         self
     }
 
+    /// Sets the limit on idle connections.
+    pub(crate) fn idle_timeout_ms(mut self, idle_timeout_ms: u64) -> Self {
+        self.idle_timeout_ms = idle_timeout_ms;
+        self
+    }
+
     /// Configuration document.
     pub(crate) fn value(&self) -> Value {
         let engine = json!({"slots": 64, "kvCapacity": 200_000});
@@ -84,6 +92,6 @@
                     "engine": engine},
             ],
             "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": self.max_body_bytes,
-                "headerTimeoutMs": self.header_timeout_ms, "idleTimeoutMs": 15_000}})
+                "headerTimeoutMs": self.header_timeout_ms, "idleTimeoutMs": self.idle_timeout_ms}})
     }
 }
