Time a connection out only after its answer is written

Callers saw a stream end in the middle, or before its first event, without an answer or a refusal. Cause: a connection counted as idle from the moment the answer was handed over, not from the end of its body. Bytes of the caller's next request during an answer started the head timeout, with the same end. Change: the connection stays busy until the last byte of the answer is written; idle time starts there. A caller that reads nothing of its answer is still disconnected, after the idle limit and at least 10 s. Evidence: a_shorter_idle_limit_does_not_cut_a_stream_that_pauses and early_bytes_of_the_next_request_do_not_cut_the_answer failed before with connection_closed by the instance, 'the idle or head timeout has passed'; they pass now.

--- a/crates/edge/src/front/connections.rs
+++ b/crates/edge/src/front/connections.rs
@@ -16,6 +16,9 @@
 };
 use tokio_util::sync::CancellationToken;
 
+/// Shortest time without a read by the caller after which an answer is given up, in milliseconds.
+const MIN_WRITE_TIMEOUT_MS: u64 = 10_000;
+
 /// Phase of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -23,7 +26,7 @@
     Idle(Millis),
     /// Reading the head of a request since this time.
     Head(Millis),
-    /// Serving a request.
+    /// Serving a request, until the last byte of its answer is written.
     Busy,
 }
 
@@ -41,6 +44,9 @@
     clock: Clock,
     open_request: RefCell<Option<OpenRequest>>,
     has_body_ended: Cell<bool>,
+    /// Time since which the caller has accepted no bytes; `None` unless a write waits.
+    blocked_since: Cell<Option<Millis>>,
+    close_reason: Cell<Option<&'static str>>,
     /// Cancelled to close the connection.
     pub(super) close: CancellationToken,
 }
@@ -69,6 +75,7 @@
     fn flushed(&self) {
         if self.has_body_ended.replace(false) {
             self.open_request.take();
+            self.phase.set(Phase::Idle(self.clock.now()));
         }
     }
 
@@ -84,9 +91,9 @@
         }
     }
 
-    /// Records that the response was handed to the connection.
-    pub(super) fn set_idle(&self) {
-        self.phase.set(Phase::Idle(self.clock.now()));
+    /// Reason of the sweep to close the connection.
+    pub(super) fn close_reason(&self) -> &'static str {
+        self.close_reason.get().unwrap_or_default()
     }
 
     /// Records that bytes were read; the first ones start the head of a request.
@@ -96,10 +103,35 @@
         }
     }
 
-    /// Records that bytes were written, which restarts the idle timeout.
-    fn bytes_written(&self) {
-        if let Phase::Idle(_) = self.phase.get() {
-            self.phase.set(Phase::Idle(self.clock.now()));
+    /// Records whether a write made progress.
+    fn write_polled(&self, polled: &Poll<io::Result<usize>>) {
+        let blocked_since = match polled {
+            Poll::Pending => self.blocked_since.get().or(Some(self.clock.now())),
+            Poll::Ready(_) => None,
+        };
+        self.blocked_since.set(blocked_since);
+    }
+
+    /// Reason to close the connection, if it has exceeded a timeout.
+    fn timeout_reason(
+        &self,
+        head_timeout_ms: u64,
+        idle_timeout_ms: u64,
+        now: Millis,
+    ) -> Option<&'static str> {
+        let is_over = |since: Millis, timeout_ms| now.since(since) > timeout_ms;
+        match self.phase.get() {
+            Phase::Idle(since) => {
+                is_over(since, idle_timeout_ms).then_some("the connection was idle for too long")
+            }
+            Phase::Head(since) => {
+                is_over(since, head_timeout_ms).then_some("the head did not arrive in time")
+            }
+            Phase::Busy => self
+                .blocked_since
+                .get()
+                .filter(|since| is_over(*since, idle_timeout_ms.max(MIN_WRITE_TIMEOUT_MS)))
+                .map(|_| "the caller does not read the answer"),
         }
     }
 }
@@ -121,6 +153,8 @@
             clock,
             open_request: RefCell::default(),
             has_body_ended: Cell::new(false),
+            blocked_since: Cell::new(None),
+            close_reason: Cell::new(None),
             close: CancellationToken::new(),
         });
         self.open.borrow_mut().insert(id, Rc::clone(&activity));
@@ -144,15 +178,13 @@
         }
     }
 
-    /// Closes connections that have exceeded the idle timeout or the timeout for a request's head.
+    /// Closes connections that have exceeded the idle timeout or the timeout for a request's head,
+    /// and those whose caller does not read its answer.
     pub fn sweep(&self, head_timeout_ms: u64, idle_timeout_ms: u64, now: Millis) {
         for activity in self.open.borrow().values() {
-            let is_over = match activity.phase.get() {
-                Phase::Idle(since) => now.since(since) > idle_timeout_ms,
-                Phase::Head(since) => now.since(since) > head_timeout_ms,
-                Phase::Busy => false,
-            };
-            if is_over {
+            let reason = activity.timeout_reason(head_timeout_ms, idle_timeout_ms, now);
+            if reason.is_some() {
+                activity.close_reason.set(reason);
                 activity.close.cancel();
             }
         }
@@ -186,8 +218,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.activity.bytes_written();
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.activity.write_polled(&polled);
+        polled
     }
 
     fn poll_write_vectored(
@@ -195,8 +228,9 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.activity.bytes_written();
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.activity.write_polled(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/edge/src/front/listen.rs
+++ b/crates/edge/src/front/listen.rs
@@ -80,7 +80,6 @@
             activity.set_busy();
             let method = request.method().clone();
             let answer = handle(node, request, &activity).await;
-            activity.set_idle();
             Ok::<_, Infallible>(TrackedBody::track(answer, &method, &activity))
         }
     });
@@ -102,7 +101,7 @@
     };
     match result {
         Some(result) => log_end(&node, &activity, &result),
-        None => activity.log_close(&node.log, "instance", "the idle or head timeout has passed"),
+        None => activity.log_close(&node.log, "instance", activity.close_reason()),
     }
     connections.closed(id);
 }
--- a/crates/gateway/tests/platform_connections.rs
+++ b/crates/gateway/tests/platform_connections.rs
@@ -5,12 +5,13 @@
 mod platform_support;
 
 use platform_support::{
-    wait_until, ConfigBuilder, Engine, Instance, InstanceOptions, Script, Store,
+    wait_until, Caller, ConfigBuilder, Engine, Instance, InstanceOptions, Script, Store, HOST, KEY,
 };
+use serde_json::json;
 
 /// Instance with a store and two upstreams that serve streams.
 struct Fixture {
-    _store: Store,
+    store: Store,
     model: [Engine; 2],
     instance: Instance,
 }
@@ -29,7 +30,7 @@
             store: store.address,
         });
         Self {
-            _store: store,
+            store,
             model,
             instance,
         }
@@ -57,6 +58,21 @@
     }
 }
 
+/// Configuration whose streams have enough time for pauses.
+fn config(version: u64) -> ConfigBuilder {
+    let chat = json!({"timeoutMs": 10_000});
+    ConfigBuilder::new(version).route("/chat/", "streaming", "model", 1, chat)
+}
+
+/// Sends a request that leaves the answer 10 s.
+fn ask(caller: &mut Caller, path: &str) {
+    caller.write(&format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Carobwheel-Attempt-Id: a-1\r\n\
+         X-Carobwheel-Deadline-Ms: 10000\r\nX-Carobwheel-Key: {KEY}\r\n\
+         Content-Length: 8\r\n\r\nquestion"
+    ));
+}
+
 const fn events(until: u64, pause_ms: u64, is_complete: bool) -> Script {
     Script::Events {
         until,
@@ -95,6 +111,50 @@
     assert_eq!((&**request, &**closed_by), ("a-1", "caller"));
 }
 
+#[test]
+fn a_shorter_idle_limit_does_not_cut_a_stream_that_pauses() {
+    let fixture = Fixture::new(&config(1));
+    fixture.script_all(&events(2, 2_000, true));
+    let mut caller = fixture.instance.caller();
+    ask(&mut caller, "/chat/x");
+    fixture.wait_for_request();
+    fixture.store.publish(&config(2).idle_timeout_ms(300));
+    let answer = caller.answer();
+    assert!(answer.is_complete, "{answer:?} {:?}", fixture.closes());
+}
+
+#[test]
+fn early_bytes_of_the_next_request_do_not_cut_the_answer() {
+    let fixture = Fixture::new(&config(1));
+    fixture.script_all(&events(2, 2_500, true));
+    let mut caller = fixture.instance.caller();
+    ask(&mut caller, "/chat/x");
+    let mut head = [0; 20];
+    std::io::Read::read_exact(&mut caller.stream, &mut head).unwrap();
+    caller.write("GET /nowh");
+    let rest = String::from_utf8_lossy(&caller.read_until("0\r\n\r\n")).into_owned();
+    assert!(
+        rest.ends_with("0\r\n\r\n"),
+        "{rest:?} {:?}",
+        fixture.closes()
+    );
+    caller.write("ere/x HTTP/1.1\r\nHost: rugs.example\r\n\r\n");
+    assert_eq!(caller.answer().status, 404);
+}
+
+#[test]
+fn a_caller_that_does_not_read_its_answer_is_disconnected() {
+    let fixture = Fixture::new(&config(1).idle_timeout_ms(500));
+    fixture.script_all(&Script::Flood);
+    let mut caller = fixture.instance.caller();
+    ask(&mut caller, "/chat/x");
+    wait_until("the close is logged", || !fixture.closes().is_empty());
+    assert_eq!(
+        fixture.closes(),
+        [["a-1", "instance", "the caller does not read the answer"].map(str::to_owned)]
+    );
+}
+
 #[test]
 fn an_answered_request_is_not_logged_as_closed() {
     let fixture = Fixture::new(&ConfigBuilder::new(1));
--- a/crates/gateway/tests/platform_support/caller.rs
+++ b/crates/gateway/tests/platform_support/caller.rs
@@ -107,6 +107,13 @@
         bytes
     }
 
+    /// Reads until the bytes end with `end` or the other end closes the connection.
+    pub(crate) fn read_until(&mut self, end: &str) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(end.as_bytes()) && self.read_more(&mut bytes) {}
+        bytes
+    }
+
     /// Reads more bytes. Returns false at the end of the stream or on an error.
     pub(crate) fn read_more(&mut self, bytes: &mut Vec<u8>) -> bool {
         let mut piece = [0; 4096];
--- a/crates/gateway/tests/platform_support/engine.rs
+++ b/crates/gateway/tests/platform_support/engine.rs
@@ -35,6 +35,8 @@
     Truncated,
     /// No response until the caller closes the connection.
     Silent,
+    /// Events without end and without pauses.
+    Flood,
     /// Events with the ids after the caller's last one up to `until`, with a pause after each, and
     /// then the end of the stream or a break within an event.
     Events {
@@ -104,6 +106,11 @@
         self.shared.scripts.lock().unwrap().extend(scripts);
     }
 
+    /// Replaces the rest of the script.
+    pub(crate) fn replace_script(&self, scripts: impl IntoIterator<Item = Script>) {
+        *self.shared.scripts.lock().unwrap() = scripts.into_iter().collect();
+    }
+
     pub(crate) fn seen(&self) -> Vec<ReceivedRequest> {
         self.shared.seen.lock().unwrap().clone()
     }
@@ -168,6 +175,14 @@
             wait_for_close(stream, shared);
             return None;
         }
+        Script::Flood => {
+            let head = format!("HTTP/1.1 200 X\r\nx-carobwheel-attempt-id: {id}\r\n{seal}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+            stream.write_all(head.as_bytes()).ok()?;
+            let text = format!("data: {}\n\n", "x".repeat(16_384));
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            while stream.write_all(chunk.as_bytes()).is_ok() {}
+            return None;
+        }
         Script::Events {
             until,
             pause_ms,
