Keep a silent upstream's stream until another upstream has taken over

Callers saw a resumable stream end in the middle, or before its first event, although its upstream was at work and time was left. Cause: after four pauses without an event (at least 800 ms) the upstream's stream was dropped before a replacement was known. If the other upstreams refused or failed, or the shared budget of repeats was used up, the caller's connection was closed; if no attempt was left, it was closed at once. An instance that stands still while it applies a change sees all its streams silent at the same moment, which uses up the budget; so such ends come together. Change: the stream of the silent upstream is kept while another one is sought, and goes on if none takes over. With no attempt left, silence is not timed: the deadline of the request bounds it. Evidence: a_silent_upstream_does_not_end_a_stream_that_cannot_be_resumed failed before in all three cases (no attempt left, the other upstream refuses, the other upstream fails) with connection_closed by the instance, 'no event arrived in time'.

--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -136,12 +136,7 @@
         UpstreamBody::Unread(body, checkout)
             if ctx.meta.kind.is_stream() && head.status.is_success() =>
         {
-            let source = StreamSource {
-                body,
-                checkout,
-                load_guard,
-                upstream,
-            };
+            let source = StreamSource::new(body, checkout, load_guard, upstream);
             Ok(stream::relay(
                 node,
                 ctx,
--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -36,30 +36,51 @@
     Whole,
     /// The caller has disconnected.
     CallerLeft,
-    /// The upstream's stream failed or went silent.
+    /// The upstream's stream failed.
     Broken(String),
+    /// No event arrived in time, and another upstream may take over.
+    Silent,
     /// The deadline of the request has passed.
     TimedOut,
 }
 
 /// Event stream of one upstream.
 pub(super) struct StreamSource {
-    pub(super) body: Incoming,
-    pub(super) checkout: ConnectionCheckout,
-    pub(super) load_guard: LoadGuard,
-    pub(super) upstream: Arc<str>,
+    body: Incoming,
+    checkout: ConnectionCheckout,
+    load_guard: LoadGuard,
+    upstream: Arc<str>,
+    splitter: EventSplitter,
+    has_events: bool,
+    /// Whether the upstream was silent before; its run is then counted already.
+    was_silent: bool,
 }
 
 impl StreamSource {
+    /// Stream of which nothing was read yet.
+    pub(super) fn new(
+        body: Incoming,
+        checkout: ConnectionCheckout,
+        load_guard: LoadGuard,
+        upstream: Arc<str>,
+    ) -> Self {
+        Self {
+            body,
+            checkout,
+            load_guard,
+            upstream,
+            splitter: EventSplitter::default(),
+            has_events: false,
+            was_silent: false,
+        }
+    }
+
     /// The event stream of a response; `None` if the response is buffered or an error.
     fn from_answer(answer: UpstreamAnswer) -> Option<Self> {
         match answer.body {
-            UpstreamBody::Unread(body, checkout) if answer.head.status.is_success() => Some(Self {
-                body,
-                checkout,
-                load_guard: answer.load_guard,
-                upstream: answer.upstream,
-            }),
+            UpstreamBody::Unread(body, checkout) if answer.head.status.is_success() => Some(
+                Self::new(body, checkout, answer.load_guard, answer.upstream),
+            ),
             UpstreamBody::Unread(..) | UpstreamBody::Buffered(_) => None,
         }
     }
@@ -113,52 +134,59 @@
         events: 0,
     };
     loop {
-        let upstream = Arc::clone(&source.upstream);
-        let end = relay_one(node, &ctx, source, &mut progress, &chunks).await;
-        let reason = match end {
+        let may_resume = may_resume(&ctx, &attempts, &source);
+        let end = relay_one(node, &ctx, &mut source, &mut progress, &chunks, may_resume).await;
+        let (reason, is_silent) = match end {
             StreamEnd::Whole => {
                 node.log.event(Event::StreamEnded {
                     request: &ctx.meta.request,
-                    upstream: &upstream,
+                    upstream: &source.upstream,
                     events: progress.events,
                     after_ms: node.now().since(ctx.started_at),
                 });
+                source.checkout.check_in(node);
                 return;
             }
             StreamEnd::CallerLeft => return,
-            StreamEnd::TimedOut => "the deadline of the request has passed".to_owned(),
-            StreamEnd::Broken(reason) => reason,
+            StreamEnd::TimedOut => ("the deadline of the request has passed".to_owned(), false),
+            StreamEnd::Broken(reason) => (reason, false),
+            StreamEnd::Silent => ("no event arrived in time".to_owned(), true),
         };
-        node.log.event(Event::AnswerBroken {
-            request: &ctx.meta.request,
-            upstream: &upstream,
-            reason: &reason,
-            events: progress.events,
-            after_ms: node.now().since(ctx.started_at),
-        });
-        attempts.sends += u32::from(attempts.sends == 0);
-        attempts.runs += 1;
-        if !attempts.tried.contains(&upstream) {
-            attempts.tried.push(upstream);
+        if !source.was_silent {
+            attempts.sends += u32::from(attempts.sends == 0);
+            attempts.runs += 1;
         }
-        let may_retry = ctx.meta.kind.is_repeatable()
-            && attempts.runs < ctx.meta.max_attempts
-            && ctx.left_ms(node) > 0;
-        if !may_retry {
-            let _ = chunks.send(Err(AnswerBroken(reason))).await;
-            return;
+        if !(is_silent && source.was_silent) {
+            node.log.event(Event::AnswerBroken {
+                request: &ctx.meta.request,
+                upstream: &source.upstream,
+                reason: &reason,
+                events: progress.events,
+                after_ms: node.now().since(ctx.started_at),
+            });
+        }
+        if !attempts.tried.contains(&source.upstream) {
+            attempts.tried.push(Arc::clone(&source.upstream));
         }
         ctx.last_event = progress.last_event;
-        source = match send_until_answered(node, &ctx, &mut attempts)
-            .await
-            .map(StreamSource::from_answer)
-        {
-            Ok(Some(source)) => source,
-            Ok(None) | Err(_) => {
+        let next = if may_resume && ctx.left_ms(node) > 0 {
+            let answer = send_until_answered(node, &ctx, &mut attempts).await;
+            answer.ok().and_then(StreamSource::from_answer)
+        } else {
+            None
+        };
+        match next {
+            Some(next) => source = next,
+            // The upstream may still be at work: only a replacement ends its stream.
+            None if is_silent => {
+                source.was_silent = true;
+                continue;
+            }
+            None => {
                 let _ = chunks.send(Err(AnswerBroken(reason))).await;
                 return;
             }
-        };
+        }
         node.log.event(Event::Resumed {
             request: &ctx.meta.request,
             upstream: &source.upstream,
@@ -167,49 +195,47 @@
     }
 }
 
-/// Relays the events of one upstream until its stream ends.
+/// Whether the stream may run on another upstream if this one fails.
+fn may_resume(ctx: &RequestContext, attempts: &Attempts, source: &StreamSource) -> bool {
+    let runs = attempts.runs + u32::from(!source.was_silent);
+    ctx.meta.kind.is_repeatable() && runs < ctx.meta.max_attempts
+}
+
+/// Relays the events of one upstream until its stream ends or, if it may be resumed, goes silent.
 async fn relay_one(
     node: &Rc<Node>,
     ctx: &RequestContext,
-    source: StreamSource,
+    source: &mut StreamSource,
     progress: &mut RelayProgress,
     chunks: &Sender<Result<Bytes, AnswerBroken>>,
+    may_resume: bool,
 ) -> StreamEnd {
-    let StreamSource {
-        mut body,
-        checkout,
-        mut load_guard,
-        upstream,
-    } = source;
-    let sent_at = load_guard.sent_at();
-    let mut splitter = EventSplitter::default();
+    let upstream = Arc::clone(&source.upstream);
+    let sent_at = source.load_guard.sent_at();
     let sent = SendIds {
         request: &ctx.meta.request,
         route: &ctx.meta.route,
         upstream: &upstream,
     };
-    let mut is_first = true;
     loop {
-        let chunk = match next_chunk(node, ctx, &mut body, is_first).await {
+        let max_silence_ms = may_resume.then(|| silence_timeout_ms(ctx, !source.has_events));
+        let chunk = match next_chunk(node, ctx, &mut source.body, max_silence_ms).await {
             Ok(Some(chunk)) => chunk,
-            Ok(None) if splitter.has_part() => {
+            Ok(None) if source.splitter.has_part() => {
                 node.note_outcome(sent, Outcome::Failed);
                 return StreamEnd::Broken("the stream ended within an event".to_owned());
             }
-            Ok(None) => {
-                checkout.check_in(node);
-                return StreamEnd::Whole;
-            }
+            Ok(None) => return StreamEnd::Whole,
             Err(end) => {
                 node.note_outcome(sent, Outcome::Failed);
                 return end;
             }
         };
-        splitter.push(chunk);
-        while let Some(event) = splitter.next_event() {
-            if is_first {
-                is_first = false;
-                load_guard.mark_prompt_read();
+        source.splitter.push(chunk);
+        while let Some(event) = source.splitter.next_event() {
+            if !source.has_events {
+                source.has_events = true;
+                source.load_guard.mark_prompt_read();
                 record_first_event(node, ctx, sent, node.now().since(sent_at));
             }
             if !relay_event(event, progress, chunks).await {
@@ -262,22 +288,18 @@
     node: &Node,
     ctx: &RequestContext,
     body: &mut Incoming,
-    is_first: bool,
+    max_silence_ms: Option<u64>,
 ) -> Result<Option<Bytes>, StreamEnd> {
     loop {
         let left_ms = ctx.left_ms(node);
         if left_ms == 0 {
             return Err(StreamEnd::TimedOut);
         }
-        let limit_ms = if ctx.meta.kind.is_repeatable() {
-            left_ms.min(silence_timeout_ms(ctx, is_first))
-        } else {
-            left_ms
-        };
+        let limit_ms = max_silence_ms.map_or(left_ms, |max_ms| left_ms.min(max_ms));
         let frame = timeout(Duration::from_millis(limit_ms), body.frame()).await;
         match frame {
             Err(_) if limit_ms == left_ms => return Err(StreamEnd::TimedOut),
-            Err(_) => return Err(StreamEnd::Broken("no event arrived in time".to_owned())),
+            Err(_) => return Err(StreamEnd::Silent),
             Ok(None) => return Ok(None),
             Ok(Some(Err(err))) => return Err(StreamEnd::Broken(err.to_string())),
             Ok(Some(Ok(frame))) => {
--- a/crates/gateway/tests/platform_connections.rs
+++ b/crates/gateway/tests/platform_connections.rs
@@ -8,6 +8,7 @@
     wait_until, Caller, ConfigBuilder, Engine, Instance, InstanceOptions, Script, Store, HOST, KEY,
 };
 use serde_json::json;
+use test_case::test_case;
 
 /// Instance with a store and two upstreams that serve streams.
 struct Fixture {
@@ -155,6 +156,29 @@
     );
 }
 
+#[test_case(1, &Script::Silent; "no attempt is left")]
+#[test_case(2, &Script::NotRun; "the other upstream refuses")]
+#[test_case(2, &Script::Close; "the other upstream fails")]
+fn a_silent_upstream_does_not_end_a_stream_that_cannot_be_resumed(attempts: u32, other: &Script) {
+    let resumable = json!({"resumable": true, "timeoutMs": 10_000});
+    let config = config(1).route("/brief/", "streaming", "model", attempts, resumable);
+    let fixture = Fixture::new(&config);
+    let mut caller = fixture.instance.caller();
+    // Both upstreams answer in turn; the one that gets the request first pauses.
+    fixture.script_all(&events(2, 1_400, true));
+    ask(&mut caller, "/brief/x");
+    fixture.wait_for_request();
+    for engine in &fixture.model {
+        if engine.seen().is_empty() {
+            engine.replace_script([other.clone()]);
+        }
+    }
+    let answer = caller.answer();
+    assert!(answer.is_complete, "{answer:?} {:?}", fixture.closes());
+    let pieces = answer.body.matches("data: piece").count();
+    assert_eq!(pieces, 2, "{answer:?}");
+}
+
 #[test]
 fn an_answered_request_is_not_logged_as_closed() {
     let fixture = Fixture::new(&ConfigBuilder::new(1));
