Weigh crashes by what else crashed at the same time

Change: a crash weighs less the more engines without the part crashed at the same time, and a part needs more crashes the more unexplained crashes it had no share in. A hold that the others uphold for 3 s after they were told of an older answer is taken over.

--- a/crates/core/src/crash/detector.rs
+++ b/crates/core/src/crash/detector.rs
@@ -1,7 +1,7 @@
 //! Evidence on prompt parts, and the decision whether a request may be sent.
 
 use super::answers::RecentAnswers;
-use super::evidence::{CrashEvidence, Sighting};
+use super::evidence::{CountedPart, CrashEvidence, Sighting};
 use super::holds::Holds;
 use super::in_flight::InFlight;
 use super::{Gate, HoldChange, PartId};
@@ -9,10 +9,15 @@
 
 /// Number of separate crashes from which a part is suspected.
 pub(super) const SUSPECT_CRASHES: u32 = 2;
-/// Number of separate crashes from which a part is held.
-pub(super) const HOLD_CRASHES: u32 = 3;
-/// Number of separate crashes from which a part is held again after its hold has lapsed.
-pub(super) const RENEW_CRASHES: u32 = 1;
+/// Weight of separate crashes from which a part is held if there are no other unexplained crashes,
+/// in thousandths.
+const HOLD_WEIGHT: u32 = 3_000;
+/// Additional weight for each other unexplained crash since the part's first, in thousandths.
+const WEIGHT_PER_OTHER: u32 = 500;
+/// Maximum of the weight from which a part is held, in thousandths.
+const MAX_HOLD_WEIGHT: u32 = 7_000;
+/// Weight from which a part is held again after its hold has lapsed, in thousandths.
+const RENEW_WEIGHT: u32 = 500;
 /// Period for which an answer speaks for a repeat, in milliseconds.
 const ANSWERED_LATELY_MS: u64 = 30_000;
 
@@ -79,11 +84,7 @@
     /// engine's identifier and of the start time of its process.
     pub fn crashed(&mut self, engine: u32, parts: &[PartId], now: Millis) -> Vec<HoldChange> {
         let mut changes = Vec::new();
-        let mut is_changed = false;
-        for part in parts {
-            is_changed |= self.add_sighting(engine, *part, now, true);
-        }
-        if is_changed {
+        if self.add_crash(engine, parts, now, true) {
             self.decide(&mut changes, now);
         }
         changes
@@ -113,7 +114,7 @@
     pub fn suspect_count(&self) -> usize {
         self.evidence
             .counted(SUSPECT_CRASHES)
-            .filter(|(part, ..)| !self.holds.is_active(*part))
+            .filter(|counted| !self.holds.is_active(counted.part))
             .count()
     }
 
@@ -140,21 +141,29 @@
         self.evidence.count(part) >= SUSPECT_CRASHES
     }
 
-    /// Adds a crash with the part. Returns whether the evidence has changed.
-    pub(super) fn add_sighting(
+    /// Adds a crash of an engine under these parts. Returns whether the evidence has changed.
+    pub(super) fn add_crash(
         &mut self,
         engine: u32,
-        part: PartId,
+        parts: &[PartId],
         at: Millis,
         is_own: bool,
     ) -> bool {
-        let cleared_until = self
-            .answers
-            .last(part)
-            .max(self.holds.released_at(part))
-            .max(self.holds.lapsed_at(part));
-        let sighting = Sighting { part, at, is_own };
-        self.evidence.add(engine, sighting, cleared_until)
+        let index = self.evidence.crash_index(engine, at);
+        let mut is_changed = false;
+        for part in parts {
+            let part = *part;
+            let sighting = Sighting { part, at, is_own };
+            if !self.evidence.is_known(index, sighting) {
+                let cleared_until = self
+                    .answers
+                    .last(part)
+                    .max(self.holds.released_at(part))
+                    .max(self.holds.lapsed_at(part));
+                is_changed |= self.evidence.add(index, sighting, cleared_until);
+            }
+        }
+        is_changed
     }
 
     /// Takes in an answer with the part: crashes until then do not count, and a hold ends.
@@ -212,25 +221,34 @@
         }
     }
 
-    /// Parts that must be held and have the most crashes, with their numbers.
+    /// Parts that must be held and against which most crashes count, with their numbers. Of parts
+    /// with the same weight, those that were not answered here lately come first.
     fn parts_to_hold(&mut self, now: Millis) -> Vec<(PartId, u32)> {
-        let mut suspects: Vec<(PartId, u32, Millis)> = self
+        let mut suspects: Vec<CountedPart> = self
             .evidence
-            .counted(RENEW_CRASHES)
-            .filter(|(part, count, _)| {
-                !self.holds.is_held(*part, now)
-                    && (*count >= HOLD_CRASHES || self.holds.is_lapsed(*part, now))
+            .counted(1)
+            .filter(|counted| {
+                !self.holds.is_held(counted.part, now)
+                    && counted.weight >= self.weight_to_hold(counted, now)
             })
             .collect();
         let count_before = suspects.len();
-        suspects.retain(|(_, _, first_at)| self.last_answer.is_some_and(|at| at >= *first_at));
+        suspects.retain(|counted| self.last_answer.is_some_and(|at| at >= counted.first_at));
         self.needs_answer = suspects.len() < count_before;
-        let most = suspects.iter().map(|(_, count, _)| *count).max();
-        suspects.retain(|(_, count, _)| Some(*count) == most);
-        suspects.sort_unstable();
-        suspects
-            .into_iter()
-            .map(|(part, count, _)| (part, count))
-            .collect()
+        let most = suspects.iter().map(|counted| counted.weight).max();
+        suspects.retain(|counted| Some(counted.weight) == most);
+        let is_lately = |counted: &CountedPart| self.is_answered_lately(counted.part, now);
+        if !suspects.iter().all(is_lately) {
+            suspects.retain(|counted| !is_lately(counted));
+        }
+        suspects.sort_unstable_by_key(|counted| counted.part);
+        suspects.iter().map(|c| (c.part, c.count)).collect()
+    }
+
+    fn weight_to_hold(&self, counted: &CountedPart, now: Millis) -> u32 {
+        if self.holds.is_lapsed(counted.part, now) {
+            return RENEW_WEIGHT;
+        }
+        (HOLD_WEIGHT + counted.others * WEIGHT_PER_OTHER).min(MAX_HOLD_WEIGHT)
     }
 }
--- a/crates/core/src/crash/evidence.rs
+++ b/crates/core/src/crash/evidence.rs
@@ -1,14 +1,14 @@
 //! Recent crashes, and the number of separate crashes that speak against each part.
 
+use super::times::CrashTimes;
 use super::PartId;
 use crate::time::Millis;
 use std::collections::{HashMap, VecDeque};
 
 /// Period for which a crash counts, in milliseconds.
 pub(super) const EVIDENCE_LIFE_MS: u64 = 60_000;
-/// Crashes of a part less than this after the first of a group belong to the group, in
-/// milliseconds: engines that are stopped together count once.
-pub(super) const GROUP_MS: u64 = 200;
+/// Difference of reported times that is ignored, in milliseconds.
+const TIME_ERROR_MS: u64 = 50;
 /// Maximum number of crashes that are kept.
 pub(super) const MAX_CRASHES: usize = 128;
 /// Maximum number of parts that are kept for a crash.
@@ -26,9 +26,18 @@
 #[derive(Clone, Debug)]
 pub(super) struct EngineCrash {
     pub(super) engine: u32,
+    pub(super) at: Millis,
     pub(super) sightings: Vec<Sighting>,
 }
 
+impl EngineCrash {
+    /// Times at which connections to the engine broke, one for each group.
+    fn times(&self) -> Vec<Millis> {
+        let sightings = self.sightings.iter().map(|s| s.at);
+        CrashTimes::new(sightings.chain([self.at]).collect()).groups
+    }
+}
+
 /// Evidence on one part that occurs in a kept crash.
 #[derive(Clone, Copy, Debug, Default)]
 struct PartEvidence {
@@ -38,10 +47,28 @@
     cleared_until: Option<Millis>,
     /// Number of separate crashes that count.
     count: u32,
+    /// Number of separate crashes that count, each weighed, in thousandths.
+    weight: u32,
+    /// Number of other unexplained crashes since the first that counts.
+    others: u32,
     /// First sighting that counts.
     first_at: Millis,
 }
 
+/// Part against which crashes count.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CountedPart {
+    pub(super) part: PartId,
+    /// Number of separate crashes.
+    pub(super) count: u32,
+    /// Separate crashes in thousandths: a crash weighs less the more engines without the part
+    /// crashed at the same time.
+    pub(super) weight: u32,
+    /// Number of other unexplained crashes since the first.
+    pub(super) others: u32,
+    pub(super) first_at: Millis,
+}
+
 /// Crashes of the last minute. Its size is bounded by [`MAX_CRASHES`] and [`MAX_PARTS_PER_CRASH`].
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashEvidence {
@@ -64,17 +91,32 @@
         self.crashes.iter()
     }
 
-    /// Adds a part to the crash of an engine. Returns whether the evidence has changed.
+    /// Index of the crash of an engine, which is added if it is new.
+    pub(super) fn crash_index(&mut self, engine: u32, at: Millis) -> usize {
+        let Some(index) = self.crashes.iter().position(|c| c.engine == engine) else {
+            return self.push_crash(engine, at);
+        };
+        let known = &mut self.crashes[index];
+        known.at = known.at.min(at);
+        index
+    }
+
+    /// Whether the part is known to have waited on the engine at about this time or earlier.
+    pub(super) fn is_known(&self, index: usize, sighting: Sighting) -> bool {
+        self.crashes[index].sightings.iter().any(|s| {
+            s.part == sighting.part
+                && s.at.since(sighting.at) <= TIME_ERROR_MS
+                && (s.is_own || !sighting.is_own)
+        })
+    }
+
+    /// Adds a part to a crash. Returns whether the evidence has changed.
     pub(super) fn add(
         &mut self,
-        engine: u32,
+        index: usize,
         sighting: Sighting,
         cleared_until: Option<Millis>,
     ) -> bool {
-        let index = match self.crashes.iter().position(|c| c.engine == engine) {
-            Some(index) => index,
-            None => self.push_crash(engine),
-        };
         let kept = &mut self.crashes[index].sightings;
         if let Some(known) = kept.iter_mut().find(|s| s.part == sighting.part) {
             let is_earlier = sighting.at < known.at;
@@ -93,7 +135,7 @@
         true
     }
 
-    fn push_crash(&mut self, engine: u32) -> usize {
+    fn push_crash(&mut self, engine: u32, at: Millis) -> usize {
         if self.crashes.len() >= MAX_CRASHES {
             if let Some(oldest) = self.crashes.pop_front() {
                 oldest.sightings.iter().for_each(|s| self.forget(s.part));
@@ -101,6 +143,7 @@
         }
         self.crashes.push_back(EngineCrash {
             engine,
+            at,
             sightings: Vec::new(),
         });
         self.crashes.len() - 1
@@ -144,7 +187,8 @@
             );
             crash.sightings.retain(|s| !is_expired(s));
         }
-        self.crashes.retain(|crash| !crash.sightings.is_empty());
+        self.crashes
+            .retain(|c| !c.sightings.is_empty() || now.since(c.at) <= EVIDENCE_LIFE_MS);
         expired.iter().for_each(|part| self.forget(*part));
         !expired.is_empty()
     }
@@ -169,23 +213,30 @@
         self.parts.get(&part).map_or(0, |e| e.sightings)
     }
 
-    /// Parts with at least `min_count` separate crashes: part, count, time of the first.
-    pub(super) fn counted(
-        &self,
-        min_count: u32,
-    ) -> impl Iterator<Item = (PartId, u32, Millis)> + '_ {
+    /// Parts with at least `min_count` separate crashes.
+    pub(super) fn counted(&self, min_count: u32) -> impl Iterator<Item = CountedPart> + '_ {
         self.parts
             .iter()
             .filter(move |(_, e)| e.count >= min_count)
-            .map(|(part, e)| (*part, e.count, e.first_at))
+            .map(|(part, e)| CountedPart {
+                part: *part,
+                count: e.count,
+                weight: e.weight,
+                others: e.others,
+                first_at: e.first_at,
+            })
     }
 
     /// Counts the separate crashes of each part. Crashes of engines on which a held part waited
     /// count against no other part.
     pub(super) fn recount(&mut self, is_held: impl Fn(PartId) -> bool) {
         let mut times: HashMap<PartId, Vec<Millis>> = HashMap::new();
+        let mut unexplained = Vec::new();
         for crash in &self.crashes {
             let is_explained = crash.sightings.iter().any(|s| is_held(s.part));
+            if !is_explained {
+                unexplained.extend(crash.times());
+            }
             for sighting in &crash.sightings {
                 let cleared = self.parts.get(&sighting.part).and_then(|e| e.cleared_until);
                 let is_cleared = cleared.is_some_and(|until| sighting.at <= until);
@@ -194,26 +245,15 @@
                 }
             }
         }
+        let unexplained = CrashTimes::new(unexplained);
         for (part, evidence) in &mut self.parts {
-            let times = times.remove(part).unwrap_or_default();
-            (evidence.count, evidence.first_at) = count_groups(times);
-        }
-    }
-}
-
-/// Number of groups, and the first time.
-fn count_groups(mut times: Vec<Millis>) -> (u32, Millis) {
-    times.sort_unstable();
-    let Some(first) = times.first().copied() else {
-        return (0, Millis(0));
-    };
-    let mut start = first;
-    let mut count = 1;
-    for at in times {
-        if at.since(start) >= GROUP_MS {
-            start = at;
-            count += 1;
+            let times = CrashTimes::new(times.remove(part).unwrap_or_default());
+            let first_at = times.times.first().copied().unwrap_or_default();
+            evidence.first_at = first_at;
+            evidence.count = times.groups.len() as u32;
+            evidence.weight = times.weight_among(&unexplained);
+            let all = unexplained.groups_since(first_at);
+            evidence.others = all.saturating_sub(evidence.count);
         }
     }
-    (count, first)
 }
--- a/crates/core/src/crash/holds.rs
+++ b/crates/core/src/crash/holds.rs
@@ -17,6 +17,10 @@
 /// milliseconds. Covers the delay of messages over several instances.
 pub(super) const HOLD_AGE_ERROR_MS: u64 = 10_000;
 
+/// Period for which others are told of an answer before a hold that they still report is taken
+/// over, in milliseconds.
+const TELL_ANSWER_MS: u64 = 3_000;
+
 #[derive(Clone, Copy, Debug)]
 struct Hold {
     decided_at: Millis,
@@ -29,6 +33,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Release {
     answered_at: Millis,
+    /// First time at which others were to be told of this answer.
+    told_since: Millis,
     /// Last time at which others were to be told of the answer.
     disputed_at: Millis,
 }
@@ -116,7 +122,8 @@
             return false;
         }
         if let Some(answered_at) = answered_at.max(self.released_at(reported.part)) {
-            if answered_at.plus(HOLD_AGE_ERROR_MS) > decided_at {
+            let is_newer = decided_at > answered_at.plus(HOLD_AGE_ERROR_MS);
+            if !is_newer && !self.is_upheld(reported.part, answered_at, decided_at, now) {
                 self.release(reported.part, answered_at, now);
                 return false;
             }
@@ -137,6 +144,22 @@
         true
     }
 
+    /// Whether a hold that seems little newer than an answer is still reported after the others
+    /// have been told of the answer for [`TELL_ANSWER_MS`].
+    fn is_upheld(
+        &self,
+        part: PartId,
+        answered_at: Millis,
+        decided_at: Millis,
+        now: Millis,
+    ) -> bool {
+        decided_at > answered_at
+            && self.released.get(&part).is_some_and(|release| {
+                release.answered_at == answered_at
+                    && now.since(release.told_since) >= TELL_ANSWER_MS
+            })
+    }
+
     /// Releases a part that was answered after its hold was decided, and remembers the answer if
     /// the part was known here or `now` is when others dispute it. Returns whether it was held.
     pub(super) fn release(&mut self, part: PartId, answered_at: Millis, now: Millis) -> bool {
@@ -155,8 +178,11 @@
     }
 
     fn remember_release(&mut self, part: PartId, answered_at: Millis, now: Millis) {
+        let known = self.released.get(&part).copied();
+        let same = known.filter(|release| release.answered_at >= answered_at);
         let release = Release {
-            answered_at: answered_at.max(self.released_at(part).unwrap_or_default()),
+            answered_at: same.map_or(answered_at, |release| release.answered_at),
+            told_since: same.map_or(now, |release| release.told_since),
             disputed_at: now,
         };
         self.released.insert(part, release);
--- a/crates/core/src/crash/mod.rs
+++ b/crates/core/src/crash/mod.rs
@@ -13,6 +13,7 @@
 mod in_flight;
 mod report;
 mod share;
+mod times;
 
 pub use detector::CrashDetector;
 pub use gate::{Gate, HoldChange};
--- a/crates/core/src/crash/share.rs
+++ b/crates/core/src/crash/share.rs
@@ -1,6 +1,6 @@
 //! Exchange of evidence between instances.
 
-use super::evidence::EngineCrash;
+use super::evidence::{EngineCrash, Sighting};
 use super::holds::to_u32;
 use super::{AnsweredPart, Crash, CrashDetector, CrashReport, HoldChange, PartId};
 use crate::time::Millis;
@@ -37,9 +37,8 @@
         let mut is_changed = false;
         for crash in report.crashes.iter().take(MAX_REPORTED_CRASHES) {
             let at = time_before(now, crash.age_ms);
-            for part in crash.parts.iter().take(MAX_REPORTED_PARTS) {
-                is_changed |= self.add_sighting(crash.engine, *part, at, false);
-            }
+            let parts = &crash.parts[..crash.parts.len().min(MAX_REPORTED_PARTS)];
+            is_changed |= self.add_crash(crash.engine, parts, at, false);
         }
         for answer in report.answered.iter().take(MAX_REPORTED_ANSWERS) {
             let at = time_before(now, answer.age_ms);
@@ -81,19 +80,20 @@
     }
 
     fn reported_crash(&self, crash: &EngineCrash, room: usize, now: Millis) -> Option<Crash> {
-        let own: Vec<(PartId, Millis)> = crash
-            .sightings
-            .iter()
-            .filter(|s| s.is_own && now.since(s.at) <= REPEAT_MS)
-            .filter(|s| self.answers.last(s.part).is_none_or(|at| at < s.at))
-            .map(|s| (s.part, s.at))
-            .take(room)
-            .collect();
-        let first_at = own.iter().map(|(_, at)| *at).min()?;
+        let own = || {
+            let sightings = crash.sightings.iter();
+            sightings.filter(|s| s.is_own && now.since(s.at) <= REPEAT_MS)
+        };
+        let first_at = own().map(|s| s.at).min()?;
+        let is_answered = |s: &Sighting| self.answers.last(s.part).is_some_and(|at| at >= s.at);
         Some(Crash {
             engine: crash.engine,
             age_ms: to_u32(now.since(first_at)),
-            parts: own.into_iter().map(|(part, _)| part).collect(),
+            parts: own()
+                .filter(|s| !is_answered(s))
+                .map(|s| s.part)
+                .take(room)
+                .collect(),
         })
     }
 
