Count other crashes before a part's first one, and allow for the delay of answers

Change: other unexplained crashes of the 10 s before a part's first crash raise the number of crashes needed; a reported answer ends a hold only if it is 1 s newer.

--- a/crates/core/src/crash/detector.rs
+++ b/crates/core/src/crash/detector.rs
@@ -12,7 +12,8 @@
 /// Weight of separate crashes from which a part is held if there are no other unexplained crashes,
 /// in thousandths.
 const HOLD_WEIGHT: u32 = 3_000;
-/// Additional weight for each other unexplained crash since the part's first, in thousandths.
+/// Additional weight for each other unexplained crash around or after the part's first, in
+/// thousandths.
 const WEIGHT_PER_OTHER: u32 = 500;
 /// Maximum of the weight from which a part is held, in thousandths.
 const MAX_HOLD_WEIGHT: u32 = 7_000;
--- a/crates/core/src/crash/evidence.rs
+++ b/crates/core/src/crash/evidence.rs
@@ -9,6 +9,8 @@
 pub(super) const EVIDENCE_LIFE_MS: u64 = 60_000;
 /// Difference of reported times that is ignored, in milliseconds.
 const TIME_ERROR_MS: u64 = 50;
+/// Period before a part's first crash in which other crashes are counted, in milliseconds.
+const LOOK_BACK_MS: u64 = 10_000;
 /// Maximum number of crashes that are kept.
 pub(super) const MAX_CRASHES: usize = 128;
 /// Maximum number of parts that are kept for a crash.
@@ -49,7 +51,7 @@
     count: u32,
     /// Number of separate crashes that count, each weighed, in thousandths.
     weight: u32,
-    /// Number of other unexplained crashes since the first that counts.
+    /// Number of other unexplained crashes since [`LOOK_BACK_MS`] before the first that counts.
     others: u32,
     /// First sighting that counts.
     first_at: Millis,
@@ -64,7 +66,7 @@
     /// Separate crashes in thousandths: a crash weighs less the more engines without the part
     /// crashed at the same time.
     pub(super) weight: u32,
-    /// Number of other unexplained crashes since the first.
+    /// Number of other unexplained crashes since [`LOOK_BACK_MS`] before the first.
     pub(super) others: u32,
     pub(super) first_at: Millis,
 }
@@ -252,7 +254,8 @@
             evidence.first_at = first_at;
             evidence.count = times.groups.len() as u32;
             evidence.weight = times.weight_among(&unexplained);
-            let all = unexplained.groups_since(first_at);
+            let from = Millis(first_at.0.saturating_sub(LOOK_BACK_MS));
+            let all = unexplained.groups_since(from);
             evidence.others = all.saturating_sub(evidence.count);
         }
     }
--- a/crates/core/src/crash/holds.rs
+++ b/crates/core/src/crash/holds.rs
@@ -17,6 +17,9 @@
 /// milliseconds. Covers the delay of messages over several instances.
 pub(super) const HOLD_AGE_ERROR_MS: u64 = 10_000;
 
+/// Period by which a reported answer must be newer than a hold to end it, in milliseconds. Covers
+/// the delay of the report.
+const ANSWER_AGE_ERROR_MS: u64 = 1_000;
 /// Period for which others are told of an answer before a hold that they still report is taken
 /// over, in milliseconds.
 const TELL_ANSWER_MS: u64 = 3_000;
@@ -172,6 +175,13 @@
         known.is_some_and(|hold| !hold.is_lapsed)
     }
 
+    /// Whether an answer reported by another instance is newer than the part's hold.
+    pub(super) fn is_refuted(&self, part: PartId, answered_at: Millis) -> bool {
+        self.holds
+            .get(&part)
+            .is_some_and(|hold| answered_at >= hold.decided_at.plus(ANSWER_AGE_ERROR_MS))
+    }
+
     /// Whether a hold of the part is known, lapsed or not.
     pub(super) fn contains(&self, part: PartId) -> bool {
         self.holds.contains_key(&part)
--- a/crates/core/src/crash/share.rs
+++ b/crates/core/src/crash/share.rs
@@ -43,7 +43,9 @@
         for answer in report.answered.iter().take(MAX_REPORTED_ANSWERS) {
             let at = time_before(now, answer.age_ms);
             self.last_answer = self.last_answer.max(Some(at));
-            self.clear(answer.part, at, now, &mut changes);
+            if !self.holds.contains(answer.part) || self.holds.is_refuted(answer.part, at) {
+                self.clear(answer.part, at, now, &mut changes);
+            }
         }
         for held in report.held.iter().take(MAX_REPORTED_HOLDS) {
             if self.holds.adopt(*held, self.answers.last(held.part), now) {
