Hold prompt parts that crash engines on the platform's path

What callers saw: while requests with one prompt part crashed each engine that answered them, streams of all other requests on these engines broke, and sound requests found no engine.

Cause: the gateway sent new requests with the part, and repeated the request under which an engine had ended at the next engine.

Change: each send reports to `carobwheel_core::crash` whether it got its first output or its engine closed or reset the connection before that. Engines that drain, are evacuated or whose version a verdict has retired are no evidence; nor are timeouts, lost paths, malformed answers and callers that left. Requests with a held part are refused with 503 before they are charged, forwarded or counted; those with a suspected one wait up to 0.3 s for the outcome of the request in flight. A request under which an engine ended is sent again only if its parts speak for it. Evidence travels with gossip, at once within a minimum interval of 50 ms, since larger fleets send only each second. A report follows the other fields of a message, so that builds without it ignore it, and messages without one are understood.

--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -12,5 +12,5 @@
 pub use connect::set_liveness;
 pub use load_guard::LoadGuard;
 pub use pool::{Connection, Pools};
-pub(crate) use send::is_hop_header;
+pub(crate) use send::{is_closed_by_upstream, is_hop_header};
 pub use send::{send, ConnectionCheckout, Reply, SendError, Target};
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1::SendRequest, header, Request, Response};
-use std::{fmt, net::SocketAddr, sync::Arc};
+use std::{fmt, io, net::SocketAddr, sync::Arc};
 
 /// Destination of a request.
 #[derive(Clone, Debug)]
@@ -25,13 +25,15 @@
     Unreachable(String),
     /// The connection broke; the request may have run.
     Broken(String),
+    /// The upstream closed or reset the connection before its response; the request may have run.
+    Lost(String),
 }
 
 impl fmt::Display for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreachable(reason) => write!(f, "no connection: {reason}"),
-            Self::Broken(reason) => write!(f, "connection broken: {reason}"),
+            Self::Broken(reason) | Self::Lost(reason) => write!(f, "connection broken: {reason}"),
         }
     }
 }
@@ -103,7 +105,7 @@
             Ok(response) => return Ok(reply(target, response, connection)),
             Err(mut err) => match err.take_message() {
                 Some(unsent) => request = unsent,
-                None => return Err(SendError::Broken(reason(&err.into_error()))),
+                None => return Err(broken(&err.into_error())),
             },
         }
     }
@@ -113,7 +115,7 @@
     node.metrics.connections_opened.add(1);
     match connection.send_request(request).await {
         Ok(response) => Ok(reply(target, response, connection)),
-        Err(err) => Err(SendError::Broken(reason(&err))),
+        Err(err) => Err(broken(&err)),
     }
 }
 
@@ -149,6 +151,35 @@
         .map(|seconds| seconds * 1_000)
 }
 
+/// Error of a connection that broke after the request was sent.
+fn broken(err: &hyper::Error) -> SendError {
+    if is_closed_by_upstream(err) {
+        SendError::Lost(reason(err))
+    } else {
+        SendError::Broken(reason(err))
+    }
+}
+
+/// Whether a connection broke because the other end closed or reset it, rather than by a timeout,
+/// a lost path or malformed bytes.
+pub(crate) fn is_closed_by_upstream(err: &hyper::Error) -> bool {
+    use std::error::Error as _;
+    let io_kind = err
+        .source()
+        .and_then(|source| source.downcast_ref::<io::Error>())
+        .map(io::Error::kind);
+    err.is_incomplete_message()
+        || matches!(
+            io_kind,
+            Some(
+                io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::ConnectionAborted
+                    | io::ErrorKind::BrokenPipe
+                    | io::ErrorKind::UnexpectedEof
+            )
+        )
+}
+
 /// Text of an error, with its cause.
 fn reason(err: &hyper::Error) -> String {
     use std::error::Error as _;
--- a/crates/edge/src/front/aux_endpoint.rs
+++ b/crates/edge/src/front/aux_endpoint.rs
@@ -166,6 +166,14 @@
             "carobwheel_log_lines_left_out_total",
             node.log.dropped_lines(),
         ),
+        (
+            "carobwheel_prompt_parts_held",
+            state.crashes.held_count() as u64,
+        ),
+        (
+            "carobwheel_prompt_parts_suspected",
+            state.crashes.suspect_count() as u64,
+        ),
         (
             "carobwheel_ready",
             u64::from(state.config.is_some() && state.leaving_at.is_none()),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! `member`, `upstream`) perform no network access and read no clock.
 
 pub mod cold;
+pub mod crash;
 pub mod daemon;
 pub mod dispatch;
 pub mod front;
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -187,6 +187,32 @@
         request: &'a str,
         after_ms: u64,
     },
+    CrashSeen {
+        request: &'a str,
+        upstream: &'a str,
+        parts: &'a [String],
+        at_upstream: u32,
+    },
+    PartHeld {
+        part: &'a str,
+        crashes: u32,
+        for_ms: u64,
+        source: &'a str,
+    },
+    PartReleased {
+        part: &'a str,
+        source: &'a str,
+    },
+    HoldLapsed {
+        part: &'a str,
+        source: &'a str,
+    },
+    HoldApplied {
+        request: &'a str,
+        part: &'a str,
+        is_held: bool,
+        left_ms: u64,
+    },
     LinesLeftOut {
         lines: u64,
     },
@@ -201,6 +227,7 @@
                 | Self::Placed { .. }
                 | Self::Answered { .. }
                 | Self::StreamEnded { .. }
+                | Self::HoldApplied { .. }
         )
     }
 }
--- a/crates/edge/src/metrics/mod.rs
+++ b/crates/edge/src/metrics/mod.rs
@@ -50,6 +50,10 @@
     pub connections_opened: MetricValue,
     /// Requests forwarded to other regions.
     pub forwarded: MetricValue,
+    /// Requests that waited for their first output when their engine's connection broke.
+    pub crashes_seen: MetricValue,
+    /// Requests refused because of a held or suspected prompt part.
+    pub hold_refusals: MetricValue,
     outcomes: RefCell<BTreeMap<(String, String, String), u64>>,
     first_byte_ms: RefCell<BTreeMap<(String, String), Histogram>>,
 }
@@ -90,6 +94,8 @@
                 self.connections_opened.get(),
             ),
             ("carobwheel_forwarded_total", self.forwarded.get()),
+            ("carobwheel_engine_crashes_total", self.crashes_seen.get()),
+            ("carobwheel_hold_refusals_total", self.hold_refusals.get()),
         ];
         for (name, value) in numbers.iter().chain(gauges) {
             let _ = writeln!(text, "{name} {value}");
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -8,7 +8,7 @@
     rollout::{RouteEvidence, Verdict},
     upstream::Load,
 };
-use carobwheel_core::time::Millis;
+use carobwheel_core::{crash::CrashReport, time::Millis};
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc};
 
@@ -83,6 +83,9 @@
     pub forecasts: Vec<ForecastReport>,
     /// State of rollouts.
     pub trials: Vec<TrialReport>,
+    /// Evidence on prompt parts that crash engines; appended to the encoded message.
+    #[serde(skip)]
+    pub crashes: CrashReport,
 }
 
 impl Node {
@@ -153,12 +156,14 @@
                 .collect(),
             forecasts,
             trials: trials.collect(),
+            crashes: state.crashes.report(now),
         }
     }
 
     /// Applies a message from the instance `name`. Messages of an earlier lifetime are ignored.
     pub fn receive_gossip(&self, name: &Arc<str>, gossip: Gossip) {
         let now = self.now();
+        let crashes = gossip.crashes.clone();
         let verdicts = {
             let mut state = self.state.borrow_mut();
             if !state
@@ -185,6 +190,7 @@
             }
             state.apply_trial_reports(self, name, gossip.trials)
         };
+        self.receive_crash_report(&crashes);
         for (service, target, verdict) in verdicts {
             self.apply_verdict(&service, &target, verdict, false);
         }
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -21,7 +21,10 @@
     store::{Decoder, Replica, VerdictRecord},
     upstream::Upstreams,
 };
-use carobwheel_core::time::{Clock, Millis};
+use carobwheel_core::{
+    crash::CrashDetector,
+    time::{Clock, Millis},
+};
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -100,6 +103,8 @@
     pub verdicts: HashMap<(Arc<str>, Arc<str>), Verdict>,
     /// Time at which each version was first seen, by service and version.
     pub versions: HashMap<(Arc<str>, Arc<str>), Millis>,
+    /// Evidence on prompt parts that crash engines.
+    pub crashes: CrashDetector,
     /// Replica of the followed prefixes of the store.
     pub replica: Replica,
     /// Time since which another instance has had a newer revision, by position of the prefix.
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -45,6 +45,7 @@
         self.is_watcher
             .send_if_modified(|known| std::mem::replace(known, is_watcher) != is_watcher);
         self.advance_trials();
+        self.expire_crashes();
     }
 
     /// Prefixes for which another instance has been ahead for `PULL_DELAY_MS`.
--- a/crates/edge/src/peers/dial.rs
+++ b/crates/edge/src/peers/dial.rs
@@ -8,13 +8,18 @@
     cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
 use tokio::{
-    sync::mpsc::{self, Receiver, Sender},
+    sync::{
+        mpsc::{self, Receiver, Sender},
+        watch,
+    },
     time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
 /// Maximum age of a gossip message that is reused for further instances, in milliseconds.
 const MESSAGE_REUSE_MS: u64 = 40;
+/// Minimum interval of messages to an instance, also while there is new evidence of crashes.
+const MIN_GOSSIP_PERIOD: Duration = Duration::from_millis(50);
 /// First and longest pause between attempts to dial.
 const REDIAL_PAUSES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_500)];
 /// Time allowed for closing all links.
@@ -40,6 +45,8 @@
     /// Last gossip messages for other regions and for the own region, with the time of their
     /// encoding.
     cached_messages: [RefCell<Option<(Millis, Bytes)>>; 2],
+    /// Wakes the senders of gossip before their next message is due.
+    announced: watch::Sender<()>,
     to_dial: Sender<MemberEntry>,
 }
 
@@ -61,6 +68,7 @@
             endpoint,
             by_name: RefCell::default(),
             cached_messages: Default::default(),
+            announced: watch::Sender::default(),
             to_dial,
         };
         Ok((links, dialled))
@@ -74,6 +82,14 @@
         let _ = self.to_dial.try_send(entry);
     }
 
+    /// Sends the next message to all instances soon, since it carries urgent evidence.
+    pub fn announce(&self) {
+        for cached in &self.cached_messages {
+            cached.borrow_mut().take();
+        }
+        self.announced.send_replace(());
+    }
+
     /// Closes all links and notifies the other ends.
     pub async fn close(&self) {
         self.endpoint.close(0u8.into(), b"stopping");
@@ -194,7 +210,9 @@
     connection: &quinn::Connection,
 ) -> PeerError {
     let is_same_region = entry.region == node.region;
+    let mut announced = node.links.announced.subscribe();
     loop {
+        announced.mark_unchanged();
         let message = match gossip_message(node, is_same_region) {
             Ok(message) => message,
             Err(err) => return err,
@@ -213,8 +231,19 @@
         if let Err(err) = sent {
             return err;
         }
+        let next_message = async {
+            sleep(period.min(MIN_GOSSIP_PERIOD)).await;
+            // The sender of the channel lives as long as the links.
+            drop(
+                timeout(
+                    period.saturating_sub(MIN_GOSSIP_PERIOD),
+                    announced.changed(),
+                )
+                .await,
+            );
+        };
         tokio::select! {
-            () = sleep(period) => {}
+            () = next_message => {}
             reason = connection.closed() => return PeerError(reason.to_string()),
         }
     }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -18,6 +18,7 @@
 pub use tls::{Identity, PeerError};
 
 use crate::node::Gossip;
+use carobwheel_core::crash::CrashReport;
 use std::time::Duration;
 
 /// Header with the JSON of the [`RequestMeta`](crate::pipeline::RequestMeta) of a forwarded
@@ -32,10 +33,30 @@
 /// Maximum size of a gossip message, in bytes.
 const MAX_GOSSIP_BYTES: usize = 256 * 1024;
 
-fn encode(gossip: &Gossip) -> Result<Vec<u8>, PeerError> {
-    postcard::to_stdvec(gossip).map_err(|err| PeerError(err.to_string()))
+/// Encodes a message. A non-empty crash report follows the other fields: builds without it ignore
+/// trailing bytes.
+///
+/// # Errors
+///
+/// Fails if the message cannot be serialized.
+pub fn encode(gossip: &Gossip) -> Result<Vec<u8>, PeerError> {
+    let bytes = postcard::to_stdvec(gossip).map_err(|err| PeerError(err.to_string()))?;
+    if gossip.crashes == CrashReport::default() {
+        return Ok(bytes);
+    }
+    postcard::to_extend(&gossip.crashes, bytes).map_err(|err| PeerError(err.to_string()))
 }
 
-fn decode(bytes: &[u8]) -> Result<Gossip, PeerError> {
-    postcard::from_bytes(bytes).map_err(|err| PeerError(err.to_string()))
+/// Decodes a message, with or without a crash report.
+///
+/// # Errors
+///
+/// Fails if the bytes are not a message.
+pub fn decode(bytes: &[u8]) -> Result<Gossip, PeerError> {
+    let (mut gossip, rest): (Gossip, &[u8]) =
+        postcard::take_from_bytes(bytes).map_err(|err| PeerError(err.to_string()))?;
+    if !rest.is_empty() {
+        gossip.crashes = postcard::from_bytes(rest).map_err(|err| PeerError(err.to_string()))?;
+    }
+    Ok(gossip)
 }
--- a/crates/edge/src/pipeline/attempts.rs
+++ b/crates/edge/src/pipeline/attempts.rs
@@ -1,12 +1,14 @@
 //! Retry loop: places a request, sends it, and retries until an upstream has answered.
 
 use super::{
+    hold::HoldWait,
     refusal::Refusal,
     run::NO_UPSTREAM_RETRY_AFTER_MS,
     send_once::{send_once, SendResult},
     RequestContext,
 };
 use crate::{
+    crash::SendWatch,
     dispatch::{ConnectionCheckout, LoadGuard},
     log::Event,
     node::{Node, PlacementRequest},
@@ -36,6 +38,8 @@
     pub(super) sends: u32,
     /// Number of sends after which the request may have run.
     pub(super) runs: u32,
+    /// Whether an engine's connection was lost before its first output for this request.
+    pub(super) has_lost_engine: bool,
 }
 
 /// Response of an upstream, with its body buffered or still to be read.
@@ -43,6 +47,7 @@
     pub(super) head: Parts,
     pub(super) body: UpstreamBody,
     pub(super) load_guard: LoadGuard,
+    pub(super) send_watch: SendWatch,
     pub(super) upstream: Arc<str>,
 }
 
@@ -61,11 +66,17 @@
     attempts: &mut Attempts,
 ) -> Result<UpstreamAnswer, Refusal> {
     let mut error_answer = None;
+    let mut hold_wait = HoldWait::default();
     let last_refusal = loop {
         let placed = match place(node, ctx, attempts).await {
             Ok(placed) => placed,
             Err(refusal) => break refusal,
         };
+        match hold_wait.may_send(node, ctx).await {
+            Ok(true) => {}
+            Ok(false) => continue,
+            Err(refusal) => break refusal_unless_run(attempts, refusal),
+        }
         if attempts.sends > 0 && !node.try_repeat(&ctx.meta.service) {
             break refusal_unless_run(
                 attempts,
@@ -83,6 +94,12 @@
                 attempts.sends += 1;
                 ("the upstream refused".to_owned(), false)
             }
+            SendResult::Lost(reason) => {
+                attempts.sends += 1;
+                attempts.runs += 1;
+                attempts.has_lost_engine = true;
+                (reason, true)
+            }
             SendResult::Failed(reason, answer) => {
                 attempts.sends += 1;
                 attempts.runs += 1;
@@ -124,7 +141,10 @@
 fn may_retry(node: &Node, ctx: &RequestContext, attempts: &Attempts) -> bool {
     let may_run_again = attempts.runs == 0
         || (ctx.meta.kind.is_repeatable() && attempts.runs < ctx.meta.max_attempts);
-    may_run_again && attempts.tried.len() < MAX_UPSTREAMS_TRIED as usize && ctx.left_ms(node) > 0
+    may_run_again
+        && (!attempts.has_lost_engine || node.may_repeat_after_crash(&ctx.job))
+        && attempts.tried.len() < MAX_UPSTREAMS_TRIED as usize
+        && ctx.left_ms(node) > 0
 }
 
 /// Placement request that excludes the upstreams in `tried`.
--- a/crates/edge/src/pipeline/mod.rs
+++ b/crates/edge/src/pipeline/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod context;
 mod forward;
+mod hold;
 mod identify;
 mod refusal;
 mod run;
--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -4,7 +4,7 @@
 use super::{
     answer::Answer,
     attempts::{placement_request, send_until_answered, Attempts, UpstreamAnswer, UpstreamBody},
-    forward,
+    forward, hold,
     refusal::Refusal,
     stream::{self, StreamSource},
     Admission, RequestContext,
@@ -23,6 +23,7 @@
     ctx: RequestContext,
     admission: &Admission,
 ) -> Result<Answer, Refusal> {
+    hold::check(node, &ctx)?;
     let is_own_region_allowed = admission
         .regions
         .iter()
@@ -96,7 +97,8 @@
         Err(refusal) => !refusal.is_not_run(),
     };
     let runs_left = retry_ctx.meta.max_attempts.saturating_sub(attempts.runs);
-    if !has_failed || runs_left == 0 || !retry_ctx.has_time_to_forward(node) {
+    let may_repeat = !attempts.has_lost_engine || node.may_repeat_after_crash(&retry_ctx.job);
+    if !has_failed || !may_repeat || runs_left == 0 || !retry_ctx.has_time_to_forward(node) {
         return outcome;
     }
     let Some(remote) = forward::best_remote(node, &retry_ctx, &admission.regions, &[]) else {
@@ -124,12 +126,14 @@
     ctx: RequestContext,
     attempts: &mut Attempts,
 ) -> Result<Answer, Refusal> {
+    hold::check(node, &ctx)?;
     node.note_request(&ctx.meta.service, &ctx.job);
     let answer = send_until_answered(node, &ctx, attempts).await?;
     let UpstreamAnswer {
         head,
         body,
         load_guard,
+        send_watch,
         upstream,
     } = answer;
     match body {
@@ -140,6 +144,7 @@
                 body,
                 checkout,
                 load_guard,
+                send_watch,
                 upstream,
             };
             Ok(stream::relay(
@@ -152,7 +157,7 @@
         }
         UpstreamBody::Unread(body, _) => Ok(answer_with_body(
             &head,
-            AnswerBody::Passthrough(body, Box::new(load_guard)),
+            AnswerBody::Passthrough(body, Box::new((load_guard, send_watch))),
         )),
         UpstreamBody::Buffered(body) => Ok(answer_with_body(&head, AnswerBody::whole(body))),
     }
--- a/crates/edge/src/pipeline/send_once.rs
+++ b/crates/edge/src/pipeline/send_once.rs
@@ -6,7 +6,8 @@
     RequestContext,
 };
 use crate::{
-    dispatch::{send, LoadGuard, Reply, SendError, Target},
+    crash::SendWatch,
+    dispatch::{is_closed_by_upstream, send, LoadGuard, Reply, SendError, Target},
     log::Event,
     model::RouteKind,
     node::{Node, SendIds},
@@ -37,6 +38,8 @@
     NotRun,
     /// No connection could be opened; nothing was sent.
     Unreachable(String),
+    /// The upstream's connection was lost before its response; the request may have run.
+    Lost(String),
     /// The request may have run. Holds the upstream's error response, which is returned to the
     /// caller if no attempt yields a better one.
     Failed(String, Option<UpstreamAnswer>),
@@ -82,6 +85,7 @@
     });
     node.note_sent(placed, &ctx.job, cold_per_s);
     let load_guard = LoadGuard::new(node, &placed.id, placed.load, waiting_tokens);
+    let mut send_watch = SendWatch::start(node, &ctx.meta.request, &placed.id, &ctx.job);
     let limit_ms = answer_timeout_ms(node, ctx, wait_ms);
     let request = upstream_request(node, ctx, &placed.id);
     let sent = SendIds {
@@ -103,19 +107,26 @@
             node.note_outcome(sent, Outcome::Unreachable);
             SendResult::Unreachable(reason)
         }
+        Ok(Err(SendError::Lost(reason))) => {
+            send_watch.connection_lost();
+            node.note_outcome(sent, Outcome::Failed);
+            SendResult::Lost(reason)
+        }
         Ok(Err(SendError::Broken(reason))) => {
             node.note_outcome(sent, Outcome::Failed);
             SendResult::Failed(reason, None)
         }
         Ok(Ok(reply)) => match check_head(node, ctx, sent, &reply) {
-            HeadCheck::Pass => buffer_body(node, ctx, sent, reply, load_guard).await,
-            HeadCheck::Failed => match buffer_body(node, ctx, sent, reply, load_guard).await {
-                SendResult::Answer(answer) => {
-                    let reason = format!("the upstream answered {}", answer.head.status);
-                    SendResult::Failed(reason, Some(answer))
+            HeadCheck::Pass => buffer_body(node, ctx, sent, reply, (load_guard, send_watch)).await,
+            HeadCheck::Failed => {
+                match buffer_body(node, ctx, sent, reply, (load_guard, send_watch)).await {
+                    SendResult::Answer(answer) => {
+                        let reason = format!("the upstream answered {}", answer.head.status);
+                        SendResult::Failed(reason, Some(answer))
+                    }
+                    other => other,
                 }
-                other => other,
-            },
+            }
             HeadCheck::NotRun => SendResult::NotRun,
             HeadCheck::Invalid(reason) => SendResult::Failed(reason.to_owned(), None),
         },
@@ -176,7 +187,7 @@
     ctx: &RequestContext,
     sent: SendIds<'_>,
     reply: Reply,
-    mut load_guard: LoadGuard,
+    (mut load_guard, mut send_watch): (LoadGuard, SendWatch),
 ) -> SendResult {
     let upstream = Arc::clone(reply.upstream());
     let (response, checkout) = reply.split();
@@ -189,6 +200,7 @@
             head,
             body,
             load_guard,
+            send_watch,
             upstream,
         });
     }
@@ -201,6 +213,7 @@
         Ok(Ok(body)) => {
             checkout.check_in(node);
             if !head.status.is_server_error() {
+                send_watch.answered();
                 record_answer(node, ctx, sent, head.status, after_ms);
             }
             let body = UpstreamBody::Buffered(body.to_bytes());
@@ -208,10 +221,20 @@
                 head,
                 body,
                 load_guard,
+                send_watch,
                 upstream,
             });
         }
-        Ok(Err(err)) => format!("the body ended early: {err}"),
+        Ok(Err(err)) => {
+            let cause = err.downcast_ref::<hyper::Error>();
+            let reason = format!("the body ended early: {err}");
+            if cause.is_some_and(is_closed_by_upstream) {
+                send_watch.connection_lost();
+                node.note_outcome(sent, Outcome::Failed);
+                return SendResult::Lost(reason);
+            }
+            reason
+        }
         Err(_) => "the body was not complete in time".to_owned(),
     };
     node.note_outcome(sent, Outcome::Failed);
--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -7,7 +7,8 @@
     RequestContext,
 };
 use crate::{
-    dispatch::{ConnectionCheckout, LoadGuard},
+    crash::SendWatch,
+    dispatch::{is_closed_by_upstream, ConnectionCheckout, LoadGuard},
     log::Event,
     node::{Node, SendIds},
     relay::{AnswerBody, AnswerBroken, EventSplitter, StreamEvent},
@@ -38,6 +39,8 @@
     CallerLeft,
     /// The upstream's stream failed or went silent.
     Broken(String),
+    /// The upstream closed or reset the connection before its first event.
+    LostAtStart(String),
     /// The deadline of the request has passed.
     TimedOut,
 }
@@ -47,6 +50,7 @@
     pub(super) body: Incoming,
     pub(super) checkout: ConnectionCheckout,
     pub(super) load_guard: LoadGuard,
+    pub(super) send_watch: SendWatch,
     pub(super) upstream: Arc<str>,
 }
 
@@ -58,6 +62,7 @@
                 body,
                 checkout,
                 load_guard: answer.load_guard,
+                send_watch: answer.send_watch,
                 upstream: answer.upstream,
             }),
             UpstreamBody::Unread(..) | UpstreamBody::Buffered(_) => None,
@@ -128,6 +133,10 @@
             StreamEnd::CallerLeft => return,
             StreamEnd::TimedOut => "the deadline of the request has passed".to_owned(),
             StreamEnd::Broken(reason) => reason,
+            StreamEnd::LostAtStart(reason) => {
+                attempts.has_lost_engine = true;
+                reason
+            }
         };
         node.log.event(Event::AnswerBroken {
             request: &ctx.meta.request,
@@ -143,7 +152,8 @@
         }
         let may_retry = ctx.meta.kind.is_repeatable()
             && attempts.runs < ctx.meta.max_attempts
-            && ctx.left_ms(node) > 0;
+            && ctx.left_ms(node) > 0
+            && (!attempts.has_lost_engine || node.may_repeat_after_crash(&ctx.job));
         if !may_retry {
             let _ = chunks.send(Err(AnswerBroken(reason))).await;
             return;
@@ -179,6 +189,7 @@
         mut body,
         checkout,
         mut load_guard,
+        mut send_watch,
         upstream,
     } = source;
     let sent_at = load_guard.sent_at();
@@ -201,6 +212,9 @@
                 return StreamEnd::Whole;
             }
             Err(end) => {
+                if matches!(end, StreamEnd::LostAtStart(_)) {
+                    send_watch.connection_lost();
+                }
                 node.note_outcome(sent, Outcome::Failed);
                 return end;
             }
@@ -210,6 +224,7 @@
             if is_first {
                 is_first = false;
                 load_guard.mark_prompt_read();
+                send_watch.answered();
                 record_first_event(node, ctx, sent, node.now().since(sent_at));
             }
             if !relay_event(event, progress, chunks).await {
@@ -279,6 +294,9 @@
             Err(_) if limit_ms == left_ms => return Err(StreamEnd::TimedOut),
             Err(_) => return Err(StreamEnd::Broken("no event arrived in time".to_owned())),
             Ok(None) => return Ok(None),
+            Ok(Some(Err(err))) if is_first && is_closed_by_upstream(&err) => {
+                return Err(StreamEnd::LostAtStart(err.to_string()))
+            }
             Ok(Some(Err(err))) => return Err(StreamEnd::Broken(err.to_string())),
             Ok(Some(Ok(frame))) => {
                 // Trailers are dropped; callers are not promised any.
--- a/crates/edge/src/place/choose.rs
+++ b/crates/edge/src/place/choose.rs
@@ -65,6 +65,15 @@
         shared.iter().map(|part| part.tokens).sum()
     }
 
+    /// Identifiers of the parts that other prompts may share: all parts but the last.
+    pub fn shared_parts(&self) -> Vec<u64> {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+
     /// Prompt tokens that no other prompt shares.
     pub fn own_tokens(&self) -> u32 {
         self.prompt_tokens.saturating_sub(self.shared_tokens())
--- a/crates/gateway/tests/platform_support/engine.rs
+++ b/crates/gateway/tests/platform_support/engine.rs
@@ -206,7 +206,7 @@
     shared.abandoned.fetch_add(1, Ordering::SeqCst);
 }
 
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<ReceivedRequest> {
+pub(super) fn read_request(reader: &mut BufReader<TcpStream>) -> Option<ReceivedRequest> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
     let mut headers = Vec::new();
--- a/crates/gateway/tests/platform_support/mod.rs
+++ b/crates/gateway/tests/platform_support/mod.rs
@@ -5,12 +5,14 @@
 
 mod caller;
 mod config;
+mod crash_engine;
 mod engine;
 mod instance;
 mod store;
 
 pub(crate) use caller::{Answer, Caller};
 pub(crate) use config::{ConfigBuilder, HOST, KEY};
+pub(crate) use crash_engine::{CrashEngine, CrashOptions};
 pub(crate) use engine::{Engine, ReceivedRequest, Script};
 pub(crate) use instance::{Instance, InstanceOptions};
 pub(crate) use store::Store;
--- a/crates/gateway/tests/platform_support/store.rs
+++ b/crates/gateway/tests/platform_support/store.rs
@@ -36,6 +36,7 @@
 }
 
 /// Running store.
+#[derive(Clone)]
 pub(crate) struct Store {
     pub(crate) address: SocketAddr,
     shared: Arc<Shared>,
