--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -7,7 +7,8 @@
     RequestContext,
 };
 use crate::{
-    dispatch::{ConnectionCheckout, LoadGuard},
+    crash::SendWatch,
+    dispatch::{is_closed_by_upstream, ConnectionCheckout, LoadGuard},
     log::Event,
     node::{Node, SendIds},
     relay::{AnswerBody, AnswerBroken, EventSplitter, StreamEvent},
@@ -40,6 +41,8 @@
     Broken(String),
     /// No event arrived in time, and another upstream may take over.
     Silent,
+    /// The upstream closed or reset the connection before its first event.
+    LostAtStart(String),
     /// The deadline of the request has passed.
     TimedOut,
 }
@@ -49,6 +52,7 @@
     body: Incoming,
     checkout: ConnectionCheckout,
     load_guard: LoadGuard,
+    send_watch: SendWatch,
     upstream: Arc<str>,
     splitter: EventSplitter,
     has_events: bool,
@@ -62,12 +66,14 @@
         body: Incoming,
         checkout: ConnectionCheckout,
         load_guard: LoadGuard,
+        send_watch: SendWatch,
         upstream: Arc<str>,
     ) -> Self {
         Self {
             body,
             checkout,
             load_guard,
+            send_watch,
             upstream,
             splitter: EventSplitter::default(),
             has_events: false,
@@ -78,9 +84,15 @@
     /// The event stream of a response; `None` if the response is buffered or an error.
     fn from_answer(answer: UpstreamAnswer) -> Option<Self> {
         match answer.body {
-            UpstreamBody::Unread(body, checkout) if answer.head.status.is_success() => Some(
-                Self::new(body, checkout, answer.load_guard, answer.upstream),
-            ),
+            UpstreamBody::Unread(body, checkout) if answer.head.status.is_success() => {
+                Some(Self::new(
+                    body,
+                    checkout,
+                    answer.load_guard,
+                    answer.send_watch,
+                    answer.upstream,
+                ))
+            }
             UpstreamBody::Unread(..) | UpstreamBody::Buffered(_) => None,
         }
     }
@@ -151,6 +163,10 @@
             StreamEnd::TimedOut => ("the deadline of the request has passed".to_owned(), false),
             StreamEnd::Broken(reason) => (reason, false),
             StreamEnd::Silent => ("no event arrived in time".to_owned(), true),
+            StreamEnd::LostAtStart(reason) => {
+                attempts.has_lost_engine = true;
+                (reason, false)
+            }
         };
         if !source.was_silent {
             attempts.sends += u32::from(attempts.sends == 0);
@@ -169,7 +185,8 @@
             attempts.tried.push(Arc::clone(&source.upstream));
         }
         ctx.last_event = progress.last_event;
-        let next = if may_resume && ctx.left_ms(node) > 0 {
+        let may_repeat = !attempts.has_lost_engine || node.may_repeat_after_crash(&ctx.job);
+        let next = if may_resume && may_repeat && ctx.left_ms(node) > 0 {
             let answer = send_until_answered(node, &ctx, &mut attempts).await;
             answer.ok().and_then(StreamSource::from_answer)
         } else {
@@ -219,7 +236,7 @@
     };
     loop {
         let max_silence_ms = may_resume.then(|| silence_timeout_ms(ctx, !source.has_events));
-        let chunk = match next_chunk(node, ctx, &mut source.body, max_silence_ms).await {
+        let chunk = match next_chunk(node, ctx, source, max_silence_ms).await {
             Ok(Some(chunk)) => chunk,
             Ok(None) if source.splitter.has_part() => {
                 node.note_outcome(sent, Outcome::Failed);
@@ -227,6 +244,9 @@
             }
             Ok(None) => return StreamEnd::Whole,
             Err(end) => {
+                if matches!(end, StreamEnd::LostAtStart(_)) {
+                    source.send_watch.connection_lost();
+                }
                 node.note_outcome(sent, Outcome::Failed);
                 return end;
             }
@@ -236,6 +256,7 @@
             if !source.has_events {
                 source.has_events = true;
                 source.load_guard.mark_prompt_read();
+                source.send_watch.answered();
                 record_first_event(node, ctx, sent, node.now().since(sent_at));
             }
             if !relay_event(event, progress, chunks).await {
@@ -287,7 +308,7 @@
 async fn next_chunk(
     node: &Node,
     ctx: &RequestContext,
-    body: &mut Incoming,
+    source: &mut StreamSource,
     max_silence_ms: Option<u64>,
 ) -> Result<Option<Bytes>, StreamEnd> {
     loop {
@@ -296,11 +317,14 @@
             return Err(StreamEnd::TimedOut);
         }
         let limit_ms = max_silence_ms.map_or(left_ms, |max_ms| left_ms.min(max_ms));
-        let frame = timeout(Duration::from_millis(limit_ms), body.frame()).await;
+        let frame = timeout(Duration::from_millis(limit_ms), source.body.frame()).await;
         match frame {
             Err(_) if limit_ms == left_ms => return Err(StreamEnd::TimedOut),
             Err(_) => return Err(StreamEnd::Silent),
             Ok(None) => return Ok(None),
+            Ok(Some(Err(err))) if !source.has_events && is_closed_by_upstream(&err) => {
+                return Err(StreamEnd::LostAtStart(err.to_string()))
+            }
             Ok(Some(Err(err))) => return Err(StreamEnd::Broken(err.to_string())),
             Ok(Some(Ok(frame))) => {
                 // Trailers are dropped; callers are not promised any.
