Pass on large answers that come without a length

What callers could see: an answer of more than 128 KiB that came in chunks or ended with its connection was answered 502 (may have run), or was run once more on an idempotent route, although the upstream had answered in full. A large answer with a length was relayed, but without any limit on time: it held the upstream's connection for as long as the caller took, and neither its end nor its break was logged or counted for the upstream.

Cause: whether an answer is large was taken from its stated length only; one without a length was collected up to the limit and then failed.

Change: the body is read up to the limit; if it goes on, the part that was read and the rest are relayed by a task (pipeline/large.rs) until the end, which is an orderly end of the connection where there is no other framing. A reset or the deadline breaks the caller's connection and closes the upstream's; the end is logged (answered, answer_broken, caller_left) and counted for the upstream.

Tests (platform_framing): real processes and an upstream that sends raw bytes.

--- a/crates/edge/src/pipeline/attempts.rs
+++ b/crates/edge/src/pipeline/attempts.rs
@@ -1,6 +1,7 @@
 //! Retry loop: places a request, sends it, and retries until an upstream has answered.
 
 use super::{
+    large::LargeBody,
     refusal::Refusal,
     run::NO_UPSTREAM_RETRY_AFTER_MS,
     send_once::{send_once, SendResult},
@@ -50,6 +51,8 @@
 pub(super) enum UpstreamBody {
     /// Not read yet; the connection returns to the pool after the end of the body.
     Unread(Incoming, ConnectionCheckout),
+    /// Read in part, because it is large.
+    Large(LargeBody),
     /// Read completely.
     Buffered(Bytes),
 }
--- a/crates/edge/src/pipeline/forward.rs
+++ b/crates/edge/src/pipeline/forward.rs
@@ -135,7 +135,7 @@
     if head.headers.contains_key(REFUSED_HEADER) {
         return Err(refusal_of(&head));
     }
-    let mut answer = Response::new(AnswerBody::Passthrough(body, Box::new(())));
+    let mut answer = Response::new(AnswerBody::Passthrough(body));
     *answer.status_mut() = head.status;
     *answer.headers_mut() = caller_headers(&head.headers);
     Ok(answer)
--- a/crates/edge/src/pipeline/mod.rs
+++ b/crates/edge/src/pipeline/mod.rs
@@ -5,6 +5,7 @@
 mod context;
 mod forward;
 mod identify;
+mod large;
 mod refusal;
 mod run;
 mod send_once;
--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -4,7 +4,7 @@
 use super::{
     answer::Answer,
     attempts::{placement_request, send_until_answered, Attempts, UpstreamAnswer, UpstreamBody},
-    forward,
+    forward, large,
     refusal::Refusal,
     stream::{self, StreamSource},
     Admission, RequestContext,
@@ -133,9 +133,7 @@
         upstream,
     } = answer;
     match body {
-        UpstreamBody::Unread(body, checkout)
-            if ctx.meta.kind.is_stream() && head.status.is_success() =>
-        {
+        UpstreamBody::Unread(body, checkout) => {
             let source = StreamSource {
                 body,
                 checkout,
@@ -150,10 +148,10 @@
                 source,
             ))
         }
-        UpstreamBody::Unread(body, _) => Ok(answer_with_body(
-            &head,
-            AnswerBody::Passthrough(body, Box::new(load_guard)),
-        )),
+        UpstreamBody::Large(body) => {
+            let answer = large::relay(node, ctx, &head, body, load_guard, upstream);
+            Ok(answer)
+        }
         UpstreamBody::Buffered(body) => Ok(answer_with_body(&head, AnswerBody::whole(body))),
     }
 }
--- a/crates/edge/src/pipeline/send_once.rs
+++ b/crates/edge/src/pipeline/send_once.rs
@@ -3,6 +3,7 @@
 use super::{
     attempts::{UpstreamAnswer, UpstreamBody},
     identify::header_text,
+    large::{read_first, LargeBody},
     RequestContext,
 };
 use crate::{
@@ -14,13 +15,13 @@
     upstream::Outcome,
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{body::Body as _, header::HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+use hyper::{header::HeaderValue, Request, StatusCode};
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::timeout;
 
 /// Largest body that is buffered before the head is sent to the caller, in bytes.
-const MAX_BUFFERED_BYTES: u64 = 128 * 1024;
+const MAX_BUFFERED_BYTES: usize = 128 * 1024;
 /// Maximum idle time of a pooled connection for a stream that may not be repeated, in milliseconds.
 const UNREPEATABLE_MAX_IDLE_MS: u64 = 1_000;
 /// Share of the first-byte target after which an idempotent request without a response is retried
@@ -170,7 +171,7 @@
     HeadCheck::Pass
 }
 
-/// Reads the body of a response, unless it is a stream or large.
+/// Reads the body of a response unless it is a stream, up to the size that is buffered.
 async fn buffer_body(
     node: &Rc<Node>,
     ctx: &RequestContext,
@@ -180,10 +181,8 @@
 ) -> SendResult {
     let upstream = Arc::clone(reply.upstream());
     let (response, checkout) = reply.split();
-    let (head, body) = response.into_parts();
-    let is_stream = ctx.meta.kind.is_stream() && head.status.is_success();
-    let is_large = body.size_hint().lower() > MAX_BUFFERED_BYTES;
-    if is_stream || is_large {
+    let (head, mut body) = response.into_parts();
+    if ctx.meta.kind.is_stream() && head.status.is_success() {
         let body = UpstreamBody::Unread(body, checkout);
         return SendResult::Answer(UpstreamAnswer {
             head,
@@ -195,15 +194,21 @@
     load_guard.mark_prompt_read();
     let after_ms = node.now().since(load_guard.sent_at());
     let left = Duration::from_millis(ctx.left_ms(node).max(1));
-    #[allow(clippy::cast_possible_truncation)]
-    let buffered = Limited::new(body, MAX_BUFFERED_BYTES as usize).collect();
-    let reason = match timeout(left, buffered).await {
-        Ok(Ok(body)) => {
-            checkout.check_in(node);
-            if !head.status.is_server_error() {
-                record_answer(node, ctx, sent, head.status, after_ms);
-            }
-            let body = UpstreamBody::Buffered(body.to_bytes());
+    let reason = match timeout(left, read_first(&mut body, MAX_BUFFERED_BYTES)).await {
+        Ok(Ok((first, has_ended))) => {
+            let body = if has_ended {
+                checkout.check_in(node);
+                if !head.status.is_server_error() {
+                    record_answer(node, ctx, sent, head.status, after_ms);
+                }
+                UpstreamBody::Buffered(first)
+            } else {
+                UpstreamBody::Large(LargeBody {
+                    first,
+                    rest: body,
+                    checkout,
+                })
+            };
             return SendResult::Answer(UpstreamAnswer {
                 head,
                 body,
@@ -211,7 +216,7 @@
                 upstream,
             });
         }
-        Ok(Err(err)) => format!("the body ended early: {err}"),
+        Ok(Err(reason)) => reason,
         Err(_) => "the body was not complete in time".to_owned(),
     };
     node.note_outcome(sent, Outcome::Failed);
--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -60,7 +60,7 @@
                 load_guard: answer.load_guard,
                 upstream: answer.upstream,
             }),
-            UpstreamBody::Unread(..) | UpstreamBody::Buffered(_) => None,
+            UpstreamBody::Unread(..) | UpstreamBody::Large(_) | UpstreamBody::Buffered(_) => None,
         }
     }
 }
--- a/crates/edge/src/relay/body.rs
+++ b/crates/edge/src/relay/body.rs
@@ -28,9 +28,8 @@
     Whole(Option<Bytes>),
     /// Chunks from a task, which ends when the body is dropped.
     Chunks(Receiver<Result<Bytes, AnswerBroken>>),
-    /// Body of an upstream or another instance, relayed as it arrives. The second value is dropped
-    /// with the body.
-    Passthrough(Incoming, Box<dyn std::any::Any>),
+    /// Body of another instance, relayed as it arrives.
+    Passthrough(Incoming),
 }
 
 impl AnswerBody {
@@ -57,7 +56,7 @@
                 let chunk = std::task::ready!(chunks.poll_recv(cx));
                 Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
             }
-            Self::Passthrough(incoming, _) => {
+            Self::Passthrough(incoming) => {
                 let frame = std::task::ready!(Pin::new(incoming).poll_frame(cx));
                 Poll::Ready(frame.map(|frame| frame.map_err(|err| AnswerBroken(err.to_string()))))
             }
@@ -68,7 +67,7 @@
         match self {
             Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
             Self::Chunks(_) => false,
-            Self::Passthrough(incoming, _) => incoming.is_end_stream(),
+            Self::Passthrough(incoming) => incoming.is_end_stream(),
         }
     }
 
@@ -78,7 +77,7 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             Self::Chunks(_) => SizeHint::default(),
-            Self::Passthrough(incoming, _) => incoming.size_hint(),
+            Self::Passthrough(incoming) => incoming.size_hint(),
         }
     }
 }
--- a/crates/gateway/tests/platform_support/engine.rs
+++ b/crates/gateway/tests/platform_support/engine.rs
@@ -42,6 +42,23 @@
         pause_ms: u64,
         is_complete: bool,
     },
+    /// These bytes, in which `{id}` stands for the request's id, and then the given end.
+    Raw(Vec<u8>, RawEnd),
+}
+
+/// What follows the bytes of [`Script::Raw`].
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum RawEnd {
+    /// The connection stays open for the next request.
+    Open,
+    /// The connection is closed in order.
+    Close,
+    /// The connection is reset, once the caller has had time to read the bytes.
+    Reset,
+    /// These bytes again and again, until the caller closes the connection.
+    Endless(&'static [u8]),
+    /// These bytes again and again, with a pause of this many milliseconds after each.
+    Slow(&'static [u8], u64),
 }
 
 /// Request as the upstream received it.
@@ -104,6 +121,10 @@
         self.shared.scripts.lock().unwrap().extend(scripts);
     }
 
+    pub(crate) fn clear_script(&self) {
+        self.shared.scripts.lock().unwrap().clear();
+    }
+
     pub(crate) fn seen(&self) -> Vec<ReceivedRequest> {
         self.shared.seen.lock().unwrap().clone()
     }
@@ -129,7 +150,10 @@
         let script = shared.scripts.lock().unwrap().pop_front();
         let script = script.unwrap_or(Script::Answer(200, "ok"));
         if answer(&stream, &script, &id, last, shared).is_none() {
-            let _ = stream.shutdown(Shutdown::Both);
+            // Closing without a shutdown lets the linger option take effect.
+            if !matches!(script, Script::Raw(_, RawEnd::Reset)) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
             return;
         }
     }
@@ -163,6 +187,11 @@
             stream.write_all(text.as_bytes()).ok()?;
             return None;
         }
+        Script::Raw(bytes, end) => {
+            let bytes = fill_in(bytes, id);
+            stream.write_all(&bytes).ok()?;
+            return finish(stream, *end, shared);
+        }
         Script::Close => return None,
         Script::Silent => {
             wait_for_close(stream, shared);
@@ -194,6 +223,36 @@
     stream.write_all(text.as_bytes()).ok()
 }
 
+/// Replaces `{id}` by the request's id.
+fn fill_in(bytes: &[u8], id: &str) -> Vec<u8> {
+    let mark = b"{id}";
+    match bytes.windows(mark.len()).position(|part| part == mark) {
+        Some(at) => [&bytes[..at], id.as_bytes(), &bytes[at + mark.len()..]].concat(),
+        None => bytes.to_vec(),
+    }
+}
+
+/// Ends a raw answer; `None` if the connection has to be closed.
+fn finish(mut stream: &TcpStream, end: RawEnd, shared: &Shared) -> Option<()> {
+    let (unit, pause_ms) = match end {
+        RawEnd::Open => return Some(()),
+        RawEnd::Close => return None,
+        RawEnd::Reset => {
+            thread::sleep(Duration::from_millis(200));
+            let socket = socket2::SockRef::from(stream);
+            socket.set_linger(Some(Duration::ZERO)).unwrap();
+            return None;
+        }
+        RawEnd::Endless(unit) => (unit.repeat(65_536 / unit.len()), 0),
+        RawEnd::Slow(unit, pause_ms) => (unit.to_vec(), pause_ms),
+    };
+    while stream.write_all(&unit).is_ok() {
+        thread::sleep(Duration::from_millis(pause_ms));
+    }
+    shared.abandoned.fetch_add(1, Ordering::SeqCst);
+    None
+}
+
 fn is_closed(stream: &TcpStream) -> bool {
     stream.set_nonblocking(true).unwrap();
     let read = stream.peek(&mut [0; 1]);
--- a/crates/gateway/tests/platform_support/instance.rs
+++ b/crates/gateway/tests/platform_support/instance.rs
@@ -131,6 +131,16 @@
             .success());
     }
 
+    /// Resident size of the process, in bytes.
+    pub(crate) fn resident_bytes(&self) -> usize {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let mut lines = status
+            .lines()
+            .filter_map(|line| line.strip_prefix("VmRSS:"));
+        let text = lines.next().unwrap().trim().trim_end_matches(" kB");
+        text.parse::<usize>().unwrap() * 1024
+    }
+
     /// Waits for the process to exit, and returns its exit code.
     pub(crate) fn wait(&mut self) -> Option<i32> {
         self.child.wait().unwrap().code()
--- a/crates/gateway/tests/platform_support/mod.rs
+++ b/crates/gateway/tests/platform_support/mod.rs
@@ -11,7 +11,7 @@
 
 pub(crate) use caller::{Answer, Caller};
 pub(crate) use config::{ConfigBuilder, HOST, KEY};
-pub(crate) use engine::{Engine, ReceivedRequest, Script};
+pub(crate) use engine::{Engine, RawEnd, ReceivedRequest, Script};
 pub(crate) use instance::{Instance, InstanceOptions};
 pub(crate) use store::Store;
 
