Limit the size of an answer without a length

What callers could see: a body in chunks, or one that ends with its connection, could go on until the deadline of the request, at the full speed of the network.

Change: at most 64 MiB of a body without a stated length are relayed (MAX_UNSIZED_BYTES); then the caller's connection is broken, the upstream's is closed, and the failure is logged and counted for the upstream. A body with a length is limited by that and, like all others, by the deadline.

Tests (platform_endless): six requests at a time against upstreams that send without end, with a check of status, time, log, closed connections, number of sends, and of the growth of the resident size: below 2 MiB a request and 16 MiB for the rest.

--- a/crates/edge/src/pipeline/large.rs
+++ b/crates/edge/src/pipeline/large.rs
@@ -10,7 +10,11 @@
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
-use hyper::{body::Incoming, http::response::Parts, Response};
+use hyper::{
+    body::{Body as _, Incoming},
+    http::response::Parts,
+    Response,
+};
 use std::{future::Future, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc::{self, Sender},
@@ -19,6 +23,8 @@
 
 /// Maximum number of chunks that are queued for a slow caller.
 const MAX_QUEUED_CHUNKS: usize = 4;
+/// Largest body without a stated length that is relayed, in bytes. Such a body may never end.
+const MAX_UNSIZED_BYTES: u64 = 64 * 1024 * 1024;
 
 /// Response whose body has been read in part.
 pub(super) struct LargeBody {
@@ -158,8 +164,17 @@
         mut rest,
         checkout,
     } = body;
+    let max_bytes = match rest.size_hint().exact() {
+        Some(_) => u64::MAX,
+        None => MAX_UNSIZED_BYTES,
+    };
+    let mut relayed_bytes = 0;
     let mut chunk = first;
     loop {
+        relayed_bytes += chunk.len() as u64;
+        if relayed_bytes > max_bytes {
+            return RelayEnd::Broken("a body without a length is too large".to_owned());
+        }
         match before_deadline(node, ctx, chunks.send(Ok(chunk))).await {
             None => return RelayEnd::CallerSlow,
             Some(Err(_)) => return RelayEnd::CallerLeft,
--- a/crates/gateway/tests/platform_support/engine.rs
+++ b/crates/gateway/tests/platform_support/engine.rs
@@ -243,7 +243,7 @@
             socket.set_linger(Some(Duration::ZERO)).unwrap();
             return None;
         }
-        RawEnd::Endless(unit) => (unit.repeat(65_536 / unit.len()), 0),
+        RawEnd::Endless(unit) => (unit.repeat((65_536 / unit.len()).max(1)), 0),
         RawEnd::Slow(unit, pause_ms) => (unit.to_vec(), pause_ms),
     };
     while stream.write_all(&unit).is_ok() {
