Break off a stream whose event never ends

What callers could see: a stream with an event that never ends stayed silent until the deadline, while the instance collected all of its bytes and searched them again from the start with each piece that arrived: memory without a limit and processor time that grows with the square of the size.

Change: an event may have 256 KiB (MAX_EVENT_BYTES); beyond that the stream is broken off, which counts as a failure of the upstream and is resumed elsewhere where the route allows it. The splitter searches each byte once.

--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -10,7 +10,7 @@
     dispatch::{ConnectionCheckout, LoadGuard},
     log::Event,
     node::{Node, SendIds},
-    relay::{AnswerBody, AnswerBroken, EventSplitter, StreamEvent},
+    relay::{AnswerBody, AnswerBroken, EventSplitter, EventTooLong, StreamEvent},
     upstream::Outcome,
 };
 use bytes::Bytes;
@@ -206,7 +206,15 @@
             }
         };
         splitter.push(chunk);
-        while let Some(event) = splitter.next_event() {
+        loop {
+            let event = match splitter.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(EventTooLong) => {
+                    node.note_outcome(sent, Outcome::Failed);
+                    return StreamEnd::Broken("an event is too long".to_owned());
+                }
+            };
             if is_first {
                 is_first = false;
                 load_guard.mark_prompt_read();
--- a/crates/edge/src/relay/events.rs
+++ b/crates/edge/src/relay/events.rs
@@ -11,10 +11,21 @@
     pub bytes: Bytes,
 }
 
+/// Maximum size of an event, in bytes.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// An event that is longer than [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventTooLong;
+
 /// Splits the bytes of a stream into complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Start of the first line that has not been searched for its end completely.
+    line_start: usize,
+    /// Number of bytes that have been searched for the end of a line.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -29,30 +40,44 @@
     }
 
     /// Removes and returns the next complete event.
-    pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = end_of_event(&self.buffer)?;
+    ///
+    /// # Errors
+    ///
+    /// Fails when an event is longer than [`MAX_EVENT_BYTES`].
+    pub fn next_event(&mut self) -> Result<Option<StreamEvent>, EventTooLong> {
+        let end = self.end_of_event();
+        if end.unwrap_or(self.buffer.len()) > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        let Some(end) = end else {
+            return Ok(None);
+        };
+        self.line_start = 0;
+        self.searched = 0;
         let bytes = self.buffer.split_to(end).freeze();
         let id = event_id(&bytes);
-        Some(StreamEvent { id, bytes })
+        Ok(Some(StreamEvent { id, bytes }))
     }
 
     /// Whether the buffer holds part of an event.
     pub fn has_part(&self) -> bool {
         self.buffer.has_remaining()
     }
-}
 
-/// Index after the blank line that ends the first event.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for at in memchr::memchr_iter(b'\n', bytes) {
-        let line = &bytes[line_start..at];
-        if line.is_empty() || line == b"\r" {
-            return Some(at + 1);
+    /// Index after the blank line that ends the first event.
+    fn end_of_event(&mut self) -> Option<usize> {
+        let from = self.searched;
+        for at in memchr::memchr_iter(b'\n', &self.buffer[from..]) {
+            let at = from + at;
+            let line = &self.buffer[self.line_start..at];
+            if line.is_empty() || line == b"\r" {
+                return Some(at + 1);
+            }
+            self.line_start = at + 1;
         }
-        line_start = at + 1;
+        self.searched = self.buffer.len();
+        None
     }
-    None
 }
 
 /// Numeric id of an event.
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -4,4 +4,4 @@
 mod events;
 
 pub use body::{AnswerBody, AnswerBroken};
-pub use events::{EventSplitter, StreamEvent};
+pub use events::{EventSplitter, EventTooLong, StreamEvent, MAX_EVENT_BYTES};
--- a/crates/edge/tests/small_parts.rs
+++ b/crates/edge/tests/small_parts.rs
@@ -76,7 +76,7 @@
     let mut seen = Vec::new();
     for piece in pieces {
         splitter.push(piece.as_bytes());
-        while let Some(event) = splitter.next_event() {
+        while let Some(event) = splitter.next_event().unwrap() {
             seen.push(event.id);
         }
     }
--- a/crates/gateway/tests/platform_endless.rs
+++ b/crates/gateway/tests/platform_endless.rs
@@ -29,6 +29,8 @@
 
 /// Largest body of unknown length that is passed on, in bytes.
 const MAX_UNSIZED_BYTES: usize = 64 * 1024 * 1024;
+/// Time by which an event or interim answers over their limit have to be noticed.
+const MAX_NOTICE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Chunk of 64 KiB.
 static CHUNK: OnceLock<String> = OnceLock::new();
@@ -103,6 +105,8 @@
 struct Endless {
     /// Size of the largest answer that a caller got, in bytes.
     largest_answer: usize,
+    /// Time until all of them had ended.
+    elapsed: Duration,
 }
 
 /// Sends requests whose answers go on for ever, and checks that they end, in time and with a
@@ -158,6 +162,7 @@
     });
     Endless {
         largest_answer: answers.iter().map(|answer| answer.bytes).max().unwrap(),
+        elapsed,
     }
 }
 
@@ -193,6 +198,13 @@
     check_endless("/write/x", &format!("{HEAD}{start}"), unit);
 }
 
+#[test_case("", "data: x\n"; "many lines")]
+#[test_case("data: ", "x"; "one line")]
+fn an_event_that_never_ends_is_broken_off_before_the_deadline(start: &str, unit: &'static str) {
+    let endless = check_endless("/chat/x", &format!("{HEAD}\r\n{start}"), unit);
+    assert!(endless.elapsed < MAX_NOTICE_TIME, "{:?}", endless.elapsed);
+}
+
 #[test_case("", ": x\n\n"; "comments")]
 #[test_case("", "data: x\n\n"; "events")]
 fn a_stream_that_never_ends_is_broken_off(start: &str, unit: &'static str) {
--- a/crates/gateway/tests/platform_framing.rs
+++ b/crates/gateway/tests/platform_framing.rs
@@ -258,3 +258,34 @@
     assert!(!answer.is_complete);
     assert!(!answer.body.contains("id: 2"), "{answer:?}");
 }
+
+#[test_case(Framing::Length; "length")]
+#[test_case(Framing::Chunked; "chunked")]
+#[test_case(Framing::Close; "ends with the connection")]
+fn a_stream_that_ends_inside_an_event_is_never_complete(framing: Framing) {
+    let fixture = fixture();
+    let bytes_sent = raw(framing, "text/event-stream", PART_OF_AN_EVENT, true);
+    let answer = fixture.answer(&Script::Raw(bytes_sent, end_of(framing)), "/chat/x");
+    assert!(!answer.is_complete);
+    assert!(!answer.body.contains("id: 2"), "{answer:?}");
+    assert_eq!(fixture.seen(), 1);
+}
+
+#[test_case(Framing::Length; "length")]
+#[test_case(Framing::Chunked; "chunked")]
+#[test_case(Framing::Close; "ends with the connection")]
+fn a_stream_that_ends_inside_an_event_is_resumed_where_the_route_allows_it(framing: Framing) {
+    let fixture = fixture();
+    let bytes_sent = raw(framing, "text/event-stream", PART_OF_AN_EVENT, true);
+    let answer = fixture.answer(&Script::Raw(bytes_sent, end_of(framing)), "/brief/x");
+    // Both upstreams break off inside the same event, the second one after it was resumed there.
+    assert!(!answer.is_complete);
+    assert_eq!(answer.body.matches("id: 1").count(), 1, "{answer:?}");
+    assert!(!answer.body.contains("id: 2"), "{answer:?}");
+    let resumed = fixture.engines().flat_map(Engine::seen);
+    let from: Vec<_> = resumed
+        .map(|seen| seen.header("last-event-id").map(str::to_owned))
+        .collect();
+    assert_eq!(from.len(), 2);
+    assert!(from.contains(&Some("1".to_owned())), "{from:?}");
+}
