Break off interim answers without end

What callers could see: an upstream that sends one interim answer (status 1xx) after the other kept the request until its deadline and took a good part of the processor meanwhile.

Cause: the client library reads over interim answers without any limit on their number; only the time limit of the head ended them.

--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -1,6 +1,6 @@
 //! Sending of a request on a pooled or a new connection.
 
-use super::{connect::connect, Connection};
+use super::{connect::connect, interim::InterimLimit, Connection};
 use crate::node::Node;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -92,6 +92,22 @@
 ///
 /// The error states whether the request may have run.
 pub async fn send(
+    node: &Node,
+    target: &Target,
+    mut request: Request<Full<Bytes>>,
+) -> Result<Reply, SendError> {
+    let interim = InterimLimit::default();
+    interim.watch(&mut request);
+    tokio::select! {
+        reply = send_and_wait(node, target, request) => reply,
+        () = interim.exceeded() => {
+            Err(SendError::Broken("too many interim responses".to_owned()))
+        }
+    }
+}
+
+/// Sends a request on a pooled or a new connection and waits for the head of the response.
+async fn send_and_wait(
     node: &Node,
     target: &Target,
     request: Request<Full<Bytes>>,
--- a/crates/gateway/tests/platform_endless.rs
+++ b/crates/gateway/tests/platform_endless.rs
@@ -205,6 +205,12 @@
     assert!(endless.elapsed < MAX_NOTICE_TIME, "{:?}", endless.elapsed);
 }
 
+#[test]
+fn endless_interim_answers_are_broken_off_before_the_deadline() {
+    let endless = check_endless("/write/x", "", "HTTP/1.1 100 X\r\n\r\n");
+    assert!(endless.elapsed < MAX_NOTICE_TIME, "{:?}", endless.elapsed);
+}
+
 #[test_case("", ": x\n\n"; "comments")]
 #[test_case("", "data: x\n\n"; "events")]
 fn a_stream_that_never_ends_is_broken_off(start: &str, unit: &'static str) {
