--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -51,6 +51,11 @@
             }
             Err(StoreError::HistoryGone) => position = None,
             Err(err) => {
+                if matches!(err, StoreError::Malformed(_)) {
+                    // The same watch would return the same answer, for instance one that is too
+                    // long; a listing comes in pages.
+                    position = None;
+                }
                 context.unreachable(&err).await;
                 let pause_ms = backoff.failed(rand::random());
                 sleep(Duration::from_millis(pause_ms)).await;
--- a/crates/gateway/tests/platform_endless.rs
+++ b/crates/gateway/tests/platform_endless.rs
@@ -8,6 +8,8 @@
     wait_until, ConfigBuilder, Engine, Instance, InstanceOptions, RawEnd, Script, Store,
 };
 use std::{
+    io::{Read as _, Write as _},
+    net::TcpListener,
     sync::{
         atomic::{AtomicBool, Ordering},
         OnceLock,
@@ -241,3 +243,43 @@
     });
     assert!(used.count() > 0);
 }
+
+/// Calls to the store that an instance makes at the same time.
+const STORE_CALLS: usize = 6;
+/// Memory that one answer of the store may take, in bytes: twice its largest size, as the buffer
+/// grows by doubling.
+const MAX_STORE_CALL_BYTES: usize = 2 * 8 * 1024 * 1024;
+
+#[test_case("HTTP/1.1 200 X\r\n\r\n", "x"; "body")]
+#[test_case("HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n", "5\r\nxxxxx\r\n"; "chunks")]
+#[test_case("HTTP/1.1 200 X\r\n", "x-more: y\r\n"; "head")]
+#[test_case("HTTP/1.1 500 X\r\n\r\n", "x"; "body of an error")]
+fn answers_of_the_store_that_never_end_take_bounded_memory(start: &'static str, unit: &str) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let store = listener.local_addr().unwrap();
+    let unit = unit.repeat(65_536 / unit.len());
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let unit = unit.clone();
+            thread::spawn(move || {
+                let _ = stream.read(&mut [0; 4_096]);
+                let _ = stream.write_all(start.as_bytes());
+                while stream.write_all(unit.as_bytes()).is_ok() {}
+            });
+        }
+    });
+    let instance = Instance::start(&InstanceOptions {
+        name: "north-1",
+        region: "north",
+        store,
+    });
+    let bound = STORE_CALLS * MAX_STORE_CALL_BYTES + 2 * MAX_OTHER_BYTES;
+    let until = Instant::now() + Duration::from_secs(5);
+    let mut largest = 0;
+    while Instant::now() < until {
+        largest = largest.max(instance.resident_bytes());
+        assert!(largest < bound, "{largest} bytes");
+        thread::sleep(Duration::from_millis(20));
+    }
+    println!("largest {largest} bytes");
+}
