--- a/crates/edge/src/pipeline/attempts.rs
+++ b/crates/edge/src/pipeline/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::{
     hold::HoldWait,
+    large::LargeBody,
     refusal::Refusal,
     run::NO_UPSTREAM_RETRY_AFTER_MS,
     send_once::{send_once, SendResult},
@@ -55,6 +56,8 @@
 pub(super) enum UpstreamBody {
     /// Not read yet; the connection returns to the pool after the end of the body.
     Unread(Incoming, ConnectionCheckout),
+    /// Read in part, because it is large.
+    Large(LargeBody),
     /// Read completely.
     Buffered(Bytes),
 }
--- a/crates/edge/src/pipeline/mod.rs
+++ b/crates/edge/src/pipeline/mod.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod hold;
 mod identify;
+mod large;
 mod refusal;
 mod run;
 mod send_once;
--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -11,7 +11,7 @@
     dispatch::{is_closed_by_upstream, ConnectionCheckout, LoadGuard},
     log::Event,
     node::{Node, SendIds},
-    relay::{AnswerBody, AnswerBroken, EventSplitter, StreamEvent},
+    relay::{AnswerBody, AnswerBroken, EventSplitter, EventTooLong, StreamEvent},
     upstream::Outcome,
 };
 use bytes::Bytes;
@@ -93,7 +93,7 @@
                     answer.upstream,
                 ))
             }
-            UpstreamBody::Unread(..) | UpstreamBody::Buffered(_) => None,
+            UpstreamBody::Unread(..) | UpstreamBody::Large(_) | UpstreamBody::Buffered(_) => None,
         }
     }
 }
@@ -252,7 +252,15 @@
             }
         };
         source.splitter.push(chunk);
-        while let Some(event) = source.splitter.next_event() {
+        loop {
+            let event = match source.splitter.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(EventTooLong) => {
+                    node.note_outcome(sent, Outcome::Failed);
+                    return StreamEnd::Broken("an event is too long".to_owned());
+                }
+            };
             if !source.has_events {
                 source.has_events = true;
                 source.load_guard.mark_prompt_read();
