Check for arrived bytes before a connection is closed for a timeout

Callers saw a kept connection close under a request that had reached the instance while it stood still. The two branches were polled in random order, so a request could also be read, handed to the handler and dropped with it. It needs an instance that stands still for the rest of the idle limit, which a change of the configuration may have shortened. The same holds while the instance is stopping.

--- a/crates/edge/src/front/connections.rs
+++ b/crates/edge/src/front/connections.rs
@@ -13,8 +13,8 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    sync::Notify,
 };
-use tokio_util::sync::CancellationToken;
 
 /// Shortest time without a read by the caller after which an answer is given up, in milliseconds.
 const MIN_WRITE_TIMEOUT_MS: u64 = 10_000;
@@ -47,13 +47,13 @@
     /// Time since which the caller has accepted no bytes; `None` unless a write waits.
     blocked_since: Cell<Option<Millis>>,
     close_reason: Cell<Option<&'static str>>,
-    /// Cancelled to close the connection.
-    pub(super) close: CancellationToken,
+    close: Notify,
 }
 
 impl ConnectionActivity {
     /// Records that the head of a request was read.
     pub(super) fn set_busy(&self) {
+        self.close_reason.take();
         self.phase.set(Phase::Busy);
     }
 
@@ -91,14 +91,19 @@
         }
     }
 
-    /// Reason of the sweep to close the connection.
-    pub(super) fn close_reason(&self) -> &'static str {
-        self.close_reason.get().unwrap_or_default()
+    /// Waits until the sweep wants to close the connection. Returns no reason if the connection has
+    /// made progress since.
+    pub(super) async fn timed_out(&self) -> Option<&'static str> {
+        self.close.notified().await;
+        // Bytes may have arrived that the event loop has not looked for yet.
+        tokio::task::yield_now().await;
+        self.close_reason.take()
     }
 
     /// Records that bytes were read; the first ones start the head of a request.
     fn bytes_read(&self) {
         if let Phase::Idle(_) = self.phase.get() {
+            self.close_reason.take();
             self.phase.set(Phase::Head(self.clock.now()));
         }
     }
@@ -107,7 +112,10 @@
     fn write_polled(&self, polled: &Poll<io::Result<usize>>) {
         let blocked_since = match polled {
             Poll::Pending => self.blocked_since.get().or(Some(self.clock.now())),
-            Poll::Ready(_) => None,
+            Poll::Ready(_) => {
+                self.close_reason.take();
+                None
+            }
         };
         self.blocked_since.set(blocked_since);
     }
@@ -155,7 +163,7 @@
             has_body_ended: Cell::new(false),
             blocked_since: Cell::new(None),
             close_reason: Cell::new(None),
-            close: CancellationToken::new(),
+            close: Notify::new(),
         });
         self.open.borrow_mut().insert(id, Rc::clone(&activity));
         (id, activity)
@@ -185,7 +193,7 @@
             let reason = activity.timeout_reason(head_timeout_ms, idle_timeout_ms, now);
             if reason.is_some() {
                 activity.close_reason.set(reason);
-                activity.close.cancel();
+                activity.close.notify_one();
             }
         }
     }
--- a/crates/edge/src/front/listen.rs
+++ b/crates/edge/src/front/listen.rs
@@ -84,24 +84,30 @@
         }
     });
     // A connection opened while draining serves a single request, which is refused.
-    let is_draining = drain.is_cancelled();
+    let mut is_draining = drain.is_cancelled();
     let mut builder = http1::Builder::new();
     builder
         .max_buf_size((limits.max_head_bytes + HEAD_ROOM_BYTES).max(MIN_READ_BYTES))
         .auto_date_header(false)
         .keep_alive(!is_draining);
     let mut connection = std::pin::pin!(builder.serve_connection(io, service));
-    let result = tokio::select! {
-        result = connection.as_mut() => Some(result),
-        () = activity.close.cancelled() => None,
-        () = drain.cancelled(), if !is_draining => {
-            connection.as_mut().graceful_shutdown();
-            Some(connection.await)
+    loop {
+        tokio::select! {
+            // First, so that a request that has arrived is served although a timeout has passed.
+            biased;
+            result = connection.as_mut() => {
+                log_end(&node, &activity, &result);
+                break;
+            }
+            reason = activity.timed_out() => if let Some(reason) = reason {
+                activity.log_close(&node.log, "instance", reason);
+                break;
+            },
+            () = drain.cancelled(), if !is_draining => {
+                is_draining = true;
+                connection.as_mut().graceful_shutdown();
+            }
         }
-    };
-    match result {
-        Some(result) => log_end(&node, &activity, &result),
-        None => activity.log_close(&node.log, "instance", activity.close_reason()),
     }
     connections.closed(id);
 }
--- a/crates/gateway/tests/platform_connections.rs
+++ b/crates/gateway/tests/platform_connections.rs
@@ -8,6 +8,7 @@
     wait_until, Caller, ConfigBuilder, Engine, Instance, InstanceOptions, Script, Store, HOST, KEY,
 };
 use serde_json::json;
+use std::time::Duration;
 use test_case::test_case;
 
 /// Instance with a store and two upstreams that serve streams.
@@ -143,6 +144,28 @@
     assert_eq!(caller.answer().status, 404);
 }
 
+#[test]
+fn a_request_that_arrives_while_the_instance_is_suspended_is_answered() {
+    let fixture = Fixture::new(&config(1).idle_timeout_ms(300));
+    let mut callers: Vec<_> = (0..20).map(|_| fixture.instance.caller()).collect();
+    // One tick in ten sweeps the connections.
+    for round in 0..24 {
+        for caller in &mut callers {
+            caller.send("GET", "/nowhere/x", "a-1", "", "");
+            assert_eq!(caller.answer().status, 404, "round {round}");
+        }
+        fixture.instance.signal("-STOP");
+        for caller in &mut callers {
+            caller.send("GET", "/nowhere/x", "a-1", "", "");
+        }
+        std::thread::sleep(Duration::from_millis(350));
+        fixture.instance.signal("-CONT");
+        for caller in &mut callers {
+            assert_eq!(caller.answer().status, 404, "round {round}");
+        }
+    }
+}
+
 #[test]
 fn a_caller_that_does_not_read_its_answer_is_disconnected() {
     let fixture = Fixture::new(&config(1).idle_timeout_ms(500));
@@ -195,6 +218,6 @@
         assert!(caller.answer().is_complete);
     }
     drop(caller);
-    std::thread::sleep(std::time::Duration::from_millis(300));
+    std::thread::sleep(Duration::from_millis(300));
     assert_eq!(fixture.closes(), Vec::<[String; 3]>::new());
 }
