Show when a part was held in the explanation of a request

`carobctl explain` now prints, for a request that was refused because of a prompt part, the instance's lines on that part, also those from long before the request.

--- a/crates/ctl/src/explain/timeline.rs
+++ b/crates/ctl/src/explain/timeline.rs
@@ -27,6 +27,8 @@
     "upstream_missing",
     "upstream_seen",
 ];
+/// Events that concern the requests with one prompt part.
+const PART_EVENTS: [&str; 3] = ["hold_lapsed", "part_held", "part_released"];
 /// Events that concern the requests forwarded to one instance.
 const MEMBER_EVENTS: [&str; 4] = ["link_lost", "link_up", "member_forgotten", "member_seen"];
 
@@ -77,7 +79,7 @@
         let found = request_lines.iter().filter_map(|line| line.text(field));
         found.map(str::to_owned).collect()
     };
-    let (upstreams, members) = (names("upstream"), names("member"));
+    let (upstreams, members, parts) = (names("upstream"), names("member"), names("part"));
     let instances: BTreeSet<String> = request_lines
         .iter()
         .map(|line| line.instance.clone())
@@ -85,6 +87,10 @@
     let window = first_ms.saturating_sub(CONTEXT_BEFORE_MS)..=last_ms + CONTEXT_AFTER_MS;
     let is_context = |line: &LogLine| {
         let event = line.event.as_str();
+        // A part may have been held long before the request.
+        if PART_EVENTS.contains(&event) && line.names_any("part", &parts) {
+            return line.time_unix_ms <= *window.end() && instances.contains(&line.instance);
+        }
         window.contains(&line.time_unix_ms)
             && instances.contains(&line.instance)
             && (INSTANCE_EVENTS.contains(&event)
