Let an instance that was just started learn held parts before it is ready

What callers saw: during a rolling restart, requests with a held prompt part crashed engines again, one or two at each restarted instance.

Cause: an instance was ready once it had read the store, but the first message of another instance came 0.8 s later, since that one has to learn the new entry and to dial back first.

Change: an instance that knows others is not ready until it has heard one of them, or 2 s after its start. It also asks each instance to which it has established a link for its evidence, instead of waiting for the link in the other direction. Builds without this query refuse it.

--- a/crates/edge/src/member/mod.rs
+++ b/crates/edge/src/member/mod.rs
@@ -31,6 +31,10 @@
 /// Time without a message after which an instance without an entry is removed, in milliseconds.
 const REMOVE_TIMEOUT_MS: u64 = 10_000;
 
+/// Uptime until which an instance that knows others but has heard none is not ready, in
+/// milliseconds. The first message tells it which prompt parts are held.
+const MAX_JOIN_MS: u64 = 2_000;
+
 /// Registration entry of an instance in the store.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -91,6 +95,8 @@
 pub struct Members {
     /// Other instances by name.
     pub by_name: HashMap<Arc<str>, Member>,
+    /// Whether a message from any instance has arrived.
+    has_heard: bool,
 }
 
 impl Members {
@@ -135,9 +141,16 @@
         };
         member.last_message_at = Some(now);
         member.is_ready = is_ready;
+        self.has_heard = true;
         true
     }
 
+    /// Whether this instance has heard another one since its start, at the uptime `now`; also true
+    /// if there is no other or none answers in time.
+    pub fn has_joined(&self, now: Millis) -> bool {
+        self.has_heard || self.by_name.is_empty() || now.0 >= MAX_JOIN_MS
+    }
+
     /// Removes instances without an entry and without recent messages. Returns their names.
     pub fn sweep(&mut self, now: Millis) -> Vec<Arc<str>> {
         let is_removable = |member: &Member| {
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -138,7 +138,10 @@
     /// Whether the instance takes requests.
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.config.is_some() && state.replica.is_complete() && state.leaving_at.is_none()
+        state.config.is_some()
+            && state.replica.is_complete()
+            && state.members.has_joined(self.now())
+            && state.leaving_at.is_none()
     }
 
     /// Whether the instance has received the signal to stop.
--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -1,8 +1,8 @@
 //! Serving of links that other instances have dialled.
 
 use super::{
-    decode, exchange::READ_BYTES, pull, tls::peer_digest, Links, MAX_GOSSIP_BYTES, PULL_HEADER,
-    REFUSED_HEADER, TICKET_HEADER,
+    decode, exchange::READ_BYTES, holds, pull, tls::peer_digest, Links, HOLDS_HEADER,
+    MAX_GOSSIP_BYTES, PULL_HEADER, REFUSED_HEADER, TICKET_HEADER,
 };
 use crate::{
     front::read_body,
@@ -147,6 +147,9 @@
             None => Refusal::new(StatusCode::BAD_REQUEST, "not a question").into_answer(),
         };
     }
+    if request.headers().contains_key(HOLDS_HEADER) {
+        return Answer::new(AnswerBody::whole(holds::answer(node).unwrap_or_default()));
+    }
     let outcome = if node.is_leaving() {
         // A long stream that starts now would be cut at the end of the grace period, and the
         // forwarding instance may be stopping too.
--- a/crates/edge/src/peers/dial.rs
+++ b/crates/edge/src/peers/dial.rs
@@ -1,6 +1,6 @@
 //! Links that this instance dials.
 
-use super::{encode, tls::Identity, PeerError, LINK_IDLE_TIMEOUT};
+use super::{encode, holds::fetch_holds, tls::Identity, PeerError, LINK_IDLE_TIMEOUT};
 use crate::{log::Event, member::MemberEntry, node::Node};
 use bytes::Bytes;
 use carobwheel_core::time::Millis;
@@ -157,7 +157,10 @@
                 });
                 node.links
                     .set_connection(&entry.name, Some(connection.clone()));
-                let reason = send_gossip(node, entry, &connection).await;
+                let (reason, ()) = tokio::join!(
+                    send_gossip(node, entry, &connection),
+                    fetch_holds(node, &entry.name)
+                );
                 node.links.set_connection(&entry.name, None);
                 node.log.event(Event::LinkLost {
                     member: &entry.name,
--- /dev/null
+++ b/crates/edge/src/peers/holds.rs
@@ -0,0 +1,43 @@
+//! Query of another instance's evidence on crashing prompt parts.
+
+use super::{exchange, HOLDS_HEADER, REFUSED_HEADER};
+use crate::node::Node;
+use bytes::Bytes;
+use carobwheel_core::crash::CrashReport;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{header::HeaderValue, Request};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Timeout for the response.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum size of the response, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Asks an instance to which a link was established for its evidence. Its own gossip begins only
+/// after it has dialled back, when an instance that was just started already takes requests.
+pub(super) async fn fetch_holds(node: &Node, member: &str) {
+    // Gossip brings the evidence if the query fails.
+    if let Ok(Some(report)) = timeout(ANSWER_TIMEOUT, ask(node, member)).await {
+        node.receive_crash_report(&report);
+    }
+}
+
+/// Sends the query and decodes the response. Builds without this query refuse it.
+async fn ask(node: &Node, member: &str) -> Option<CrashReport> {
+    let mut request = Request::new(Full::<Bytes>::default());
+    let value = HeaderValue::from_static("1");
+    request.headers_mut().insert(HOLDS_HEADER, value);
+    let response = exchange(node, member, request).await.ok()?;
+    if !response.status().is_success() || response.headers().contains_key(REFUSED_HEADER) {
+        return None;
+    }
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
+    postcard::from_bytes(&body.await.ok()?.to_bytes()).ok()
+}
+
+/// Response to the query.
+pub(super) fn answer(node: &Node) -> Option<Vec<u8>> {
+    let report = node.state.borrow().crashes.report(node.now());
+    postcard::to_stdvec(&report).ok()
+}
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -9,6 +9,7 @@
 mod congestion;
 mod dial;
 mod exchange;
+mod holds;
 mod pull;
 mod tls;
 
@@ -28,6 +29,8 @@
 pub(crate) const REFUSED_HEADER: &str = "cw-refused";
 /// Header with the query of a pull from another instance's replica of the store.
 pub(crate) const PULL_HEADER: &str = "cw-pull";
+/// Header of a query for another instance's evidence on crashing prompt parts.
+pub(crate) const HOLDS_HEADER: &str = "cw-holds";
 /// Time without packets after which a link is lost; also the timeout for a new link.
 const LINK_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum size of a gossip message, in bytes.
--- a/crates/gateway/tests/platform_crash.rs
+++ b/crates/gateway/tests/platform_crash.rs
@@ -28,6 +28,7 @@
 
 /// Fleet with a store and engines of the service `model`.
 struct Fleet {
+    store: Store,
     instances: Vec<Instance>,
     engines: Vec<CrashEngine>,
 }
@@ -64,7 +65,11 @@
             instance.metrics_text().contains(&heard)
         });
     }
-    Fleet { instances, engines }
+    Fleet {
+        store,
+        instances,
+        engines,
+    }
 }
 
 impl Fleet {
@@ -155,6 +160,27 @@
     assert_eq!(fleet.received_with(CRASH_PART), received);
 }
 
+#[test]
+fn an_instance_that_was_just_started_does_not_send_a_held_part() {
+    let engines = ["north-e1", "north-e2", "north-e3", "south-e1"];
+    let fleet = fleet(&["north-1", "south-1"], &engines, &CrashOptions::default());
+    fleet.warm_up();
+    fleet.crash_until_refused(&fleet.instances[0]);
+    thread::sleep(Duration::from_millis(400));
+    let received = fleet.received_with(CRASH_PART);
+    let started = Instance::start(&InstanceOptions {
+        name: "north-2",
+        region: "north",
+        store: fleet.store.address,
+    });
+    wait_until("the instance is linked", || {
+        !started.logged("link_up").is_empty()
+    });
+    thread::sleep(Duration::from_millis(20));
+    assert_eq!(ask(&started, CRASH_PART).status, 503);
+    assert_eq!(fleet.received_with(CRASH_PART), received);
+}
+
 #[test]
 fn an_ordinary_crash_holds_nothing_and_its_waiting_requests_are_repeated() {
     let options = CrashOptions {
