serve: end an answer that is not complete by the deadline

What callers could see: an upstream that had sent the head of an answer and then sent its body slowly and without end kept the caller waiting far beyond the deadline of the request, without any answer. Only a pause of 120 s between two chunks, the announced length or 16 MiB ended it.

Cause: the deadline was applied to the head of the answer, not to the body that is buffered after it, neither for requests that may be repeated nor for actions, nor for answers by way of another instance.

Change: a buffered answer has to be complete by the deadline of the request; otherwise the caller gets 504 (may have run), the placement counts as timed out, and the connection to the upstream is closed.

Evidence: an_answer_that_never_ends_is_refused_within_the_deadline (a deadline of 2 s, a bound of 3.5 s). A stream and an answer of over 1 MiB with a length are relayed as they arrive and have no deadline here, as before.

--- a/crates/gateway/src/intake/action/upstream.rs
+++ b/crates/gateway/src/intake/action/upstream.rs
@@ -19,6 +19,7 @@
 };
 use reqwest::header::RETRY_AFTER;
 use std::sync::Arc;
+use tokio::time::timeout_at;
 
 /// Maximum size of an action's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1_024 * 1_024;
@@ -81,7 +82,12 @@
                 self.tried.push(placement.placed.upstream);
                 return (vec![UpstreamEvent::Refused], None);
             }
-            Ok(head) => read_answer(head, placement_guard).await,
+            Ok(head) => {
+                let deadline = attempt::deadline(shared, classified);
+                timeout_at(deadline, read_answer(head, placement_guard))
+                    .await
+                    .unwrap_or(Err(ExchangeError::Timeout))
+            }
             Err(err) => Err(err),
         };
         match received {
--- a/crates/gateway/src/intake/attempt.rs
+++ b/crates/gateway/src/intake/attempt.rs
@@ -134,6 +134,11 @@
     Duration::from_millis(classified.deadline.since(shared.clock.now()))
 }
 
+/// Time by which a buffered answer to the request has to be complete.
+pub(super) fn deadline(shared: &IntakeState, classified: &ClassifiedRequest) -> time::Instant {
+    time::Instant::now() + remaining_time(shared, classified)
+}
+
 /// Sends the request to the upstream of its placement.
 pub(super) async fn dispatch(
     shared: &IntakeState,
--- a/crates/gateway/src/intake/buffer.rs
+++ b/crates/gateway/src/intake/buffer.rs
@@ -13,7 +13,10 @@
 use carobwheel_core::retry::Failure;
 use carobwheel_wire::openai::Usage;
 use serde::Deserialize;
-use tokio::sync::mpsc;
+use tokio::{
+    sync::mpsc,
+    time::{timeout_at, Instant},
+};
 
 /// Maximum size of an answer of known length that is buffered before it is sent on, in bytes.
 const MAX_BUFFERED_BYTES: u64 = 1_024 * 1_024;
@@ -26,12 +29,14 @@
     usage: Option<Usage>,
 }
 
-/// Buffers an answer; one longer than [`MAX_BUFFERED_BYTES`] is relayed as it arrives.
+/// Buffers an answer until `deadline`; one longer than [`MAX_BUFFERED_BYTES`] is relayed as it
+/// arrives.
 pub(super) async fn buffer_answer(
     mut chunks: mpsc::Receiver<Result<Bytes, ExchangeError>>,
     framing: Framing,
     mut placement_guard: PlacementGuard,
     running: InFlightGuard,
+    deadline: Instant,
 ) -> Result<AnswerBody, Refusal> {
     if let Framing::Length(length_bytes) = framing {
         if length_bytes > MAX_BUFFERED_BYTES {
@@ -40,7 +45,15 @@
         }
     }
     let mut body = BytesMut::new();
-    while let Some(chunk) = chunks.recv().await {
+    loop {
+        let Ok(chunk) = timeout_at(deadline, chunks.recv()).await else {
+            placement_guard.settle(AttemptOutcome::Failed(Failure::TimedOut));
+            let detail = "the upstream did not complete its answer in time";
+            return Err(Refusal::may_have_run(Cause::UpstreamTimeout, detail));
+        };
+        let Some(chunk) = chunk else {
+            break;
+        };
         match chunk {
             Ok(chunk) => {
                 placement_guard.record_first_byte();
--- a/crates/gateway/src/intake/forward.rs
+++ b/crates/gateway/src/intake/forward.rs
@@ -1,6 +1,10 @@
 //! Sending side of forwarding a request to another instance.
 
-use super::{answer::Answer, attempt::ClassifiedRequest, pipeline, IntakeState};
+use super::{
+    answer::Answer,
+    attempt::{self, ClassifiedRequest},
+    pipeline, IntakeState,
+};
 use crate::{
     decide::NextHop,
     dispatch::{AnswerHead, ExchangeError},
@@ -109,7 +113,10 @@
     let remaining_ms = classified.deadline.since(shared.clock.now());
     let answered = time::timeout(Duration::from_millis(remaining_ms), opening).await;
     match answered {
-        Ok(Ok(answer)) => relay_answer(answer, running).await,
+        Ok(Ok(answer)) => {
+            let deadline = attempt::deadline(shared, classified);
+            relay_answer(answer, running, deadline).await
+        }
         Ok(Err(err)) => Err(refusal_of(&err)),
         Err(_) => {
             let message = "the other instance did not answer in time";
@@ -161,7 +168,11 @@
     let _ = parts.send(BodyChunk::End).await;
 }
 
-async fn relay_answer(answer: ForwardAnswer, running: InFlightGuard) -> Result<Answer, Refusal> {
+async fn relay_answer(
+    answer: ForwardAnswer,
+    running: InFlightGuard,
+    deadline: time::Instant,
+) -> Result<Answer, Refusal> {
     let Ok(head) = postcard::from_bytes::<ForwardedAnswerHead>(&answer.head) else {
         let message = "the other instance sent a malformed answer";
         return Err(Refusal::may_have_run(Cause::UpstreamFailed, message));
@@ -178,6 +189,7 @@
         PlacementGuard::placed_remotely(),
         running,
         None,
+        deadline,
     )
     .await?;
     answer.run = head.run.into();
--- a/crates/gateway/src/intake/pipeline.rs
+++ b/crates/gateway/src/intake/pipeline.rs
@@ -194,8 +194,15 @@
                 None => {
                     tried.push(placement.placed.upstream);
                     let resumer = resume::resumer(shared, classified, tried);
-                    return relay_answer(head, placement.placement_guard, running, Some(resumer))
-                        .await;
+                    let deadline = attempt::deadline(shared, classified);
+                    return relay_answer(
+                        head,
+                        placement.placement_guard,
+                        running,
+                        Some(resumer),
+                        deadline,
+                    )
+                    .await;
                 }
                 Some(failure) => (failure, upstream_refusal(head.status)),
             },
@@ -242,19 +249,21 @@
     }
 }
 
-/// Converts an upstream's answer into the answer for the caller.
+/// Converts an upstream's answer into the answer for the caller; one that is buffered has to be
+/// complete by `deadline`.
 pub(super) async fn relay_answer(
     head: AnswerHead,
     placement_guard: PlacementGuard,
     running: InFlightGuard,
     resumer: Option<Resumer>,
+    deadline: time::Instant,
 ) -> Result<Answer, Refusal> {
     let framing = framing(&head.headers);
     let body = if framing == Framing::Events {
         let relayed = RelayBody::new(head.chunks, framing, placement_guard, running, resumer);
         AnswerBody::Events(Box::new(relayed))
     } else {
-        buffer_answer(head.chunks, framing, placement_guard, running).await?
+        buffer_answer(head.chunks, framing, placement_guard, running, deadline).await?
     };
     Ok(Answer {
         status: head.status,
--- /dev/null
+++ b/crates/gateway/tests/promise_framing.rs
@@ -0,0 +1,144 @@
+//! Promises about answers of upstreams that never end or have no length, tested with real
+//! processes.
+
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use std::{
+    io::{Read as _, Write as _},
+    net::TcpListener,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        Arc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use support::{eventually, Caller, Fleet, FleetOptions, CONDITION_TIMEOUT};
+use test_case::test_case;
+
+/// Deadline of all requests, in milliseconds.
+const DEADLINE_MS: u64 = 2_000;
+/// Time in which a request has to end, with half a second beyond its deadline and the delay of a
+/// busy machine.
+const MAX_REQUEST_TIME: Duration = Duration::from_millis(DEADLINE_MS + 1_500);
+
+/// Upstream that sends `start` in answer to each request, and then `unit` again and again with a
+/// pause of `pause_ms` milliseconds; it closes the connection if `unit` is empty.
+struct RawUpstream {
+    url: String,
+    requests: Arc<AtomicUsize>,
+    /// Connections that the instance has closed.
+    closed: Arc<AtomicUsize>,
+}
+
+impl RawUpstream {
+    fn start(start: &'static str, unit: &'static str, pause_ms: u64) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let url = format!("http://{}", listener.local_addr().unwrap());
+        let (requests, closed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+        let upstream = Self {
+            url,
+            requests: Arc::clone(&requests),
+            closed: Arc::clone(&closed),
+        };
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (requests, closed) = (Arc::clone(&requests), Arc::clone(&closed));
+                thread::spawn(move || {
+                    if !matches!(stream.read(&mut [0; 65_536]), Ok(1..)) {
+                        return;
+                    }
+                    requests.fetch_add(1, Ordering::SeqCst);
+                    let _ = stream.write_all(start.as_bytes());
+                    while !unit.is_empty() && stream.write_all(unit.as_bytes()).is_ok() {
+                        thread::sleep(Duration::from_millis(pause_ms));
+                    }
+                    closed.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        upstream
+    }
+}
+
+/// Fleet whose upstreams in `north` are replaced by `upstream`.
+async fn fleet(upstream: &RawUpstream) -> Fleet {
+    let mut fleet = Fleet::start(FleetOptions {
+        document: |document| {
+            document.entry("classes", "question")["deadline_ms"] = DEADLINE_MS.into();
+            for route in document.list("routes") {
+                route["deadline_ms"] = DEADLINE_MS.into();
+            }
+        },
+        ..FleetOptions::default()
+    })
+    .await;
+    for id in ["north-engine", "north-ledger"] {
+        fleet.document.entry("upstreams", id)["url"] = upstream.url.clone().into();
+    }
+    fleet.publish();
+    let caller = Caller::of("north-office");
+    let url = fleet.instance("north").url.clone();
+    eventually("requests reach the upstream", CONDITION_TIMEOUT, || async {
+        let early = caller.chat(&url, "early", false);
+        let _ = tokio::time::timeout(MAX_REQUEST_TIME, early).await;
+        (upstream.requests.load(Ordering::SeqCst) > 0).then_some(())
+    })
+    .await;
+    fleet
+}
+
+#[test_case("HTTP/1.1 200 X\r\n", "x-more: y\r\n", 50; "header lines")]
+#[test_case("", "HTTP/1.1 100 X\r\n\r\n", 50; "interim answers")]
+#[test_case("HTTP/1.1 200 X\r\n\r\n", " ", 50; "ends with the connection")]
+#[test_case("HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\n \r\n", 50; "chunks")]
+#[test_case("HTTP/1.1 200 X\r\ncontent-length: 9000\r\n\r\n", " ", 50; "length")]
+#[test_case("HTTP/1.1 200 X\r\n\r\n", "                ", 0; "fast")]
+#[tokio::test]
+async fn an_answer_that_never_ends_is_refused_within_the_deadline(
+    start: &'static str,
+    unit: &'static str,
+    pause_ms: u64,
+) {
+    let upstream = RawUpstream::start(start, unit, pause_ms);
+    let fleet = fleet(&upstream).await;
+    let url = &fleet.instance("north").url;
+    let caller = Caller::of("north-office");
+    for is_action in [false, true] {
+        let started = Instant::now();
+        let answered = async {
+            if is_action {
+                caller.confirm(url, "endless").await
+            } else {
+                caller.chat(url, "endless", false).await
+            }
+        };
+        let reply = tokio::time::timeout(2 * MAX_REQUEST_TIME, answered)
+            .await
+            .expect("no answer");
+        let elapsed = started.elapsed();
+        let reply = reply.unwrap();
+        assert!(elapsed < MAX_REQUEST_TIME, "{elapsed:?}, {reply:?}");
+        assert!(matches!(reply.status, 502 | 504 | 409), "{reply:?}");
+        assert_eq!(reply.run, "may-have-run", "{reply:?}");
+    }
+    eventually("the connections are closed", CONDITION_TIMEOUT, || async {
+        let requests = upstream.requests.load(Ordering::SeqCst);
+        (upstream.closed.load(Ordering::SeqCst) == requests).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_is_complete() {
+    let body = "HTTP/1.1 200 X\r\ncontent-type: application/json\r\n\r\n{\"whole\":true}";
+    let upstream = RawUpstream::start(body, "", 0);
+    let fleet = fleet(&upstream).await;
+    let url = &fleet.instance("north").url;
+    let reply = Caller::of("north-office").chat(url, "whole", false).await;
+    let reply = reply.unwrap();
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.body.as_deref(), Ok("{\"whole\":true}"));
+}
