--- a/crates/gateway/tests/platform_endless.rs
+++ b/crates/gateway/tests/platform_endless.rs
@@ -11,8 +11,8 @@
     io::{Read as _, Write as _},
     net::TcpListener,
     sync::{
-        atomic::{AtomicBool, Ordering},
-        OnceLock,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        Arc, OnceLock,
     },
     thread,
     time::{Duration, Instant},
@@ -283,3 +283,34 @@
     }
     println!("largest {largest} bytes");
 }
+
+#[test]
+fn a_listing_whose_pages_never_end_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let store = listener.local_addr().unwrap();
+    let calls = Arc::<AtomicUsize>::default();
+    let counted = Arc::clone(&calls);
+    let page = r#"{"items":[{"key":"op/config","value":"","revision":1}],"morePages":true,"currentRev":1}"#;
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let calls = Arc::clone(&counted);
+            thread::spawn(move || {
+                while matches!(stream.read(&mut [0; 4_096]), Ok(1..)) {
+                    calls.fetch_add(1, Ordering::SeqCst);
+                    let length = page.len();
+                    let head = format!("HTTP/1.1 200 X\r\ncontent-length: {length}\r\n\r\n");
+                    let _ = stream.write_all(format!("{head}{page}").as_bytes());
+                }
+            });
+        }
+    });
+    let _instance = Instance::start(&InstanceOptions {
+        name: "north-1",
+        region: "north",
+        store,
+    });
+    thread::sleep(Duration::from_secs(4));
+    // Each watched prefix is tried again after a pause that grows to a second.
+    let calls = calls.load(Ordering::SeqCst);
+    assert!((1..200).contains(&calls), "{calls} calls in 4 s");
+}
