Let the stand-in engine crash on a prompt

Requests whose prompt crashes each engine that begins to answer them could not be played with the stand-in: its faults concern single requests.

`Engine::set_prompt_crash` gives a text; a prompt that contains it makes the engine close all its connections when it begins to write the answer, before or behind the head of a stream. The engine then refuses connections for the given time and comes back without requests and with an empty cache. A connection that is accepted while the server begins to refuse is dropped, so that none outlives the crash.

--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -148,7 +148,9 @@
         .map_err(|err| (400, format!("{PRIORITY_HEADER}: {err}")))?;
     let mut text = Vec::new();
     view.for_each_text(|piece| text.extend_from_slice(piece.as_bytes()));
+    let crash = lock(&shared.faults).prompt_crash.clone();
     Ok(CompletionRequest {
+        crash: crash.filter(|crash| crash.is_caused_by(&text)),
         is_chat: request.path() == CHAT_PATH,
         is_stream: view.stream,
         wants_usage: view
--- a/crates/standin/src/engine/batch_runner.rs
+++ b/crates/standin/src/engine/batch_runner.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Drops all requests and the cache, as a crash does.
+    pub(super) fn crash(&self) {
+        let mut state = lock(&self.state);
+        state.engine.crash();
+        state.token_senders.clear();
+    }
+
     /// Returns the delayed load report and the current time of the engine, in microseconds.
     pub(super) fn report(&self) -> (LoadSample, u64) {
         let now_us = self.now_us();
--- a/crates/standin/src/engine/completion.rs
+++ b/crates/standin/src/engine/completion.rs
@@ -1,6 +1,6 @@
 //! Parsed completion requests and the accounting of their progress.
 
-use super::Shared;
+use super::{crash::PromptCrash, Shared};
 use crate::lock;
 
 /// Parsed completion request.
@@ -21,6 +21,8 @@
     /// Length of the complete answer, in tokens.
     pub(super) output_tokens: u64,
     pub(super) finish_reason: &'static str,
+    /// Crash of the engine that the prompt causes.
+    pub(super) crash: Option<PromptCrash>,
 }
 
 /// Accounts for a request in the load and the counts. Dropping it removes the request from the load
--- a/crates/standin/src/engine/fault.rs
+++ b/crates/standin/src/engine/fault.rs
@@ -1,5 +1,6 @@
 //! Injected faults of an engine.
 
+use super::crash::PromptCrash;
 use rand::{rngs::StdRng, Rng, SeedableRng};
 
 /// Denominator of probabilities in parts per million.
@@ -68,6 +69,7 @@
 pub(super) struct Faults {
     rules: Vec<FaultRule>,
     pub(super) slowdown_pct: u64,
+    pub(super) prompt_crash: Option<PromptCrash>,
     rng: StdRng,
 }
 
@@ -76,6 +78,7 @@
         Self {
             rules: Vec::new(),
             slowdown_pct: 100,
+            prompt_crash: None,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -86,6 +89,7 @@
 
     pub(super) fn clear(&mut self) {
         self.rules.clear();
+        self.prompt_crash = None;
         self.slowdown_pct = 100;
     }
 
--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -2,6 +2,7 @@
 
 use super::{
     completion::{CompletionRequest, RequestTracker},
+    crash::crash,
     encoding,
     fault::Fault,
     output,
@@ -29,6 +30,15 @@
     let Some(pacer) = TokenPacer::start(shared, completion, || tracker.mark_started()).await else {
         return ConnectionState::Closed;
     };
+    if let Some(prompt_crash) = &completion.crash {
+        tracker.mark_failed();
+        let _body = match prompt_crash.sends_head && completion.is_stream {
+            true => Some(responder.start_stream("text/event-stream").await),
+            false => None,
+        };
+        crash(shared, prompt_crash.down_ms);
+        return ConnectionState::Closed;
+    }
     let connection = if completion.is_stream {
         send_stream(shared, completion, fault, pacer, responder).await
     } else {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod api;
 mod batch_runner;
 mod completion;
+mod crash;
 mod encoding;
 mod fault;
 mod generate;
@@ -15,12 +16,13 @@
 mod output;
 mod pacer;
 
+pub use crash::PromptCrash;
 pub use fault::{Fault, FaultRule};
 pub use output::{answer_text, prompt_hash, token};
 
 use crate::{
     batch::BatchSettings,
-    http::{RecordedRequest, Server},
+    http::{RecordedRequest, Server, ServerControl},
     lock,
 };
 use batch_runner::BatchRunner;
@@ -31,7 +33,7 @@
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex},
+    sync::{atomic::AtomicBool, Arc, Mutex, OnceLock},
 };
 use tokio::sync::Semaphore;
 
@@ -110,6 +112,8 @@
     pub unauthorized: u64,
     /// Tokens generated.
     pub tokens: u64,
+    /// Crashes caused by prompts.
+    pub crashes: u64,
 }
 
 struct Shared {
@@ -121,6 +125,9 @@
     recorded_requests: Mutex<Vec<RecordedRequest>>,
     faults: Mutex<Faults>,
     load: Mutex<LaggedLoad>,
+    /// Control of the engine's own server; set right after its start.
+    server: OnceLock<Arc<ServerControl>>,
+    is_down: Arc<AtomicBool>,
 }
 
 /// Handle of a running engine. Dropping it stops the engine.
@@ -151,6 +158,8 @@
         recorded_requests: Mutex::default(),
         faults: Mutex::new(Faults::new(options.seed)),
         load: Mutex::new(LaggedLoad::new(options.load_lag_ms)),
+        server: OnceLock::new(),
+        is_down: Arc::default(),
         options,
     });
     let handler_shared = shared.clone();
@@ -159,6 +168,7 @@
         Box::pin(answer) as futures::future::BoxFuture<'static, _>
     };
     let server = Server::start("engine", addr, workers, Arc::new(handler))?;
+    let _ = shared.server.set(server.control());
     Ok(Engine { server, shared })
 }
 
@@ -183,6 +193,11 @@
         self.add_fault(FaultRule::for_next(fault, count));
     }
 
+    /// Makes the engine crash on prompts, or stops that.
+    pub fn set_prompt_crash(&self, crash: Option<PromptCrash>) {
+        lock(&self.shared.faults).prompt_crash = crash;
+    }
+
     /// Removes all fault rules and resets the slowdown.
     pub fn clear_faults(&self) {
         lock(&self.shared.faults).clear();
--- a/crates/standin/src/http/mod.rs
+++ b/crates/standin/src/http/mod.rs
@@ -32,13 +32,24 @@
     Arc<dyn Fn(Request, Responder) -> BoxFuture<'static, ConnectionState> + Send + Sync>;
 
 /// State shared by the handle and the thread of a server.
-struct Control {
+pub(crate) struct ServerControl {
     stop: CancellationToken,
     is_refusing: watch::Sender<bool>,
     connections: Mutex<CancellationToken>,
 }
 
-impl Control {
+impl ServerControl {
+    /// Closes the listening socket, or opens it again. Open connections are kept.
+    pub(crate) fn set_refusing(&self, is_refusing: bool) {
+        self.is_refusing.send_replace(is_refusing);
+    }
+
+    /// Closes all open connections.
+    pub(crate) fn close_connections(&self) {
+        let old = std::mem::take(&mut *self.lock_connections());
+        old.cancel();
+    }
+
     /// Returns the token that is cancelled when the connections open now are closed.
     fn connections(&self) -> CancellationToken {
         self.lock_connections().clone()
@@ -52,7 +63,7 @@
 /// Handle of a running server. Dropping it stops the server.
 pub(crate) struct Server {
     pub(crate) addr: SocketAddr,
-    control: Arc<Control>,
+    control: Arc<ServerControl>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
@@ -77,7 +88,7 @@
             }
         };
         let addr = listener.local_addr()?;
-        let control = Arc::new(Control {
+        let control = Arc::new(ServerControl {
             stop: CancellationToken::new(),
             is_refusing: watch::Sender::new(false),
             connections: Mutex::new(CancellationToken::new()),
@@ -98,13 +109,17 @@
 
     /// Closes the listening socket, or opens it again. Open connections are kept.
     pub(crate) fn set_refusing(&self, is_refusing: bool) {
-        self.control.is_refusing.send_replace(is_refusing);
+        self.control.set_refusing(is_refusing);
     }
 
     /// Closes all open connections.
     pub(crate) fn close_connections(&self) {
-        let old = std::mem::take(&mut *self.control.lock_connections());
-        old.cancel();
+        self.control.close_connections();
+    }
+
+    /// Returns the control of the server, for use by its handler.
+    pub(crate) fn control(&self) -> Arc<ServerControl> {
+        self.control.clone()
     }
 
     /// Stops the server and waits for its thread.
@@ -147,7 +162,7 @@
 async fn accept_all(
     listener: TcpListener,
     addr: SocketAddr,
-    control: Arc<Control>,
+    control: Arc<ServerControl>,
     handler: Handler,
 ) {
     let mut refusing = control.is_refusing.subscribe();
@@ -162,8 +177,11 @@
             () = control.stop.cancelled() => return control.connections().cancel(),
             _ = refusing.changed() => {}
             accepted = accept_one(listener.as_ref()) => {
-                if let Ok(stream) = accepted {
-                    tokio::spawn(serve(stream, control.connections(), handler.clone()));
+                // The token is read before the check: a connection that is accepted while the
+                // server begins to refuse either is dropped here or ends with the open ones.
+                let connections = control.connections();
+                if let (Ok(stream), false) = (accepted, *control.is_refusing.borrow()) {
+                    tokio::spawn(serve(stream, connections, handler.clone()));
                 }
             }
         }
