Refuse requests whose prompt crashes engines, on the own interface too

What callers could see: `serve` sent each request with a prompt that crashes engines to one engine after the other, by repeats, by resumed streams and by new requests. Each crash ended all other answers of that engine.

Cause: outcomes were recorded by upstream only, never by prompt, and a request under which an engine ended was repeated like any other.

Parts are the beginnings of the prompt at message ends and after 1 to 256 blocks, and the whole prompt, with the account in each hash. The gate stands before each send; the refusal is 503 `prompt_held`, not run. First output is told apart from the first byte, since comments and empty events come before. A request is sent again after a break before its output only if its shared parts were answered lately, and once. Reports travel on a channel of their own, which older builds ignore; nothing is sent without evidence. Log lines carry the request and the part; the status page has the counts.

Traffic and memory of the reports have not been measured.

--- a/crates/gateway/src/decide/event.rs
+++ b/crates/gateway/src/decide/event.rs
@@ -2,6 +2,7 @@
 
 use crate::{in_force::ActiveDocument, peers::Inbound, refusal::Refusal};
 use carobwheel_core::{
+    crash::PartId,
     id::{
         ClassId, InstanceId, ModelId, RegionId, RequestId, RolloutId, ServiceId, UpstreamId,
         VersionId,
@@ -53,6 +54,10 @@
     pub max_output_tokens: u64,
     /// Hashes of growing prefixes of the prompt, shortest first.
     pub prefix: Vec<u64>,
+    /// Parts of the prompt that crashes of engines are traced to; the last is the whole prompt.
+    pub parts: Arc<[PartId]>,
+    /// Latest end of the wait for the outcome of another request with a suspected part.
+    pub waits_until: Option<Millis>,
     /// Region that must serve the request, if it is bound to one.
     pub bound_region: Option<RegionId>,
     /// Whether repeating the request has no further effect.
@@ -130,6 +135,10 @@
     pub outcome: AttemptOutcome,
     /// Number of output tokens relayed.
     pub output_tokens: u64,
+    /// Whether output of the engine has arrived.
+    pub has_output: bool,
+    /// Whether the upstream broke the connection before its first output.
+    pub is_broken_before_output: bool,
 }
 
 /// Request for a decision on whether to retry a failed attempt.
@@ -139,6 +148,14 @@
     pub idempotent: bool,
     /// Failure of the attempt.
     pub failure: Failure,
+    /// Identifier of the request.
+    pub id: RequestId,
+    /// Parts of its prompt; the last is the whole prompt.
+    pub parts: Arc<[PartId]>,
+    /// Whether the attempt failed before its first output.
+    pub is_before_output: bool,
+    /// Number of attempts whose connection broke before their first output.
+    pub engine_ends: u32,
     /// Number of attempts so far.
     pub attempts: u32,
     /// Deadline for the start of the response.
@@ -157,6 +174,11 @@
         /// Identifier of the placement.
         ticket: u64,
     },
+    /// The first output of an engine arrived.
+    FirstOutput {
+        /// Identifier of the placement.
+        ticket: u64,
+    },
     /// Output tokens arrived.
     Progress {
         /// Identifier of the placement.
--- a/crates/gateway/src/decide/gossip.rs
+++ b/crates/gateway/src/decide/gossip.rs
@@ -16,6 +16,8 @@
 pub(super) const LOAN_CHANNEL: u8 = 1;
 /// Channel of rollout evidence.
 pub(super) const EVIDENCE_CHANNEL: u8 = 2;
+/// Channel of evidence on prompt parts that crash engines.
+pub(super) const CRASH_CHANNEL: u8 = 3;
 /// Topic of the settled revision, sent to the whole fleet.
 const SETTLED_TOPIC: u8 = 1;
 /// Topic of the slots that a member owns, sent to the whole fleet.
@@ -61,6 +63,7 @@
         self.update_owners();
         self.apply_load_digests(now);
         self.send_evidence(now);
+        self.repeat_crash_report(now);
     }
 
     /// Publishes the revision that the local limiter has settled on, if it has changed.
@@ -183,6 +186,7 @@
                 Ok(digest) => self.on_digest(from, &digest, now),
                 Err(_) => log::warn!(from = from.as_str(); "malformed rollout evidence ignored"),
             },
+            CRASH_CHANNEL => self.on_crash_report(from, bytes, now),
             _ => log::debug!(channel = channel; "message on unknown channel ignored"),
         }
     }
--- a/crates/gateway/src/decide/mod.rs
+++ b/crates/gateway/src/decide/mod.rs
@@ -5,6 +5,7 @@
 
 mod apply;
 mod charge;
+mod crash;
 mod event;
 mod forward;
 mod gossip;
@@ -17,6 +18,7 @@
 mod state;
 mod status;
 
+pub use crash::CrashStatus;
 pub use event::{
     Assignment, AttemptOutcome, Event, LiveListRead, NextHop, PlacementDecision, PlacementRequest,
     PlacementTarget, RetryRequest, Settlement, SlotsRead,
--- a/crates/gateway/src/decide/place.rs
+++ b/crates/gateway/src/decide/place.rs
@@ -45,7 +45,9 @@
         if request.tried.is_empty() {
             configured.retrier.on_request();
         }
-        if request.charge.is_some() {
+        if let Some(refusal) = self.refusal_of_held(&request, now) {
+            self.reject(request, refusal, now);
+        } else if request.charge.is_some() {
             self.place_or_queue(request, now);
         } else {
             self.charge(request, now);
@@ -67,7 +69,7 @@
         let placed = context.place(&request, &mut self.rng);
         match placed {
             // Requests that are already queued go first.
-            Ok(placement) if self.queues.is_empty() => self.start(*request, placement, now),
+            Ok(placement) if self.queues.is_empty() => self.start(request, placement, now),
             Ok(_) => self.enqueue(request, 0, now),
             Err(route::Refusal::Full { wait_ms }) => self.enqueue(request, wait_ms, now),
             Err(refusal) => self.reject(request, refusal_of(&refusal), now),
@@ -90,7 +92,7 @@
     }
 
     /// Refuses a charged request and refunds its reservation.
-    fn reject(&mut self, request: Box<PlacementRequest>, refusal: Refusal, now: Millis) {
+    pub(super) fn reject(&mut self, request: Box<PlacementRequest>, refusal: Refusal, now: Millis) {
         if let Some(charge) = request.charge {
             self.settle_charge(charge, 0, now);
         }
@@ -117,7 +119,7 @@
                 |entry| context.place(&entry.item, rng).ok(),
             );
             match next {
-                Some(Dequeued::Placed(entry, chosen)) => self.start(*entry.item, chosen, now),
+                Some(Dequeued::Placed(entry, chosen)) => self.start(entry.item, chosen, now),
                 Some(Dequeued::Withdrawn(entry)) => self.reject(entry.item, key_withdrawn(), now),
                 None => return,
             }
@@ -133,7 +135,10 @@
         }
     }
 
-    fn start(&mut self, request: PlacementRequest, chosen: PlacementChoice, now: Millis) {
+    fn start(&mut self, request: Box<PlacementRequest>, chosen: PlacementChoice, now: Millis) {
+        let Some(request) = self.pass_gate(request, now) else {
+            return;
+        };
         let PlacementChoice {
             placement,
             version,
@@ -174,7 +179,11 @@
         if let Some(trial) = &mut trial {
             self.rollouts.begin(trial, now);
         }
+        self.crashes.sent(&request.parts, now);
         let active = ActivePlacement {
+            request_id: request.id,
+            waits_for_output: !request.parts.is_empty(),
+            parts: request.parts,
             attempt: configured.router.start(&placement, now),
             upstream: placement.upstream,
             trial,
@@ -184,7 +193,7 @@
     }
 }
 
-fn key_withdrawn() -> Refusal {
+pub(super) fn key_withdrawn() -> Refusal {
     Refusal::not_run(Cause::InvalidKey, "the key has been withdrawn")
 }
 
--- a/crates/gateway/src/decide/rollouts/gossip.rs
+++ b/crates/gateway/src/decide/rollouts/gossip.rs
@@ -63,7 +63,7 @@
         }
     }
 
-    fn running_members(&self) -> Vec<MemberView> {
+    pub(in crate::decide) fn running_members(&self) -> Vec<MemberView> {
         let is_other = |member: &MemberView| {
             member.identity.instance != self.identity.id && member.state == MemberState::Alive
         };
--- a/crates/gateway/src/decide/settle.rs
+++ b/crates/gateway/src/decide/settle.rs
@@ -36,6 +36,9 @@
             .active
             .remove(&settlement.ticket)
             .expect("each placement is settled exactly once");
+        if active.waits_for_output {
+            self.record_attempt_end(settlement, &active, now);
+        }
         let Some(configured) = &mut self.configured else {
             return;
         };
@@ -63,7 +66,8 @@
     }
 
     pub(super) fn on_retry_request(&mut self, request: RetryRequest, now: Millis) {
-        let decision = match &mut self.configured {
+        let may_repeat = self.may_repeat(&request, now);
+        let decision = match self.configured.as_mut().filter(|_| may_repeat) {
             Some(configured) => configured.retrier.decide(
                 request.idempotent,
                 request.failure,
@@ -71,7 +75,7 @@
                 request.deadline.since(now),
                 &mut self.rng,
             ),
-            None => Decision::GiveUp(GiveUpReason::Budget),
+            None => Decision::GiveUp(GiveUpReason::MayHaveRun),
         };
         // Sending fails only if the caller has disconnected.
         let _ = request.reply.send(decision);
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -2,6 +2,7 @@
 
 use super::{
     charge::Charging,
+    crash::PromptCrashes,
     event::{Event, PlacementRequest},
     membership,
     outputs::Outputs,
@@ -14,7 +15,8 @@
 };
 use carobwheel_core::{
     admit::{AdmissionQueues, AdmissionSettings},
-    id::{AccountId, UpstreamId},
+    crash::PartId,
+    id::{AccountId, RequestId, UpstreamId},
     identity::Caller,
     member::Members,
     retry::{OutlierDetector, Retrier, RetrySettings},
@@ -35,6 +37,11 @@
 pub(super) struct ActivePlacement {
     pub(super) attempt: AttemptId,
     pub(super) upstream: UpstreamId,
+    pub(super) request_id: RequestId,
+    /// Parts of the prompt; the last is the whole prompt.
+    pub(super) parts: Arc<[PartId]>,
+    /// Whether the first output of a request to an engine is still to come.
+    pub(super) waits_for_output: bool,
     /// Part of the request in a rollout, if the rollout chose its version.
     pub(super) trial: Option<TrialRequest>,
 }
@@ -57,6 +64,7 @@
     pub(super) slots: Slots,
     pub(super) charging: Charging,
     pub(super) rollouts: Rollouts,
+    pub(super) crashes: PromptCrashes,
     pub(super) queues: AdmissionQueues<Box<PlacementRequest>>,
     pub(super) active: HashMap<u64, ActivePlacement>,
     pub(super) last_ticket: u64,
@@ -108,6 +116,7 @@
             slots: Slots::new(me.clone(), settings.platform.is_some(), now),
             charging: Charging::new(me.clone(), identity.region.clone()),
             rollouts: Rollouts::new(&me, &identity.region),
+            crashes: PromptCrashes::default(),
             identity,
             me,
             outputs,
@@ -131,6 +140,7 @@
         match event {
             Event::Place(request) => self.on_placement_request(request, now),
             Event::FirstByte { ticket } => self.on_first_byte(ticket, now),
+            Event::FirstOutput { ticket } => self.on_first_output(ticket, now),
             Event::Progress {
                 ticket,
                 output_tokens,
@@ -169,6 +179,7 @@
             self.tick_members(now);
             self.tick_charging(now);
             self.tick_rollouts(now);
+            self.send_crash_report(now);
         }
         if is_due(&mut self.last_runs.slots, SLOTS_TICK_MS, now) {
             self.tick_slots(now);
@@ -181,6 +192,7 @@
         }
         if is_due(&mut self.last_runs.expiry, EXPIRY_PERIOD_MS, now) {
             self.expire_waiting(now);
+            self.expire_crashes(now);
             self.readmit_upstreams(now);
             self.place_waiting(now);
         }
--- a/crates/gateway/src/decide/status.rs
+++ b/crates/gateway/src/decide/status.rs
@@ -19,6 +19,7 @@
             charges: totals.charges,
             loans_taken: totals.loans_taken,
             loans_given: totals.loans_given,
+            crashes: self.crashes.status(),
             retries: configured.map_or(0, |configured| configured.retrier.retries()),
             rollouts: self.rollouts.status(self.unix_now()),
         }));
--- a/crates/gateway/src/intake/attempt.rs
+++ b/crates/gateway/src/intake/attempt.rs
@@ -17,7 +17,13 @@
     time::Millis,
 };
 use reqwest::{header::HeaderMap, Method};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc,
+    },
+    time::Duration,
+};
 use tokio::{
     sync::{oneshot, OwnedSemaphorePermit},
     time,
@@ -38,6 +44,8 @@
     pub(super) classification: classify::Classification,
     pub(super) deadline: Millis,
     pub(super) hops: Hops,
+    /// Number of attempts whose connection broke before their first output.
+    pub(super) engine_ends: Arc<AtomicU32>,
     /// Cancels the request and each of its exchanges.
     pub(super) cancel: CancellationToken,
     /// Permit for the memory of the body, held while the request runs.
@@ -107,6 +115,8 @@
         prompt_tokens: classification.prompt_tokens,
         max_output_tokens: classification.max_output_tokens,
         prefix: classification.prefix.clone(),
+        parts: Arc::clone(&classification.parts),
+        waits_until: None,
         bound_region: classification.bound_region.clone(),
         idempotent: classification.idempotent,
         deadline: classified.deadline,
@@ -169,10 +179,19 @@
     shared: &IntakeState,
     classified: &ClassifiedRequest,
     failure: Failure,
+    is_before_output: bool,
     attempts: usize,
 ) -> Option<u64> {
+    let is_engine_end = is_before_output && failure == Failure::ConnectionLost;
+    let engine_ends = classified
+        .engine_ends
+        .fetch_add(u32::from(is_engine_end), Ordering::Relaxed);
     let (reply, decision) = oneshot::channel();
     let request = RetryRequest {
+        id: classified.request_id.clone(),
+        parts: Arc::clone(&classified.classification.parts),
+        is_before_output,
+        engine_ends: engine_ends + u32::from(is_engine_end),
         idempotent: classified.classification.idempotent,
         failure,
         attempts: u32::try_from(attempts).unwrap_or(u32::MAX),
--- a/crates/gateway/src/intake/buffer.rs
+++ b/crates/gateway/src/intake/buffer.rs
@@ -44,6 +44,7 @@
         match chunk {
             Ok(chunk) => {
                 placement_guard.record_first_byte();
+                placement_guard.record_first_output();
                 running.trace().record_first_byte();
                 body.extend_from_slice(&chunk);
             }
--- a/crates/gateway/src/intake/classify.rs
+++ b/crates/gateway/src/intake/classify.rs
@@ -1,18 +1,19 @@
 //! Classification of requests: a model and its class, or a service route.
 
-use super::head::BodyLength;
+use super::{head::BodyLength, parts::prompt_parts};
 use crate::{
     decide::PlacementTarget,
     refusal::{Cause, Refusal},
 };
 use carobwheel_core::{
+    crash::PartId,
     document::{Account, Document, Model, Route, Serves},
     id::{RegionId, MAX_ID_BYTES},
     route::prefix_hashes,
 };
 use carobwheel_wire::openai::{RequestView, CHAT_PATH, COMPLETIONS_PATH};
 use rocket::http::Method;
-use std::ops::RangeInclusive;
+use std::{ops::RangeInclusive, sync::Arc};
 
 /// Prompt bytes that count as one token.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -37,6 +38,8 @@
     pub(super) prompt_tokens: u64,
     pub(super) max_output_tokens: u64,
     pub(super) prefix: Vec<u64>,
+    /// Parts of the prompt that crashes of engines are traced to; the last is the whole prompt.
+    pub(super) parts: Arc<[PartId]>,
     pub(super) bound_region: Option<RegionId>,
     pub(super) idempotent: bool,
     pub(super) deadline_ms: u64,
@@ -129,14 +132,17 @@
             "the prompt is longer than any class allows",
         )
     })?;
+    let prefix = prefix(&view, account);
+    let account_id = account.map_or("", |account| account.id.as_str());
     Ok(Classification {
+        parts: prompt_parts(&view, account_id, &prefix).into(),
         target: PlacementTarget::Model {
             model: model.id.clone(),
             class: class.id.clone(),
         },
         prompt_tokens,
         max_output_tokens,
-        prefix: prefix(&view, account),
+        prefix,
         bound_region: account.and_then(|account| account.bound_region.clone()),
         idempotent: true,
         deadline_ms: class.deadline_ms,
@@ -191,6 +197,7 @@
         prompt_tokens: route.charge_tokens,
         max_output_tokens: 0,
         prefix: Vec::new(),
+        parts: Arc::default(),
         bound_region,
         idempotent: route.idempotent,
         deadline_ms: route.deadline_ms,
--- a/crates/gateway/src/intake/forwarded.rs
+++ b/crates/gateway/src/intake/forwarded.rs
@@ -142,6 +142,7 @@
         deadline: shared.clock.now().plus(classification.deadline_ms),
         classification,
         hops,
+        engine_ends: Arc::default(),
         cancel: CancellationToken::new(),
         _body_memory: Arc::new(memory_permit),
     };
--- a/crates/gateway/src/intake/mod.rs
+++ b/crates/gateway/src/intake/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod forwarded;
 mod handler;
 mod head;
+mod parts;
 mod pipeline;
 mod resume;
 mod upstream_headers;
--- a/crates/gateway/src/intake/pipeline.rs
+++ b/crates/gateway/src/intake/pipeline.rs
@@ -167,6 +167,7 @@
         deadline: shared.clock.now().plus(classification.deadline_ms),
         classification,
         hops,
+        engine_ends: Arc::default(),
         cancel: CancellationToken::new(),
         _body_memory: Arc::new(buffered.memory_permit),
     })
@@ -206,7 +207,7 @@
             .placement_guard
             .settle(AttemptOutcome::Failed(failure));
         tried.push(placement.placed.upstream);
-        let after_ms = attempt::retry_delay_ms(shared, classified, failure, tried.len())
+        let after_ms = attempt::retry_delay_ms(shared, classified, failure, true, tried.len())
             .await
             .ok_or(refusal)?;
         time::sleep(Duration::from_millis(after_ms)).await;
@@ -245,10 +246,13 @@
 /// Converts an upstream's answer into the answer for the caller.
 pub(super) async fn relay_answer(
     head: AnswerHead,
-    placement_guard: PlacementGuard,
+    mut placement_guard: PlacementGuard,
     running: InFlightGuard,
     resumer: Option<Resumer>,
 ) -> Result<Answer, Refusal> {
+    if head.status >= 400 {
+        placement_guard.mark_error_answer();
+    }
     let framing = framing(&head.headers);
     let body = if framing == Framing::Events {
         let relayed = RelayBody::new(head.chunks, framing, placement_guard, running, resumer);
--- a/crates/gateway/src/intake/resume.rs
+++ b/crates/gateway/src/intake/resume.rs
@@ -46,8 +46,15 @@
     broken: BrokenStream,
 ) -> Option<ResumedStream> {
     let tried_before = lock(tried).clone();
-    let after_ms =
-        attempt::retry_delay_ms(shared, classified, broken.failure, tried_before.len()).await?;
+    let is_before_output = broken.relayed_tokens == 0;
+    let after_ms = attempt::retry_delay_ms(
+        shared,
+        classified,
+        broken.failure,
+        is_before_output,
+        tried_before.len(),
+    )
+    .await?;
     time::sleep(Duration::from_millis(after_ms)).await;
     let mut remaining = classified.clone();
     remaining.deadline = shared
--- a/crates/gateway/src/refusal/mod.rs
+++ b/crates/gateway/src/refusal/mod.rs
@@ -51,6 +51,8 @@
     Overloaded,
     /// No upstream can currently serve the request.
     NoUpstream,
+    /// Engines have crashed on requests with a part of the prompt.
+    PromptHeld,
     /// The instance has no configuration document yet, or is stopping.
     NotReady,
     /// The action needs the store, which does not answer.
@@ -77,7 +79,11 @@
             Self::KeyReused => 422,
             Self::RateLimited => 429,
             Self::UpstreamFailed => 502,
-            Self::Overloaded | Self::NoUpstream | Self::NotReady | Self::StoreUnavailable => 503,
+            Self::Overloaded
+            | Self::NoUpstream
+            | Self::PromptHeld
+            | Self::NotReady
+            | Self::StoreUnavailable => 503,
             Self::UpstreamTimeout => 504,
         }
     }
@@ -98,6 +104,7 @@
             Self::RateLimited => "rate_limit_exceeded",
             Self::Overloaded => "overloaded",
             Self::NoUpstream => "no_upstream",
+            Self::PromptHeld => "prompt_held",
             Self::NotReady => "not_ready",
             Self::StoreUnavailable => "store_unavailable",
             Self::UpstreamFailed => "upstream_failed",
--- a/crates/gateway/src/relay/body.rs
+++ b/crates/gateway/src/relay/body.rs
@@ -71,6 +71,8 @@
     framing: Framing,
     events: EventSplitter,
     received_bytes: u64,
+    /// Tokens relayed before the current engine took over.
+    tokens_before: u64,
     heartbeat: Interval,
     resumer: Option<Resumer>,
     placement_guard: PlacementGuard,
@@ -93,6 +95,7 @@
             framing,
             events: EventSplitter::default(),
             received_bytes: 0,
+            tokens_before: 0,
             heartbeat: interval_at(Instant::now() + HEARTBEAT_PERIOD, HEARTBEAT_PERIOD),
             resumer,
             placement_guard,
@@ -105,12 +108,17 @@
         self.running.trace().record_first_byte();
         self.received_bytes += chunk.len() as u64;
         if self.framing != Framing::Events {
+            self.placement_guard.record_first_output();
             self.unread = chunk;
             return Ok(());
         }
         match self.events.push(&chunk) {
             Ok(complete) => {
                 self.placement_guard.set_output_tokens(self.events.tokens());
+                // Comments and events without text also come before an engine writes its answer.
+                if self.events.tokens() > self.tokens_before {
+                    self.placement_guard.record_first_output();
+                }
                 self.unread = complete;
                 Ok(())
             }
@@ -180,6 +188,7 @@
                 log::info!(relayed_tokens = self.events.tokens(); "stream continued on another engine");
                 self.source = AnswerSource::Chunks(chunks);
                 self.placement_guard = placement_guard;
+                self.tokens_before = self.events.tokens();
                 Ok(())
             }
             None => {
--- a/crates/gateway/src/relay/guard.rs
+++ b/crates/gateway/src/relay/guard.rs
@@ -4,7 +4,7 @@
     decide::{AttemptOutcome, Event, Settlement},
     ring::{Full, Sender},
 };
-use carobwheel_core::limit::ChargeId;
+use carobwheel_core::{limit::ChargeId, retry::Failure};
 use std::{thread, time::Duration};
 use tokio_util::sync::CancellationToken;
 
@@ -65,6 +65,8 @@
     output_tokens: u64,
     reported_tokens: u64,
     has_first_byte: bool,
+    has_first_output: bool,
+    is_error_answer: bool,
     is_settled: bool,
     charge_guard: Option<ChargeGuard>,
     decide: Option<Sender<Event>>,
@@ -80,6 +82,8 @@
             output_tokens: 0,
             reported_tokens: 0,
             has_first_byte: false,
+            has_first_output: false,
+            is_error_answer: false,
             is_settled: true,
             decide: None,
             cancel: CancellationToken::new(),
@@ -99,6 +103,8 @@
             output_tokens: 0,
             reported_tokens: 0,
             has_first_byte: false,
+            has_first_output: false,
+            is_error_answer: false,
             is_settled: false,
             decide: Some(decide),
             cancel,
@@ -120,6 +126,19 @@
         }
     }
 
+    /// Records that output of the engine arrived, and reports the first.
+    pub fn record_first_output(&mut self) {
+        if !self.has_first_output && !self.is_error_answer {
+            self.has_first_output = true;
+            self.report(|ticket| Event::FirstOutput { ticket });
+        }
+    }
+
+    /// Records that the answer is an error, not output of the engine.
+    pub fn mark_error_answer(&mut self) {
+        self.is_error_answer = true;
+    }
+
     /// Whether a byte of the answer has arrived.
     pub fn has_first_byte(&self) -> bool {
         self.has_first_byte
@@ -149,6 +168,9 @@
             return;
         }
         self.is_settled = true;
+        self.has_first_output |= outcome == AttemptOutcome::Completed && !self.is_error_answer;
+        let is_broken = outcome == AttemptOutcome::Failed(Failure::ConnectionLost)
+            && !self.cancel.is_cancelled();
         if outcome != AttemptOutcome::Completed {
             self.cancel.cancel();
         }
@@ -160,6 +182,8 @@
                 ticket,
                 outcome,
                 output_tokens: self.output_tokens,
+                has_output: self.has_first_output,
+                is_broken_before_output: is_broken && !self.has_first_output,
             };
             send(decide, Event::Settle(settlement));
         }
--- a/crates/gateway/src/report/status.rs
+++ b/crates/gateway/src/report/status.rs
@@ -1,6 +1,7 @@
 //! Data shown on the status page.
 
 use super::tally::LabelStatus;
+use crate::decide::CrashStatus;
 use arc_swap::ArcSwap;
 use carobwheel_core::id::{DataCentreId, InstanceId, RegionId};
 use serde::Serialize;
@@ -59,6 +60,8 @@
     pub loans_taken: usize,
     /// Number of loans given to other instances.
     pub loans_given: usize,
+    /// Crashes of engines and the requests refused because of them.
+    pub crashes: CrashStatus,
     /// Number of retries since the start.
     pub retries: u64,
     /// State of each rollout.
