Log the requests that are open when the process exits, not before its links close

Cause: the instance serves requests until it exits, up to 100 ms after its open requests were logged; a request read in that time and cut by the exit had no line. In a trial an instance refused a request 27 ms after its stopped line. Change: connection_closed for open requests is logged after the links are closed. No test: the window is too short to hit.

--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -134,6 +134,7 @@
     wait_for_stop(&node, &deployment).await?;
     let cut = leave(&node, &connections, &drain, &stop_store).await;
     node.links.close().await;
+    connections.log_open_requests(&node.log);
     node.log.close();
     log_end.join();
     Ok(cut)
@@ -284,7 +285,6 @@
     // The last response may still be in transit on a link.
     sleep(LINK_FLUSH_TIME).await;
     let in_flight = connections.count() + node.peer_exchanges.get();
-    connections.log_open_requests(&node.log);
     node.log.event(Event::Stopped { in_flight });
     in_flight
 }
