Read the id of an event after a byte order mark

What callers could see: a resumable stream whose upstream begins with a byte order mark and breaks after its first event is resumed from the start, so the first event could come twice.

Cause: the mark was taken as part of the name of the event's first field.

Evidence: the_id_of_the_first_event_is_read_after_a_byte_order_mark failed before (no id) and passes now. The loss itself was not played with processes. a_lone_carriage_return_ends_no_event holds down what was so before: a stream that uses carriage returns alone as line ends has no whole event and is broken off, never passed on as complete.

--- a/crates/edge/src/relay/events.rs
+++ b/crates/edge/src/relay/events.rs
@@ -11,6 +11,8 @@
     pub bytes: Bytes,
 }
 
+/// Mark that may stand at the start of a stream.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 /// Maximum size of an event, in bytes.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
@@ -82,6 +84,7 @@
 
 /// Numeric id of an event.
 fn event_id(bytes: &[u8]) -> Option<u64> {
+    let bytes = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
     let is_id = |line: &&[u8]| line.starts_with(b"id:");
     let line = bytes.split(|byte| *byte == b'\n').find(is_id)?;
     let text = std::str::from_utf8(&line[b"id:".len()..]).ok()?;
--- a/crates/edge/tests/stream_events.rs
+++ b/crates/edge/tests/stream_events.rs
@@ -62,3 +62,17 @@
     splitter.push(piece.as_slice());
     assert_eq!(splitter.next_event(), Err(EventTooLong));
 }
+
+#[test]
+fn the_id_of_the_first_event_is_read_after_a_byte_order_mark() {
+    let (events, has_part) = split(&["\u{feff}id: 7\ndata: a\n\n".as_bytes()]);
+    assert_eq!(events[0].0, Some(7));
+    assert!(!has_part);
+}
+
+#[test]
+fn a_lone_carriage_return_ends_no_event() {
+    let (events, has_part) = split(&[b"id: 1\rdata: a\r\r"]);
+    assert!(events.is_empty());
+    assert!(has_part);
+}
