Play requests that crash engines with carobctl load

An operator could not see how a fleet fares with a prompt that crashes engines: the demo's engines never crash.

Without a share, arrivals and prompts of a seed stay.

--- a/crates/ctl/src/demo/environment.rs
+++ b/crates/ctl/src/demo/environment.rs
@@ -32,7 +32,7 @@
     pub(super) live_list: livelist::LiveList,
     authority: CertificateAuthority,
     credentials: BTreeMap<UpstreamId, String>,
-    _engines: Vec<engine::Engine>,
+    engines: Vec<engine::Engine>,
     _services: Vec<service::Service>,
 }
 
@@ -76,11 +76,24 @@
             live_list,
             authority: CertificateAuthority::new("carobwheel demo")?,
             credentials,
-            _engines: engines,
+            engines,
             _services: services,
         })
     }
 
+    /// Makes the engines crash on prompts with `text`. Returns their base URLs.
+    pub(super) fn crash_engines_on(&self, text: &str, down_ms: u64) -> Vec<String> {
+        let crash = |engine: &engine::Engine| {
+            engine.set_prompt_crash(Some(engine::PromptCrash {
+                text: text.to_owned(),
+                down_ms,
+                sends_head: false,
+            }));
+            engine.url()
+        };
+        self.engines.iter().map(crash).collect()
+    }
+
     /// Creates the settings of all instances, two in each region and in different data centres, and
     /// adds the instances to the live list.
     pub(super) fn register_instances(&self) -> anyhow::Result<Vec<Settings>> {
--- a/crates/ctl/src/demo/mod.rs
+++ b/crates/ctl/src/demo/mod.rs
@@ -15,6 +15,8 @@
 use std::path::PathBuf;
 use tokio::runtime;
 
+const MAX_CRASH_DOWN_MS: u64 = 600_000;
+
 /// Example deployment that ships with its configuration document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 pub enum Deployment {
@@ -47,6 +49,12 @@
     /// Time per token of the engines, in milliseconds.
     #[arg(long, default_value_t = 20)]
     pub token_ms: u64,
+    /// Text that crashes the engines when it is in a prompt; none crashes them by default.
+    #[arg(long)]
+    pub crash_text: Option<String>,
+    /// Time for which an engine is down after a crash, in milliseconds.
+    #[arg(long, default_value_t = 3_000)]
+    pub crash_down_ms: u64,
     /// Send the printed requests, print the responses and exit.
     #[arg(long)]
     pub once: bool,
@@ -63,7 +71,15 @@
         .enable_all()
         .build()
         .context("cannot start the async runtime")?;
+    anyhow::ensure!(
+        (1..=MAX_CRASH_DOWN_MS).contains(&args.crash_down_ms),
+        "--crash-down-ms must be between 1 and {MAX_CRASH_DOWN_MS} ms"
+    );
     let environment = Environment::start(args.deployment, args.token_ms)?;
+    if let Some(text) = &args.crash_text {
+        let engines = environment.crash_engines_on(text, args.crash_down_ms);
+        println!("Engines: {}", engines.join(" "));
+    }
     if let Some(folder) = &args.settings_dir {
         let files = environment.write_settings(folder)?;
         print!("{}", text::startup_instructions(&environment, &files));
--- a/crates/ctl/src/load/client.rs
+++ b/crates/ctl/src/load/client.rs
@@ -63,13 +63,23 @@
         })
     }
 
-    /// Sends one request whose scheduled arrival is `arrival`.
-    pub(super) async fn send(self, prompt: String, arrival: Instant) -> Outcome {
+    /// Sends one request whose scheduled arrival is `arrival`, with `first_message` before its
+    /// prompt.
+    pub(super) async fn send(
+        self,
+        first_message: Option<String>,
+        prompt: String,
+        arrival: Instant,
+    ) -> Outcome {
+        let contents = first_message.into_iter().chain([prompt]);
+        let messages: Vec<_> = contents
+            .map(|content| serde_json::json!({"role": "user", "content": content}))
+            .collect();
         let body = serde_json::json!({
             "model": self.model,
             "stream": self.is_streamed,
             "max_tokens": self.max_tokens,
-            "messages": [{"role": "user", "content": prompt}],
+            "messages": messages,
         });
         let request = self
             .client
--- a/crates/ctl/src/load/mod.rs
+++ b/crates/ctl/src/load/mod.rs
@@ -5,11 +5,12 @@
 //! not reduce the load. Latency is measured from the scheduled arrival.
 
 mod client;
+mod crash;
 pub(crate) mod process;
 mod report;
 
 use anyhow::Context as _;
-use client::{LoadClient, Outcome};
+use client::LoadClient;
 use rand::{rngs::StdRng, Rng as _, SeedableRng as _};
 use report::{Report, RunStats};
 use std::{
@@ -61,6 +62,15 @@
     /// Process ID of the instance, to measure its processor time and memory.
     #[arg(long)]
     pub pid: Option<u32>,
+    /// Share of requests with a first message that crashes engines, in percent.
+    #[arg(long, default_value_t = 0.0)]
+    pub crash_share_pct: f64,
+    /// Text of that message, as given to `carobctl demo`.
+    #[arg(long, default_value = "")]
+    pub crash_text: String,
+    /// Base URL of a stand-in engine whose crashes are counted; may be repeated.
+    #[arg(long = "engine")]
+    pub engines: Vec<String>,
     /// File to write the report to, as JSON.
     #[arg(long)]
     pub json: Option<PathBuf>,
@@ -81,6 +91,7 @@
         (1..=MAX_DURATION_S).contains(&args.duration_s),
         "--duration-s must be between 1 and {MAX_DURATION_S} s"
     );
+    crash::check(&args)?;
     let direct = match &args.direct {
         Some(url) => Some(run_load(&args, url, &args.direct_key, None).await?),
         None => None,
@@ -98,6 +109,7 @@
 async fn run_load(args: &Args, url: &str, key: &str, pid: Option<u32>) -> anyhow::Result<RunStats> {
     let client = LoadClient::new(url, key, args)?;
     let mut rng = StdRng::seed_from_u64(args.seed);
+    let crashes_before = crash::crash_count(&args.engines).await?;
     let usage_before = pid.map(process::usage).transpose()?;
     let start = Instant::now();
     let end = start + Duration::from_secs(args.duration_s);
@@ -108,9 +120,13 @@
     while arrival < end {
         time::sleep_until(arrival.into()).await;
         let prompt = prompt(&mut rng, args.prompt_words);
-        running.spawn(client.clone().send(prompt, arrival));
+        // Runs without such requests keep their arrivals and prompts for a seed.
+        let crashes = args.crash_share_pct > 0.0 && rng.random_bool(args.crash_share_pct / 100.0);
+        let first_message = crashes.then(|| args.crash_text.clone());
+        let request = client.clone();
+        running.spawn(async move { (crashes, request.send(first_message, prompt, arrival).await) });
         while let Some(outcome) = running.try_join_next() {
-            stats.add(&outcome.unwrap_or_else(|_| Outcome::failed("panicked")));
+            stats.add_one_of(outcome);
         }
         arrival += interarrival(&mut rng, args.rate_per_s);
     }
@@ -118,9 +134,12 @@
         peak_memory_bytes = process::usage(pid)?.memory_bytes;
     }
     while let Some(outcome) = running.join_next().await {
-        stats.add(&outcome.unwrap_or_else(|_| Outcome::failed("panicked")));
+        stats.add_one_of(outcome);
     }
     stats.duration = start.elapsed();
+    if !args.engines.is_empty() {
+        stats.engine_crashes = Some(crash::crash_count(&args.engines).await? - crashes_before);
+    }
     if let (Some(pid), Some(usage_before)) = (pid, usage_before) {
         let usage_after = process::usage(pid)?;
         stats.processor_s = Some(usage_after.processor_s - usage_before.processor_s);
--- a/crates/ctl/src/load/report.rs
+++ b/crates/ctl/src/load/report.rs
@@ -4,6 +4,7 @@
 use hdrhistogram::Histogram;
 use serde_json::{json, Value};
 use std::{collections::BTreeMap, fmt::Write as _, time::Duration};
+use tokio::task::JoinError;
 
 const MAX_LATENCY_US: u64 = 3_600_000_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
@@ -19,6 +20,11 @@
     complete: u64,
     requests: u64,
     incomplete_codes: BTreeMap<String, u64>,
+    /// Requests whose prompt crashes engines, by status and error code. They are in none of the
+    /// other statistics.
+    crashing_codes: BTreeMap<String, u64>,
+    /// Crashes of the stand-in engines during the run; `None` if no engine was given.
+    pub(super) engine_crashes: Option<u64>,
     /// Duration of the run until the end of the last response.
     pub(super) duration: Duration,
     /// Processor time that the measured process used during the run, in seconds.
@@ -27,6 +33,16 @@
     pub(super) memory_bytes: Option<u64>,
 }
 
+fn label(outcome: &Outcome) -> String {
+    let unknown = if outcome.is_complete {
+        "complete"
+    } else {
+        "unknown"
+    };
+    let code = outcome.code.as_deref().unwrap_or(unknown);
+    format!("{} {code}", outcome.status)
+}
+
 fn new_histogram() -> Histogram<u64> {
     Histogram::new_with_max(MAX_LATENCY_US, SIGNIFICANT_DIGITS)
         .expect("three significant digits up to one hour are valid bounds")
@@ -46,6 +62,8 @@
             complete: 0,
             requests: 0,
             incomplete_codes: BTreeMap::new(),
+            crashing_codes: BTreeMap::new(),
+            engine_crashes: None,
             duration: Duration::ZERO,
             processor_s: None,
             memory_bytes: None,
@@ -54,13 +72,22 @@
 }
 
 impl RunStats {
+    /// Adds the result of the task of one request: whether its prompt crashes engines, and its
+    /// outcome.
+    pub(super) fn add_one_of(&mut self, result: Result<(bool, Outcome), JoinError>) {
+        let (crashes, outcome) = result.unwrap_or_else(|_| (false, Outcome::failed("panicked")));
+        if crashes {
+            *self.crashing_codes.entry(label(&outcome)).or_default() += 1;
+        } else {
+            self.add(&outcome);
+        }
+    }
+
     /// Adds the outcome of one request.
-    pub(super) fn add(&mut self, outcome: &Outcome) {
+    fn add(&mut self, outcome: &Outcome) {
         self.requests += 1;
         if !outcome.is_complete {
-            let code = outcome.code.as_deref().unwrap_or("unknown");
-            let label = format!("{} {code}", outcome.status);
-            *self.incomplete_codes.entry(label).or_default() += 1;
+            *self.incomplete_codes.entry(label(outcome)).or_default() += 1;
             return;
         }
         self.complete += 1;
@@ -83,6 +110,8 @@
             "requests": self.requests,
             "whole": self.complete,
             "not_whole": self.incomplete_codes,
+            "crashing": self.crashing_codes,
+            "engine_crashes": self.engine_crashes,
             "duration_s": self.duration.as_secs_f64(),
             "first_byte_ms": quantiles_ms(&self.first_byte_us),
             "total_ms": quantiles_ms(&self.total_us),
@@ -104,6 +133,12 @@
         for (label, count) in &self.incomplete_codes {
             let _ = writeln!(text, "  incomplete: {count} x {label}");
         }
+        for (label, count) in &self.crashing_codes {
+            let _ = writeln!(text, "  with the crashing text: {count} x {label}");
+        }
+        if let Some(crashes) = self.engine_crashes {
+            let _ = writeln!(text, "  crashes of engines: {crashes}");
+        }
         let rows = [
             ("first byte", &self.first_byte_us),
             ("total", &self.total_us),
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -1,6 +1,9 @@
 //! HTTP endpoints of the engine.
 
-use super::{completion::CompletionRequest, fault::Fault, generate, output, Shared, RESUME_HEADER};
+use super::{
+    completion::CompletionRequest, fault::Fault, generate, output, Shared, CRASHES_PATH,
+    RESUME_HEADER,
+};
 use crate::{
     http::{ConnectionState, Request, Responder},
     lock,
@@ -27,6 +30,10 @@
 ) -> ConnectionState {
     match (request.method.as_str(), request.path()) {
         ("GET", MODELS_PATH) => responder.send_json(200, &models(&shared)).await,
+        ("GET", CRASHES_PATH) => {
+            let crashes = lock(&shared.counts).crashes;
+            responder.send_json(200, &crashes).await
+        }
         ("GET", "/health") => responder.send_body(200, "text/plain", b"ok").await,
         ("GET", LOAD_PATH) => {
             let report = published_load(&shared);
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -40,6 +40,9 @@
 /// Request header with the number of answer tokens that the caller already has.
 pub const RESUME_HEADER: &str = "carobwheel-resume-from";
 
+/// Path that returns the number of crashes since the start, as JSON.
+pub const CRASHES_PATH: &str = "/standin/crashes";
+
 /// Options of an engine.
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
