Ask the other instances which of two parts that crash together they have answered

Cause: both parts were on the same crashed engines, and the tie was decided by the answers of the deciding instance alone. An instance that had answered neither held both and told all others. Change: an instance that hears of a crash reports its last answers of the last 30 s with the crash's parts, also those from before the crash. They clear nothing, but tell the parts apart.

--- a/crates/core/src/crash/detector.rs
+++ b/crates/core/src/crash/detector.rs
@@ -20,7 +20,7 @@
 /// Weight from which a part is held again after its hold has lapsed, in thousandths.
 const RENEW_WEIGHT: u32 = 500;
 /// Period for which an answer speaks for a repeat, in milliseconds.
-const ANSWERED_LATELY_MS: u64 = 30_000;
+pub(super) const ANSWERED_LATELY_MS: u64 = 30_000;
 
 /// Evidence of one instance on prompt parts, from its own requests and from other instances.
 #[derive(Clone, Debug, Default)]
@@ -223,7 +223,7 @@
     }
 
     /// Parts that must be held and against which most crashes count, with their numbers. Of parts
-    /// with the same weight, those that were not answered here lately come first.
+    /// with the same weight, those that no instance is known to have answered lately come first.
     fn parts_to_hold(&mut self, now: Millis) -> Vec<(PartId, u32)> {
         let mut suspects: Vec<CountedPart> = self
             .evidence
@@ -238,7 +238,11 @@
         self.needs_answer = suspects.len() < count_before;
         let most = suspects.iter().map(|counted| counted.weight).max();
         suspects.retain(|counted| Some(counted.weight) == most);
-        let is_lately = |counted: &CountedPart| self.is_answered_lately(counted.part, now);
+        let is_lately = |counted: &CountedPart| {
+            let last = self.answers.last(counted.part);
+            let last = last.max(self.evidence.reported_answer(counted.part));
+            last.is_some_and(|at| now.since(at) <= ANSWERED_LATELY_MS)
+        };
         if !suspects.iter().all(is_lately) {
             suspects.retain(|counted| !is_lately(counted));
         }
--- a/crates/core/src/crash/evidence.rs
+++ b/crates/core/src/crash/evidence.rs
@@ -47,6 +47,8 @@
     sightings: u32,
     /// Sightings up to this time do not count.
     cleared_until: Option<Millis>,
+    /// Last answer that another instance has reported.
+    reported_answer: Option<Millis>,
     /// Number of separate crashes that count.
     count: u32,
     /// Number of separate crashes that count, each weighed, in thousandths.
@@ -205,6 +207,18 @@
         evidence.count > 0
     }
 
+    /// Records an answer that another instance has reported.
+    pub(super) fn record_reported_answer(&mut self, part: PartId, at: Millis) {
+        if let Some(evidence) = self.parts.get_mut(&part) {
+            evidence.reported_answer = evidence.reported_answer.max(Some(at));
+        }
+    }
+
+    /// Last answer that another instance has reported.
+    pub(super) fn reported_answer(&self, part: PartId) -> Option<Millis> {
+        self.parts.get(&part).and_then(|e| e.reported_answer)
+    }
+
     /// Number of separate crashes that speak against a part.
     pub(super) fn count(&self, part: PartId) -> u32 {
         self.parts.get(&part).map_or(0, |e| e.count)
--- a/crates/core/src/crash/share.rs
+++ b/crates/core/src/crash/share.rs
@@ -1,5 +1,6 @@
 //! Exchange of evidence between instances.
 
+use super::detector::ANSWERED_LATELY_MS;
 use super::evidence::{EngineCrash, Sighting};
 use super::holds::to_u32;
 use super::{AnsweredPart, Crash, CrashDetector, CrashReport, HoldChange, PartId};
@@ -44,6 +45,7 @@
             let at = time_before(now, answer.age_ms);
             self.last_answer = self.last_answer.max(Some(at));
             if !self.holds.contains(answer.part) || self.holds.is_refuted(answer.part, at) {
+                self.evidence.record_reported_answer(answer.part, at);
                 self.clear(answer.part, at, now, &mut changes);
             }
         }
@@ -104,11 +106,16 @@
     fn reported_answers(&self, now: Millis) -> Vec<AnsweredPart> {
         let mut answers: BTreeMap<PartId, Millis> = BTreeMap::new();
         for sighting in self.evidence.crashes().flat_map(|c| &c.sightings) {
-            let answered_at = self.answers.last(sighting.part);
-            if let Some(at) = answered_at.filter(|at| now.since(*at) <= REPEAT_MS) {
-                if at >= sighting.at {
-                    answers.insert(sighting.part, at);
-                }
+            let Some(at) = self.answers.last(sighting.part) else {
+                continue;
+            };
+            let is_new = at >= sighting.at && now.since(at) <= REPEAT_MS;
+            // An answer from before a crash does not clear the part, but tells it apart from a
+            // part that no instance has answered.
+            let is_asked_for =
+                now.since(sighting.at) <= REPEAT_MS && now.since(at) <= ANSWERED_LATELY_MS;
+            if is_new || is_asked_for {
+                answers.insert(sighting.part, at);
             }
         }
         answers.extend(self.holds.disputed(REPEAT_MS, now));
--- a/crates/core/tests/crash_cases.rs
+++ b/crates/core/tests/crash_cases.rs
@@ -307,3 +307,20 @@
     detector.receive(&report, Millis(1_000));
     assert!(!is_held(&detector, BAD, 1_000 + MAX_HOLD_MS));
 }
+
+/// Another instance answered requests with one of two parts that stand in the same prompts.
+#[test]
+fn a_part_that_another_instance_has_answered_lately_is_not_held_with_the_part_beside_it() {
+    const BESIDE: PartId = 8;
+    let (mut near, mut far) = (CrashDetector::default(), CrashDetector::default());
+    answer(&mut far, &[COMMON, BESIDE], 500);
+    for (engine, at) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
+        crash(&mut near, engine, &[COMMON, BESIDE, BAD], at);
+        answer(&mut near, &[COMMON, 100], at + 1);
+        far.receive(&near.report(Millis(at + 80)), Millis(at + 80));
+        near.receive(&far.report(Millis(at + 160)), Millis(at + 160));
+    }
+    assert!(is_held(&near, BAD, 3_200));
+    assert!(!is_held(&near, BESIDE, 3_200));
+    assert!(!is_held(&far, BESIDE, 3_200));
+}
