--- a/crates/core/tests/crash_random.rs
+++ b/crates/core/tests/crash_random.rs
@@ -118,7 +118,7 @@
 
 #[test]
 fn sound_parts_beside_two_crashing_ones_are_not_held() {
-    for seed in 40..50 {
+    for seed in 40..80 {
         check_sound(&run_two_crashing_parts(seed), &format!("seed {seed}"));
     }
 }
@@ -212,6 +212,11 @@
     check_trouble(Trouble::MostEnginesFlapping, 0..80);
 }
 
+#[test]
+fn a_rare_sound_part_is_not_held_while_eight_of_ten_engines_are_down() {
+    check_trouble(Trouble::MostEnginesFlapping, 191..192);
+}
+
 fn check_trouble(trouble: Trouble, seeds: std::ops::Range<u64>) {
     let mut holds = Vec::new();
     for seed in seeds {
