Drop headers of messages between instances from callers' requests and engines' answers

What callers could see: a request with the header cw-holds that was forwarded to another region got status 200 with bytes of that instance; one with cw-pull got 400. No engine saw either. Cause: the forwarding instance copied the caller's headers, and the other one took the header for a query of its own kind. Change: the names that instances use among themselves are dropped at the edge, in both directions.

--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::node::Gossip;
 use carobwheel_core::crash::CrashReport;
+use hyper::header::HeaderName;
 use std::time::Duration;
 
 /// Header with the JSON of the [`RequestMeta`](crate::pipeline::RequestMeta) of a forwarded
@@ -32,6 +33,13 @@
 pub(crate) const PULL_HEADER: &str = "cw-pull";
 /// Header of a query for another instance's evidence on crashing prompt parts.
 pub(crate) const HOLDS_HEADER: &str = "cw-holds";
+
+/// Whether a header has a meaning between instances. Such headers of callers and upstreams are
+/// dropped, since a forwarded request or response could otherwise be mistaken for another message.
+pub(crate) fn is_peer_header(name: &HeaderName) -> bool {
+    [TICKET_HEADER, REFUSED_HEADER, PULL_HEADER, HOLDS_HEADER].contains(&name.as_str())
+}
+
 /// Time without packets after which a link is lost; also the timeout for a new link.
 const LINK_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Maximum size of a gossip message, in bytes.
--- a/crates/edge/src/pipeline/identify.rs
+++ b/crates/edge/src/pipeline/identify.rs
@@ -7,6 +7,7 @@
     model::{allowed_regions, split_service, Account, Config, Route, RouteMatch},
     names::HeaderNames,
     node::{urgency, Node},
+    peers::is_peer_header,
     place::{InferenceJob, PromptPart},
 };
 use bytes::Bytes;
@@ -223,6 +224,7 @@
         .collect();
     let is_dropped = |name: &HeaderName| {
         is_hop_header(name)
+            || is_peer_header(name)
             || *name == hyper::header::CONTENT_LENGTH
             || *name == hyper::header::EXPECT
             || *name == names.key
--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -9,7 +9,9 @@
     stream::{self, StreamSource},
     Admission, RequestContext,
 };
-use crate::{dispatch::is_hop_header, node::Node, place::Choice, relay::AnswerBody};
+use crate::{
+    dispatch::is_hop_header, node::Node, peers::is_peer_header, place::Choice, relay::AnswerBody,
+};
 use hyper::{http::response::Parts, HeaderMap, Response, StatusCode};
 use std::{rc::Rc, sync::Arc};
 
@@ -155,11 +157,11 @@
     }
 }
 
-/// Headers of a response without hop-by-hop headers.
+/// Headers of a response without hop-by-hop headers and those of messages between instances.
 pub(super) fn caller_headers(from: &HeaderMap) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(from.len());
     for (name, value) in from {
-        if !is_hop_header(name) {
+        if !is_hop_header(name) && !is_peer_header(name) {
             headers.append(name.clone(), value.clone());
         }
     }
