Take a stream that ends with its connection before its first event as lost

What callers saw: an engine that ended under a stream without length or chunks gave the caller a complete, empty answer, or a repeat at a second engine if it ended within the first event; neither counted as a crash. Cause: without framing, the end of the connection was taken as the end of the body. Found by the review of the change. Change: such an end before the first event is a lost connection: evidence, and a repeat only if the parts speak for it.

--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -140,7 +140,14 @@
     } = answer;
     match body {
         UpstreamBody::Unread(body, checkout) => {
-            let source = StreamSource::new(body, checkout, load_guard, send_watch, upstream);
+            let source = StreamSource::new(
+                &head.headers,
+                body,
+                checkout,
+                load_guard,
+                send_watch,
+                upstream,
+            );
             Ok(stream::relay(
                 node,
                 ctx,
--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -16,7 +16,12 @@
 };
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::{body::Incoming, http::response::Parts, Response};
+use hyper::{
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response::Parts,
+    HeaderMap, Response,
+};
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     sync::mpsc::{self, Sender},
@@ -56,6 +61,8 @@
     upstream: Arc<str>,
     splitter: EventSplitter,
     has_events: bool,
+    /// Whether a length or chunks state the end of the stream.
+    is_framed: bool,
     /// Whether the upstream was silent before; its run is then counted already.
     was_silent: bool,
 }
@@ -63,6 +70,7 @@
 impl StreamSource {
     /// Stream of which nothing was read yet.
     pub(super) fn new(
+        headers: &HeaderMap,
         body: Incoming,
         checkout: ConnectionCheckout,
         load_guard: LoadGuard,
@@ -77,15 +85,23 @@
             upstream,
             splitter: EventSplitter::default(),
             has_events: false,
+            is_framed: headers.contains_key(CONTENT_LENGTH)
+                || headers.contains_key(TRANSFER_ENCODING),
             was_silent: false,
         }
     }
 
+    /// Whether the end of the connection ended the stream before its first event.
+    fn is_cut_at_start(&self) -> bool {
+        !self.has_events && !self.is_framed
+    }
+
     /// The event stream of a response; `None` if the response is buffered or an error.
     fn from_answer(answer: UpstreamAnswer) -> Option<Self> {
         match answer.body {
             UpstreamBody::Unread(body, checkout) if answer.head.status.is_success() => {
                 Some(Self::new(
+                    &answer.head.headers,
                     body,
                     checkout,
                     answer.load_guard,
@@ -117,7 +133,7 @@
     let mut answer = Response::new(AnswerBody::Chunks(receiver));
     *answer.status_mut() = head.status;
     *answer.headers_mut() = caller_headers(&head.headers);
-    answer.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+    answer.headers_mut().remove(CONTENT_LENGTH);
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
         let caller = chunks.clone();
@@ -238,6 +254,12 @@
         let max_silence_ms = may_resume.then(|| silence_timeout_ms(ctx, !source.has_events));
         let chunk = match next_chunk(node, ctx, source, max_silence_ms).await {
             Ok(Some(chunk)) => chunk,
+            Ok(None) if source.is_cut_at_start() => {
+                source.send_watch.connection_lost();
+                node.note_outcome(sent, Outcome::Failed);
+                let reason = "the stream ended before its first event".to_owned();
+                return StreamEnd::LostAtStart(reason);
+            }
             Ok(None) if source.splitter.has_part() => {
                 node.note_outcome(sent, Outcome::Failed);
                 return StreamEnd::Broken("the stream ended within an event".to_owned());
