Let only successful answers clear a prompt part

What callers could see: with a malformed request after each crash, engines crashed without end: the part was never held. Cause: any answer below 500 counted as an answer with the part, though an engine may refuse a request before it reads the prompt. Found by the review of the change. Result: the new test failed before (not held after 8 crashes) and passes.

--- a/crates/edge/src/pipeline/send_once.rs
+++ b/crates/edge/src/pipeline/send_once.rs
@@ -208,7 +208,8 @@
     let left = Duration::from_millis(ctx.left_ms(node).max(1));
     let reason = match timeout(left, read_first(&mut body, MAX_BUFFERED_BYTES)).await {
         Ok(Ok((first, has_ended))) => {
-            if !head.status.is_server_error() {
+            // An error answer may come before the engine has read the prompt.
+            if head.status.is_success() {
                 send_watch.answered();
             }
             let body = if has_ended {
--- a/crates/gateway/tests/platform_crash_evidence.rs
+++ b/crates/gateway/tests/platform_crash_evidence.rs
@@ -1,4 +1,4 @@
-//! Tests of what counts as a crash of an engine.
+//! Tests of what counts as a crash of an engine and what clears a prompt part.
 
 #![allow(clippy::unwrap_used)]
 
@@ -6,8 +6,14 @@
 
 use platform_support::{ConfigBuilder, Engine, Instance, InstanceOptions, RawEnd, Script, Store};
 use serde_json::json;
+use std::{thread, time::Duration};
 use test_case::test_case;
 
+/// Interval of crashes, which is longer than the time within which crashes count as one.
+const CRASH_INTERVAL: Duration = Duration::from_millis(350);
+/// Number of crashes after which the part has to be held.
+const MAX_CRASHES: usize = 8;
+
 struct Setup {
     _store: Store,
     engines: Vec<Engine>,
@@ -73,3 +79,25 @@
     assert_eq!(setup.sends(), 1);
     assert_eq!(setup.instance.logged("crash_seen").len(), 1);
 }
+
+/// Guards against malformed requests that clear a part which crashes engines.
+#[test]
+fn an_error_answer_does_not_clear_a_part() {
+    let setup = start(MAX_CRASHES + 2);
+    let sound = Script::Events {
+        until: 1,
+        pause_ms: 5,
+        is_complete: true,
+    };
+    let mut crashes = 0;
+    let mut number = 0;
+    while setup.instance.logged("part_held").is_empty() {
+        assert!(crashes < MAX_CRASHES, "not held after {crashes} crashes");
+        setup.ask(number, "c0:40,5afe:40", &sound);
+        setup.ask(number + 1, "c0:40,dead:40", &Script::Close);
+        setup.ask(number + 2, "c0:40,dead:40", &Script::Answer(400, "bad"));
+        number += 3;
+        crashes += 1;
+        thread::sleep(CRASH_INTERVAL);
+    }
+}
