Count an upstream's continuing silence once, and the end of an answer of stated length

Cause: (1) each further pause of a silent stream without a replacement counted as another failure of its engine; (2) an answer that replaces a stream but is none was not counted as a run; (3) the connection asks a body of stated length for nothing after its last byte, so such an answer stayed open in the books: no idle timeout, and a false line connection_closed; (4) a crash report of another build's form cost the whole message. Change: each at its place. No test of their own yet.

--- a/crates/edge/src/front/tracked_body.rs
+++ b/crates/edge/src/front/tracked_body.rs
@@ -7,7 +7,7 @@
 };
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::{Method, Response, StatusCode};
+use hyper::{header::CONTENT_LENGTH, HeaderMap, Method, Response, StatusCode};
 use std::{
     pin::Pin,
     rc::Rc,
@@ -17,6 +17,8 @@
 /// Body that records its end in the [`ConnectionActivity`] of the caller's connection.
 pub(super) struct TrackedBody {
     body: AnswerBody,
+    /// Bytes that are left of the length stated in the head; `None` if there is none.
+    bytes_left: Option<u64>,
     activity: Rc<ConnectionActivity>,
 }
 
@@ -35,8 +37,10 @@
         if has_no_body || answer.body().is_end_stream() {
             activity.body_ended();
         }
+        let bytes_left = stated_length(answer.headers());
         answer.map(|body| Self {
             body,
+            bytes_left,
             activity: Rc::clone(activity),
         })
     }
@@ -53,7 +57,12 @@
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         let has_ended = match &polled {
             Poll::Ready(None) => true,
-            Poll::Ready(Some(Ok(_))) => self.body.is_end_stream(),
+            // The connection does not ask for more after the last byte of the stated length.
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
+                self.bytes_left = self.bytes_left.map(|left| left.saturating_sub(bytes));
+                self.bytes_left == Some(0) || self.body.is_end_stream()
+            }
             Poll::Ready(Some(Err(_))) | Poll::Pending => false,
         };
         if has_ended {
@@ -70,3 +79,9 @@
         self.body.size_hint()
     }
 }
+
+/// Length of the body that the head states, in bytes.
+fn stated_length(headers: &HeaderMap) -> Option<u64> {
+    let length = headers.get(CONTENT_LENGTH)?;
+    length.to_str().ok()?.parse().ok()
+}
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -68,7 +68,8 @@
     let (mut gossip, rest): (Gossip, &[u8]) =
         postcard::take_from_bytes(bytes).map_err(|err| PeerError(err.to_string()))?;
     if !rest.is_empty() {
-        gossip.crashes = postcard::from_bytes(rest).map_err(|err| PeerError(err.to_string()))?;
+        // A report of another build's form must not cost the rest of the message.
+        gossip.crashes = postcard::from_bytes(rest).unwrap_or_default();
     }
     Ok(gossip)
 }
--- a/crates/edge/src/pipeline/attempts.rs
+++ b/crates/edge/src/pipeline/attempts.rs
@@ -52,6 +52,13 @@
     pub(super) upstream: Arc<str>,
 }
 
+impl UpstreamAnswer {
+    /// Whether it is an event stream that has not been read yet.
+    pub(super) fn is_stream(&self) -> bool {
+        matches!(self.body, UpstreamBody::Unread(..)) && self.head.status.is_success()
+    }
+}
+
 /// Body of an upstream's response.
 pub(super) enum UpstreamBody {
     /// Not read yet; the connection returns to the pool after the end of the body.
--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -204,6 +204,9 @@
         let may_repeat = !attempts.has_lost_engine || node.may_repeat_after_crash(&ctx.job);
         let next = if may_resume && may_repeat && ctx.left_ms(node) > 0 {
             let answer = send_until_answered(node, &ctx, &mut attempts).await;
+            if let Ok(answer) = &answer {
+                attempts.runs += u32::from(!answer.is_stream());
+            }
             answer.ok().and_then(StreamSource::from_answer)
         } else {
             None
@@ -269,7 +272,10 @@
                 if matches!(end, StreamEnd::LostAtStart(_)) {
                     source.send_watch.connection_lost();
                 }
-                node.note_outcome(sent, Outcome::Failed);
+                // A silence that goes on is no further failure of the upstream.
+                if !(matches!(end, StreamEnd::Silent) && source.was_silent) {
+                    node.note_outcome(sent, Outcome::Failed);
+                }
                 return end;
             }
         };
