Shift all traffic to a new version only after its response times were compared

Cause: the shift needed 12 ended requests over all routes, and after 0.7 of the time none at all, while times were compared only on a route with 8 responses of the new version. A slow version has few responses by then, spread over two routes, and the 1.2 s between shift and verdict are shorter than its responses. So the trial ended before any comparison. Change: times are compared over all routes together too, and the shift waits for 8 such responses, or 4 after 0.7 of the time, that are not slower.

--- a/crates/edge/src/rollout/evidence.rs
+++ b/crates/edge/src/rollout/evidence.rs
@@ -75,6 +75,42 @@
     }
 }
 
+/// Response times of the new version against those of the old one on the same routes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Comparison {
+    /// Routes on which the old version has enough responses.
+    routes: u32,
+    /// Responses of the new version on these routes.
+    responses: u32,
+    /// Sum of their times, in milliseconds.
+    new_ms: f64,
+    /// Sum of the times that the old version would have needed, in milliseconds.
+    expected_ms: f64,
+}
+
+impl Comparison {
+    fn of(by_route: &HashMap<u32, RouteEvidence>) -> Self {
+        let mut comparison = Self::default();
+        let comparable = by_route
+            .values()
+            .filter(|route| route.old.answered >= MIN_TIMED_RESPONSES);
+        for route in comparable {
+            comparison.routes += 1;
+            comparison.responses += route.new.answered;
+            comparison.new_ms += f64::from(route.new.time_sum_ms);
+            comparison.expected_ms += f64::from(route.new.answered) * route.old.mean_ms();
+        }
+        comparison
+    }
+
+    fn is_slower(self, min_responses: u32) -> bool {
+        let margin_ms = f64::from(self.responses) * MIN_SLOWDOWN_MS;
+        self.responses >= min_responses
+            && self.new_ms > self.expected_ms * MIN_SLOWDOWN_FACTOR
+            && self.new_ms > self.expected_ms + margin_ms
+    }
+}
+
 /// Evidence of all instances about one trial.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -89,15 +125,34 @@
         self.peers.insert(Arc::clone(instance), routes);
     }
 
-    /// Whether the evidence of any route, or all together, is against the new version.
-    pub fn is_against_new(&self) -> bool {
+    /// Counts of all instances, by route.
+    fn by_route(&self) -> HashMap<u32, RouteEvidence> {
         let mut by_route: HashMap<u32, RouteEvidence> = self.own.clone();
         for (route, evidence) in self.peers.values().flatten() {
             let sum = by_route.entry(*route).or_default();
             sum.old += evidence.old;
             sum.new += evidence.new;
         }
+        by_route
+    }
+
+    /// Whether the evidence of any route, or the response times of all together, are against the
+    /// new version.
+    pub fn is_against_new(&self) -> bool {
+        let by_route = self.by_route();
         by_route.values().any(RouteEvidence::is_against_new)
+            || Comparison::of(&by_route).is_slower(MIN_TIMED_RESPONSES)
+    }
+
+    /// Whether the response times of the versions have been compared on enough responses, and the
+    /// new version is not slower. Also true if the old version has too few to compare with.
+    pub fn has_timings_for_new(&self, min_responses: u32) -> bool {
+        let by_route = self.by_route();
+        let comparison = Comparison::of(&by_route);
+        if comparison.routes == 0 {
+            return true;
+        }
+        comparison.responses >= min_responses && !comparison.is_slower(min_responses)
     }
 
     /// Number of responses and failures of the new version, over all instances.
--- a/crates/edge/src/rollout/trial.rs
+++ b/crates/edge/src/rollout/trial.rs
@@ -12,6 +12,10 @@
 const LATEST_SHIFT_FRACTION: f64 = 0.7;
 /// Ended requests of the new version that are needed for the earlier shift.
 const MIN_ENDED_REQUESTS: u32 = 12;
+/// Responses of the new version whose times are compared before the shift.
+const MIN_TIMED_RESPONSES: u32 = 8;
+/// The same for the shift with little evidence. A slow version has few responses by then.
+const MIN_TIMED_RESPONSES_LATE: u32 = 4;
 /// Time from the shift to the verdict, in milliseconds.
 const SHIFT_TO_VERDICT_MS: u64 = 1_200;
 
@@ -97,8 +101,12 @@
         let elapsed_ms = now.since(self.started_at);
         let is_due =
             |fraction: f64| to_f64(elapsed_ms) >= fraction * to_f64(self.order.duration_ms);
-        let has_evidence = self.evidence.new_ended() >= MIN_ENDED_REQUESTS;
-        if (is_due(SHIFT_AFTER_FRACTION) && has_evidence) || is_due(LATEST_SHIFT_FRACTION) {
+        let has_evidence = self.evidence.new_ended() >= MIN_ENDED_REQUESTS
+            && self.evidence.has_timings_for_new(MIN_TIMED_RESPONSES);
+        let has_little_evidence = self.evidence.has_timings_for_new(MIN_TIMED_RESPONSES_LATE);
+        if (is_due(SHIFT_AFTER_FRACTION) && has_evidence)
+            || (is_due(LATEST_SHIFT_FRACTION) && has_little_evidence)
+        {
             self.shifted_at.get_or_insert(now);
         }
     }
--- a/crates/edge/tests/rollout_trial.rs
+++ b/crates/edge/tests/rollout_trial.rs
@@ -18,6 +18,34 @@
     is_one_route: bool,
     /// Factor on its response times.
     time_factor: f64,
+    /// Mean response time of the old version, in milliseconds.
+    response_ms: f64,
+}
+
+/// Outcome of a request, which is known only at its end.
+struct Outcome {
+    at_ms: u64,
+    route: u32,
+    is_new: bool,
+    is_bad: bool,
+    response_ms: u32,
+}
+
+fn record(trial: &mut Trial, outcome: &Outcome) {
+    let evidence = trial.evidence.own.entry(outcome.route).or_default();
+    let counts: &mut VersionCounts = if outcome.is_new {
+        &mut evidence.new
+    } else {
+        &mut evidence.old
+    };
+    counts.sent += 1;
+    counts.failed += u32::from(outcome.is_bad);
+    counts.answered += u32::from(!outcome.is_bad);
+    counts.time_sum_ms += if outcome.is_bad {
+        0
+    } else {
+        outcome.response_ms
+    };
 }
 
 /// Simulates a trial. Returns the verdict, the requests to the new version before completion and
@@ -32,8 +60,13 @@
     let mut trial = Trial::new(order, Millis(0));
     let (mut at_new, mut all) = (0.0, 0.0);
     let mut verdict = Verdict::Active;
+    let mut outcomes: Vec<Outcome> = Vec::new();
     for step in 0..(per_s * DURATION_MS / 1_000) {
         let now = step * 1_000 / per_s;
+        let (ended, open) = outcomes.into_iter().partition(|it| it.at_ms <= now);
+        outcomes = open;
+        let ended: Vec<Outcome> = ended;
+        ended.iter().for_each(|it| record(&mut trial, it));
         trial.advance(Millis(now));
         if let Some(due) = trial.due_verdict(Millis(now)) {
             trial.verdict = due;
@@ -52,17 +85,15 @@
             base_bad
         };
         let is_bad = rng.random::<f64>() < bad_share;
-        let ms = 30.0 * if is_new { version.time_factor } else { 1.0 } * rng.random_range(0.5..1.5);
-        let evidence = trial.evidence.own.entry(route).or_default();
-        let counts: &mut VersionCounts = if is_new {
-            &mut evidence.new
-        } else {
-            &mut evidence.old
-        };
-        counts.sent += 1;
-        counts.failed += u32::from(is_bad);
-        counts.answered += u32::from(!is_bad);
-        counts.time_sum_ms += if is_bad { 0 } else { ms as u32 };
+        let factor = if is_new { version.time_factor } else { 1.0 };
+        let response_ms = (version.response_ms * factor * rng.random_range(0.5..1.5)) as u32;
+        outcomes.push(Outcome {
+            at_ms: now + u64::from(response_ms),
+            route,
+            is_new,
+            is_bad,
+            response_ms,
+        });
     }
     (verdict, at_new, all)
 }
@@ -72,6 +103,7 @@
     from_ms: 0,
     is_one_route: false,
     time_factor: 1.0,
+    response_ms: 30.0,
 };
 
 #[test_case(0.0; "no failures")]
@@ -95,3 +127,31 @@
         assert!(at_new <= allowed, "seed {seed}: {at_new} of {allowed}");
     }
 }
+
+/// Guards against a shift before the response times of the versions could be compared.
+#[test]
+fn a_slow_version_is_not_completed_when_its_few_responses_are_spread_over_routes() {
+    let slow = Version {
+        time_factor: 4.0,
+        response_ms: 700.0,
+        ..GOOD
+    };
+    for seed in 0..200 {
+        let (verdict, at_new, all) = simulate(slow, 0.0, 25, seed);
+        assert_ne!(verdict, Verdict::Complete, "seed {seed}");
+        let allowed = BOUNDS.share * all + EXTRA;
+        assert!(at_new <= allowed, "seed {seed}: {at_new} of {allowed}");
+    }
+}
+
+#[test]
+fn a_good_version_with_few_requests_is_complete_in_time() {
+    for seed in 0..200 {
+        let good = Version {
+            response_ms: 700.0,
+            ..GOOD
+        };
+        let (verdict, _, _) = simulate(good, 0.0, 25, seed);
+        assert_eq!(verdict, Verdict::Complete, "seed {seed}");
+    }
+}
