--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod route;
 pub mod slot;
 pub mod time;
+pub mod upstream_limit;
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -66,6 +66,20 @@
         request: &'a str,
         error_share: f64,
     },
+    UpstreamLimited {
+        upstream: &'a str,
+        /// Instance whose report brought the news; empty if a response did.
+        heard_from: &'a str,
+        /// Requests a second; 0 without a limit.
+        rate_per_s: f64,
+        before_per_s: f64,
+        news_age_ms: u64,
+    },
+    UpstreamLimitIgnored {
+        upstream: &'a str,
+        request: &'a str,
+        text: &'a str,
+    },
     Evacuated {
         data_centre: &'a str,
         is_evacuated: bool,
--- a/crates/edge/src/pipeline/send_once.rs
+++ b/crates/edge/src/pipeline/send_once.rs
@@ -16,8 +16,12 @@
     upstream::Outcome,
 };
 use bytes::Bytes;
+use carobwheel_core::upstream_limit::{parse_rate, InvalidRate, News};
 use http_body_util::Full;
-use hyper::{header::HeaderValue, Request, StatusCode};
+use hyper::{
+    header::{HeaderMap, HeaderValue},
+    Request, StatusCode,
+};
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::timeout;
 
@@ -31,6 +35,9 @@
 /// Lower bound of that timeout, in milliseconds.
 const MIN_SILENCE_MS: u64 = 150;
 
+/// Largest part of an invalid limit that is logged, in bytes.
+const MAX_LOGGED_LIMIT_BYTES: usize = 32;
+
 /// Result of one attempt.
 pub(super) enum SendResult {
     /// A response for the caller.
@@ -158,6 +165,7 @@
         return HeadCheck::NotRun;
     }
     if headers.contains_key(&names.not_run) {
+        record_limit(node, sent, headers);
         node.note_outcome(sent, Outcome::Refused);
         return HeadCheck::NotRun;
     }
@@ -175,6 +183,9 @@
         node.note_outcome(sent, Outcome::Failed);
         return HeadCheck::Invalid("the response has no seal header");
     }
+    if is_sealed {
+        record_limit(node, sent, headers);
+    }
     if status.is_server_error() {
         node.note_outcome(sent, Outcome::Failed);
         return HeadCheck::Failed;
@@ -182,6 +193,32 @@
     HeadCheck::Pass
 }
 
+/// Records the limit that a response of the upstream states. Only a sealed response without one
+/// removes it: a refusal need not repeat the limit.
+fn record_limit(node: &Node, sent: SendIds<'_>, headers: &HeaderMap) {
+    let names = &node.names;
+    let news = match headers.get(&names.rate_limit) {
+        Some(value) => {
+            let text = value.to_str().unwrap_or("not text");
+            match parse_rate(text) {
+                Ok(rate) => News::Limited(rate),
+                Err(InvalidRate) => {
+                    let (upstream, request) = (sent.upstream, sent.request);
+                    node.log.event(Event::UpstreamLimitIgnored {
+                        upstream,
+                        request,
+                        text: text.get(..MAX_LOGGED_LIMIT_BYTES).unwrap_or(text),
+                    });
+                    return;
+                }
+            }
+        }
+        None if headers.contains_key(&names.seal) => News::Unlimited,
+        None => return,
+    };
+    node.note_limit(sent, news);
+}
+
 /// Reads the body of a response unless it is a stream, up to the size that is buffered.
 async fn buffer_body(
     node: &Rc<Node>,
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -2,7 +2,7 @@
 
 use super::{Health, Load};
 use crate::{cold::ColdGate, hash::short_hash, place::PrefixCache, rate::MeanRate};
-use carobwheel_core::time::Millis;
+use carobwheel_core::{time::Millis, upstream_limit::RateGate};
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 /// Time for which an entry may be missing after an outage of the store, in milliseconds.
@@ -90,6 +90,8 @@
     pub cache: PrefixCache,
     /// Rate limit on this instance's requests while the upstream is cold.
     pub cold: ColdGate,
+    /// Limit that it states on the requests of all instances.
+    pub limit: RateGate,
     /// Moving average of its prefill speed, in tokens a millisecond.
     pub prefill_tokens_per_ms: f64,
 }
@@ -185,6 +187,7 @@
             health: Health::default(),
             cache: PrefixCache::new(kv_cache_tokens),
             cold,
+            limit: RateGate::default(),
             prefill_tokens_per_ms: DEFAULT_PREFILL_TOKENS_PER_MS,
             entry,
         };
