--- a/crates/core/src/upstream_limit/gate.rs
+++ b/crates/core/src/upstream_limit/gate.rs
@@ -95,6 +95,12 @@
 impl RateGate {
     /// Records what a response to this instance stated. Returns true if the limit in force changes.
     pub fn record_response(&mut self, news: News, now: Millis) -> bool {
+        let news = match news {
+            // Reports carry the rate in this precision; another one would be another limit.
+            #[allow(clippy::cast_possible_truncation)]
+            News::Limited(rate) => News::Limited(f64::from(rate as f32)),
+            News::Unlimited => news,
+        };
         self.own = Some(Heard { news, at: now });
         self.update(Heard { news, at: now }, now)
     }
@@ -160,12 +166,17 @@
         self.peers.remove(peer);
     }
 
-    /// Report to the other instances; `None` if there is nothing that they need.
-    pub fn report(&self, is_user: bool, now: Millis) -> Option<LimitReport> {
+    /// Whether there is a limit, or was one until recently.
+    pub fn has_report(&self, now: Millis) -> bool {
         let is_recently_removed = self
             .removed_at
             .is_some_and(|at| now.since(at) < REMOVAL_REPORT_MS);
-        if self.rate(now).is_none() && !is_recently_removed {
+        is_recently_removed || self.rate(now).is_some()
+    }
+
+    /// Report to the other instances; `None` if there is nothing that they need.
+    pub fn report(&self, is_user: bool, now: Millis) -> Option<LimitReport> {
+        if !self.has_report(now) {
             return None;
         }
         let own = self.own.filter(|own| now.since(own.at) < LIMIT_LIFETIME_MS);
--- a/crates/edge/src/node/evidence.rs
+++ b/crates/edge/src/node/evidence.rs
@@ -8,7 +8,6 @@
     rollout::VersionCounts,
     upstream::{Load, Outcome},
 };
-use carobwheel_core::upstream_limit::News;
 use std::sync::Arc;
 
 /// Identifiers of one send of a request to an upstream.
@@ -81,25 +80,6 @@
         }
     }
 
-    /// Records what the response to a send states about the upstream's limit.
-    pub fn note_limit(&self, sent: SendIds<'_>, news: News) {
-        let now = self.now();
-        let mut state = self.state.borrow_mut();
-        let Some(upstream) = state.upstreams.by_id.get_mut(sent.upstream) else {
-            return;
-        };
-        let before = upstream.limit.rate(now);
-        if upstream.limit.record_response(news, now) {
-            self.log.event(Event::UpstreamLimited {
-                upstream: sent.upstream,
-                heard_from: "",
-                rate_per_s: upstream.limit.rate(now).unwrap_or_default(),
-                before_per_s: before.unwrap_or_default(),
-                news_age_ms: 0,
-            });
-        }
-    }
-
     /// Subtracts completed work from the upstream's load.
     pub fn remove_load(&self, id: &str, load: Load) {
         if let Some(upstream) = self.state.borrow_mut().upstreams.by_id.get_mut(id) {
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -1,6 +1,6 @@
 //! Gossip between instances: construction of messages and handling of received ones.
 
-use super::Node;
+use super::{limits::KeyedLimitReport, Node};
 use crate::hash::short_hash;
 use crate::{
     log::Event,
@@ -86,6 +86,16 @@
     /// Evidence on prompt parts that crash engines; appended to the encoded message.
     #[serde(skip)]
     pub crashes: CrashReport,
+    /// Further parts; appended to the encoded message.
+    #[serde(skip)]
+    pub additions: Additions,
+}
+
+/// Parts of a message that earlier builds do not know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Additions {
+    /// Reports about limited upstreams of the region; empty between regions.
+    pub limits: Vec<KeyedLimitReport>,
 }
 
 impl Node {
@@ -157,13 +167,21 @@
             forecasts,
             trials: trials.collect(),
             crashes: state.crashes.report(now),
+            additions: Additions {
+                limits: if is_same_region {
+                    state.limit_reports(self, now)
+                } else {
+                    Vec::new()
+                },
+            },
         }
     }
 
     /// Applies a message from the instance `name`. Messages of an earlier lifetime are ignored.
     pub fn receive_gossip(&self, name: &Arc<str>, gossip: Gossip) {
         let now = self.now();
-        let crashes = gossip.crashes.clone();
+        let life = gossip.life;
+        let (crashes, additions) = (gossip.crashes.clone(), gossip.additions.clone());
         let verdicts = {
             let mut state = self.state.borrow_mut();
             if !state
@@ -190,6 +208,7 @@
             }
             state.apply_trial_reports(self, name, gossip.trials)
         };
+        self.receive_limits(name, life, &additions.limits);
         self.receive_crash_report(&crashes);
         for (service, target, verdict) in verdicts {
             self.apply_verdict(&service, &target, verdict, false);
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -3,10 +3,12 @@
 mod apply;
 mod evidence;
 mod gossip;
+mod limits;
 mod state;
 mod tick;
 
 pub use evidence::SendIds;
-pub use gossip::Gossip;
+pub use gossip::{Additions, Gossip};
+pub use limits::KeyedLimitReport;
 pub use state::{urgency, Node, PlacementRequest, State};
 pub use tick::Pull;
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -19,7 +19,7 @@
     rollout::{Trial, TrialBounds, Verdict},
     settings::Settings,
     store::{Decoder, Replica, VerdictRecord},
-    upstream::Upstreams,
+    upstream::{Upstream, Upstreams},
 };
 use carobwheel_core::{
     crash::CrashDetector,
@@ -99,6 +99,8 @@
     pub evacuated: HashSet<Arc<str>>,
     /// Rollouts by service.
     pub trials: HashMap<Arc<str>, Trial>,
+    /// Number of requests that wait for a limited upstream, by service.
+    pub limit_queues: HashMap<Arc<str>, usize>,
     /// Verdicts by service and target; also those that were read before their rollout order.
     pub verdicts: HashMap<(Arc<str>, Arc<str>), Verdict>,
     /// Time at which each version was first seen, by service and version.
@@ -259,10 +261,12 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let users = state.cold_users(self, now);
+        let limit_users = state.limit_users(self, &placed.id, now);
         if let Some(upstream) = state.upstreams.by_id.get_mut(&placed.id) {
             #[allow(clippy::cast_precision_loss)]
             let per_s = cold_per_s / users as f64;
             upstream.cold.record_sent(ColdRate { per_s }, now);
+            upstream.limit.record_sent(limit_users, now);
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let expected_ms = placed.wait_ms.max(0.0) as u64;
             upstream.health.record_sent(expected_ms * 2 + 500, now);
@@ -299,7 +303,7 @@
     }
 
     /// Other instances of the region that may be running, whether or not their gossip arrives.
-    fn region_members(&self, node: &Node, _: Millis) -> Vec<&Arc<str>> {
+    pub(super) fn region_members(&self, node: &Node, _: Millis) -> Vec<&Arc<str>> {
         let members = self.members.by_name.values();
         members
             .filter(|member| member.entry.region == node.region)
@@ -310,10 +314,16 @@
     /// Whether this instance is one of those that use the cold upstream `id`, by rendezvous
     /// hashing.
     fn is_cold_user(&self, node: &Node, id: &str, now: Millis) -> bool {
+        self.members_ahead(node, id, now) < MAX_COLD_USERS
+    }
+
+    /// Number of other instances of the region that precede this one in the use of the upstream
+    /// `id`, by rendezvous hashing.
+    pub(super) fn members_ahead(&self, node: &Node, id: &str, now: Millis) -> usize {
         let weight = |name: &str| name_pair_hash(name, id);
         let own = weight(&node.name);
-        let ahead = self.region_members(node, now);
-        ahead.iter().filter(|name| weight(name) > own).count() < MAX_COLD_USERS
+        let members = self.region_members(node, now);
+        members.iter().filter(|name| weight(name) > own).count()
     }
 
     /// Builds the placement rules for a request and passes them to `decide`.
@@ -327,6 +337,7 @@
         let is_version_allowed =
             |version: &str| self.is_version_allowed(node, placement_request, version, now);
         let is_cold_user = |id: &str| self.is_cold_user(node, id, now);
+        let limit_wait_ms = |upstream: &Upstream| self.limit_wait_ms(node, upstream, now);
         let service = self.service(placement_request.service);
         let engine = service.as_ref().and_then(|service| service.engine);
         let rules = PlacementRules {
@@ -335,6 +346,7 @@
             evacuated: &self.evacuated,
             is_version_allowed: &is_version_allowed,
             is_cold_user: &is_cold_user,
+            limit_wait_ms: &limit_wait_ms,
             kv_cache_tokens: engine.map_or(0, |engine| engine.kv_cache_tokens),
             tried: placement_request.tried,
             decode_share: self
@@ -385,7 +397,7 @@
 }
 
 /// Hash of a pair of names, equal on all instances.
-fn name_pair_hash(a: &str, b: &str) -> u32 {
+pub(super) fn name_pair_hash(a: &str, b: &str) -> u32 {
     short_hash(&format!("{a}/{b}"))
 }
 
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -28,7 +28,13 @@
         let now = self.now();
         let (upstreams, members) = {
             let mut state = self.state.borrow_mut();
-            (state.upstreams.sweep(now), state.members.sweep(now))
+            let members = state.members.sweep(now);
+            for upstream in state.upstreams.by_id.values_mut() {
+                for name in &members {
+                    upstream.limit.forget_peer(name);
+                }
+            }
+            (state.upstreams.sweep(now), members)
         };
         for id in &upstreams {
             self.pools.forget(id);
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -19,7 +19,7 @@
 pub use pull::pull;
 pub use tls::{Identity, PeerError};
 
-use crate::node::Gossip;
+use crate::node::{Additions, Gossip};
 use carobwheel_core::crash::CrashReport;
 use hyper::header::HeaderName;
 use std::time::Duration;
@@ -45,21 +45,27 @@
 /// Maximum size of a gossip message, in bytes.
 const MAX_GOSSIP_BYTES: usize = 256 * 1024;
 
-/// Encodes a message. A non-empty crash report follows the other fields: builds without it ignore
-/// trailing bytes.
+/// Encodes a message. Crash reports and additions follow the other fields, each unless it and what
+/// follows are empty: builds that do not know them ignore trailing bytes.
 ///
 /// # Errors
 ///
 /// Fails if the message cannot be serialized.
 pub fn encode(gossip: &Gossip) -> Result<Vec<u8>, PeerError> {
     let bytes = postcard::to_stdvec(gossip).map_err(|err| PeerError(err.to_string()))?;
-    if gossip.crashes == CrashReport::default() {
+    let has_additions = gossip.additions != Additions::default();
+    if gossip.crashes == CrashReport::default() && !has_additions {
         return Ok(bytes);
     }
-    postcard::to_extend(&gossip.crashes, bytes).map_err(|err| PeerError(err.to_string()))
+    let bytes = postcard::to_extend(&gossip.crashes, bytes);
+    let bytes = bytes.map_err(|err| PeerError(err.to_string()))?;
+    if !has_additions {
+        return Ok(bytes);
+    }
+    postcard::to_extend(&gossip.additions, bytes).map_err(|err| PeerError(err.to_string()))
 }
 
-/// Decodes a message, with or without a crash report.
+/// Decodes a message, with or without crash reports and additions.
 ///
 /// # Errors
 ///
@@ -67,9 +73,10 @@
 pub fn decode(bytes: &[u8]) -> Result<Gossip, PeerError> {
     let (mut gossip, rest): (Gossip, &[u8]) =
         postcard::take_from_bytes(bytes).map_err(|err| PeerError(err.to_string()))?;
-    if !rest.is_empty() {
-        // A report of another build's form must not cost the rest of the message.
-        gossip.crashes = postcard::from_bytes(rest).unwrap_or_default();
+    // Parts of another build's form must not cost the rest of the message.
+    if let Ok((crashes, rest)) = postcard::take_from_bytes(rest) {
+        gossip.crashes = crashes;
+        gossip.additions = postcard::from_bytes(rest).unwrap_or_default();
     }
     Ok(gossip)
 }
--- a/crates/edge/src/pipeline/attempts.rs
+++ b/crates/edge/src/pipeline/attempts.rs
@@ -13,7 +13,7 @@
     dispatch::{ConnectionCheckout, LoadGuard},
     log::Event,
     node::{Node, PlacementRequest},
-    place::{Choice, Placement},
+    place::{Choice, LimitOutlook, Placement, NOT_A_USER},
 };
 use bytes::Bytes;
 use hyper::{body::Incoming, http::response::Parts};
@@ -30,6 +30,10 @@
 /// `Retry-After` when all upstreams are crowded, in milliseconds.
 const CROWDED_RETRY_AFTER_MS: u64 = 1_200;
 
+/// Bounds of `Retry-After` when all upstreams are at their limit, in milliseconds.
+const MIN_LIMITED_RETRY_AFTER_MS: u64 = 300;
+const MAX_LIMITED_RETRY_AFTER_MS: u64 = 10_000;
+
 /// Attempts made for one request so far.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
@@ -177,6 +181,7 @@
     attempts: &Attempts,
 ) -> Result<Placement, Refusal> {
     let wait_until = node.now().plus(NO_UPSTREAM_WAIT_MS.min(ctx.left_ms(node)));
+    let mut limit_wait = None;
     loop {
         match node
             .place(&placement_request(ctx, &attempts.tried))
@@ -192,6 +197,24 @@
                 }
                 tokio::time::sleep(Duration::from_millis(PLACE_RETRY_PAUSE_MS)).await;
             }
+            Choice::Limited(outlook) => {
+                let wait = limit_wait.get_or_insert_with(|| node.wait_for_limit(&ctx.meta.service));
+                let expected_ms = expected_limit_wait_ms(outlook, wait.ahead);
+                let waited_ms = node.now().since(ctx.started_at);
+                let max_wait_ms = ctx.meta.aim_ms / CROWDED_WAIT_DIVISOR;
+                if waited_ms.saturating_add(expected_ms) >= max_wait_ms {
+                    let retry_after_ms = if outlook.wait_ms == NOT_A_USER {
+                        NO_UPSTREAM_RETRY_AFTER_MS
+                    } else {
+                        expected_ms.clamp(MIN_LIMITED_RETRY_AFTER_MS, MAX_LIMITED_RETRY_AFTER_MS)
+                    };
+                    let refusal =
+                        Refusal::not_run("all upstreams are at their limit", retry_after_ms);
+                    return Err(refusal_unless_run(attempts, refusal));
+                }
+                let pause_ms = expected_ms.clamp(1, PLACE_RETRY_PAUSE_MS);
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
             Choice::NoUpstream if attempts.tried.is_empty() && node.now() < wait_until => {
                 tokio::time::sleep(Duration::from_millis(PLACE_RETRY_PAUSE_MS)).await;
             }
@@ -204,6 +227,18 @@
     }
 }
 
+/// Expected time until a limited upstream takes a request with `ahead` requests before it, in
+/// milliseconds.
+fn expected_limit_wait_ms(outlook: LimitOutlook, ahead: usize) -> u64 {
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    let queue_ms = (outlook.interval_ms * ahead as f64) as u64;
+    outlook.wait_ms.saturating_add(queue_ms)
+}
+
 /// Refuses the request if the expected wait at the chosen upstream exceeds the remaining time.
 fn check_wait(
     node: &Node,
--- a/crates/edge/src/pipeline/forward.rs
+++ b/crates/edge/src/pipeline/forward.rs
@@ -95,6 +95,18 @@
     best.map(|(_, remote)| remote)
 }
 
+/// Instance of the own region that uses a limited upstream of the request's service.
+pub(super) fn limit_user_nearby(node: &Node, ctx: &RequestContext) -> Option<RemoteCandidate> {
+    let state = node.state.borrow();
+    let member = state.limit_user_nearby(node, &ctx.meta.service, node.now())?;
+    Some(RemoteCandidate {
+        member,
+        region: Arc::clone(&node.region),
+        wait_ms: 0.0,
+        cost_ms: 0.0,
+    })
+}
+
 /// Forwards a request and passes the response through.
 pub(super) async fn forward(
     node: &Rc<Node>,
--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -10,7 +10,11 @@
     Admission, RequestContext,
 };
 use crate::{
-    dispatch::is_hop_header, node::Node, peers::is_peer_header, place::Choice, relay::AnswerBody,
+    dispatch::is_hop_header,
+    node::Node,
+    peers::is_peer_header,
+    place::{Choice, NOT_A_USER},
+    relay::AnswerBody,
 };
 use hyper::{http::response::Parts, HeaderMap, Response, StatusCode};
 use std::{rc::Rc, sync::Arc};
@@ -39,11 +43,11 @@
     };
     let local_wait_ms = match &local {
         Choice::Placed(placed) => Some(placed.wait_ms),
-        Choice::Saturated | Choice::NoUpstream => None,
+        Choice::Saturated | Choice::Limited(_) | Choice::NoUpstream => None,
     };
     let is_remote_preferred = |remote: &forward::RemoteCandidate| match &local {
         Choice::Placed(placed) => remote.is_preferable_to(&ctx, placed),
-        Choice::Saturated => remote.can_meet_target(&ctx),
+        Choice::Saturated | Choice::Limited(_) => remote.can_meet_target(&ctx),
         Choice::NoUpstream => true,
     };
     if let Some(remote) = remote.filter(is_remote_preferred) {
@@ -55,6 +59,13 @@
             return forward_to_another(node, &ctx, admission, &remote, outcome).await;
         }
     }
+    if let Choice::Limited(outlook) = local {
+        if outlook.wait_ms == NOT_A_USER {
+            if let Some(user) = forward::limit_user_nearby(node, &ctx) {
+                return forward::forward(node, &ctx, &user, None).await;
+            }
+        }
+    }
     if is_own_region_allowed {
         return run_local_first(node, ctx, admission).await;
     }
--- a/crates/edge/src/pipeline/send_once.rs
+++ b/crates/edge/src/pipeline/send_once.rs
@@ -216,7 +216,7 @@
         None if headers.contains_key(&names.seal) => News::Unlimited,
         None => return,
     };
-    node.note_limit(sent, news);
+    node.note_limit(sent.upstream, news);
 }
 
 /// Reads the body of a response unless it is a stream, up to the size that is buffered.
--- a/crates/edge/src/place/choose.rs
+++ b/crates/edge/src/place/choose.rs
@@ -42,6 +42,9 @@
 /// Penalty at a moving average of failures of 1, in milliseconds.
 const ERROR_PENALTY_MS: f64 = 200.0;
 
+/// Wait at a limited upstream that other instances use, in milliseconds.
+pub const NOT_A_USER: u64 = u64::MAX;
+
 /// The properties of a request that matter for placement.
 #[derive(Clone, Debug, Default)]
 pub struct InferenceJob {
@@ -92,6 +95,9 @@
     pub is_version_allowed: &'a dyn Fn(&str) -> bool,
     /// Predicate for the cold upstreams that this instance may use.
     pub is_cold_user: &'a dyn Fn(&str) -> bool,
+    /// Time until an upstream may get a request by the limit that it states, in milliseconds: 0 if
+    /// it may now, [`NOT_A_USER`] if it may not get any from this instance.
+    pub limit_wait_ms: &'a dyn Fn(&Upstream) -> u64,
     /// KV cache capacity of each engine, in tokens; 0 if the upstreams are not engines.
     pub kv_cache_tokens: u64,
     /// Upstreams to which the request was sent already.
@@ -125,10 +131,21 @@
     Placed(Placement),
     /// All upstreams have reached their limit of time spent on prefill.
     Saturated,
+    /// All usable upstreams have as many requests as they take at a time.
+    Limited(LimitOutlook),
     /// No upstream is usable.
     NoUpstream,
 }
 
+/// When limited upstreams take further requests of this instance.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitOutlook {
+    /// Time until the next request, in milliseconds; [`NOT_A_USER`] if other instances use them.
+    pub wait_ms: u64,
+    /// Mean interval of the requests after it, in milliseconds.
+    pub interval_ms: f64,
+}
+
 impl Choice {
     /// Turns a placement of a low-priority job into [`Choice::Saturated`] if its queueing time is
     /// long against `aim_ms`: a longer queue would only make all queued requests late. The prefill
@@ -154,9 +171,12 @@
     now: Millis,
 ) -> Choice {
     for is_last_resort in [false, true] {
-        let usable = usable(upstreams, rules, is_last_resort, now);
+        let usable: Vec<&Upstream> = usable(upstreams, rules, is_last_resort, now)
+            .into_iter()
+            .filter(|up| (rules.limit_wait_ms)(up) == 0)
+            .collect();
         let has_any = !usable.is_empty();
-        let reserved_engines = reserved_engines(&usable, job, rules);
+        let reserved_engines = reserved_engines(&unlimited(&usable, now), job, rules);
         let is_reserved = |up: &Upstream| reserved_engines.contains(&up.entry.id);
         let (others, own): (Vec<&Upstream>, Vec<&Upstream>) = usable
             .into_iter()
@@ -170,7 +190,32 @@
             None => {}
         }
     }
-    Choice::NoUpstream
+    limit_outlook(upstreams, rules, now).map_or(Choice::NoUpstream, Choice::Limited)
+}
+
+/// When the usable upstreams take further requests, if their limits are all that keeps them from it.
+pub(super) fn limit_outlook(
+    upstreams: &Upstreams,
+    rules: &PlacementRules<'_>,
+    now: Millis,
+) -> Option<LimitOutlook> {
+    let usable = usable(upstreams, rules, false, now);
+    let wait_ms = usable.iter().map(|up| (rules.limit_wait_ms)(up)).min()?;
+    let used = usable
+        .iter()
+        .filter(|up| (rules.limit_wait_ms)(up) != NOT_A_USER);
+    let rate_per_s: f64 = used.filter_map(|up| up.limit.rate(now)).sum();
+    Some(LimitOutlook {
+        wait_ms,
+        interval_ms: 1_000.0 / rate_per_s.max(f64::MIN_POSITIVE),
+    })
+}
+
+/// Upstreams that state no limit. Only these are divided by kind of job, since limited ones come and
+/// go with each request.
+pub(super) fn unlimited<'a>(upstreams: &[&'a Upstream], now: Millis) -> Vec<&'a Upstream> {
+    let is_unlimited = |up: &&Upstream| up.limit.rate(now).is_none();
+    upstreams.iter().copied().filter(is_unlimited).collect()
 }
 
 /// Identifiers of the engines that are reserved for the other kind of jobs.
--- a/crates/edge/src/place/forecast.rs
+++ b/crates/edge/src/place/forecast.rs
@@ -1,7 +1,7 @@
 //! Latency forecast of a region, which instances report to other regions.
 
 use super::{
-    choose::{has_prefill_capacity, usable, wait_ms},
+    choose::{has_prefill_capacity, limit_outlook, unlimited, usable, wait_ms, LimitOutlook},
     engines_for_other_kind,
     pace::time_per_token_ms,
     InferenceJob, JobKind, PlacementRules,
@@ -34,6 +34,12 @@
     now: Millis,
 ) -> Option<LatencyForecast> {
     let usable = usable(upstreams, rules, false, now);
+    let unlimited = unlimited(&usable, now);
+    if unlimited.is_empty() {
+        return limit_outlook(upstreams, rules, now).map(limited_forecast);
+    }
+    // A request that a limited engine takes now says little about the next one.
+    let usable = unlimited;
     let reserved_engines = engines_for_other_kind(&usable, kind, rules.decode_share);
     let job = InferenceJob {
         is_yielding: true,
@@ -71,6 +77,16 @@
     Some(mean(&forecasts))
 }
 
+/// Forecast of a region in which all upstreams are limited.
+fn limited_forecast(outlook: LimitOutlook) -> LatencyForecast {
+    #[allow(clippy::cast_precision_loss)]
+    let wait_ms = (outlook.wait_ms as f64).max(outlook.interval_ms);
+    LatencyForecast {
+        wait_ms: wait_ms.min(SATURATED_WAIT_MS),
+        time_per_token_ms: 0.0,
+    }
+}
+
 fn mean(forecasts: &[LatencyForecast]) -> LatencyForecast {
     #[allow(clippy::cast_precision_loss)]
     let count = forecasts.len() as f64;
--- a/crates/edge/src/place/mod.rs
+++ b/crates/edge/src/place/mod.rs
@@ -13,7 +13,9 @@
 mod split;
 
 pub use cache::{PrefixCache, PromptPart};
-pub use choose::{choose, Choice, InferenceJob, Placement, PlacementRules};
+pub use choose::{
+    choose, Choice, InferenceJob, LimitOutlook, Placement, PlacementRules, NOT_A_USER,
+};
 pub use forecast::{forecast_region, LatencyForecast};
 pub use pace::cost_ms;
 pub use split::{engines_for_other_kind, JobKind, JobMix};
--- a/crates/edge/tests/gossip_encoding.rs
+++ b/crates/edge/tests/gossip_encoding.rs
@@ -2,9 +2,12 @@
 
 #![allow(clippy::unwrap_used)]
 
-use carobwheel_core::crash::{CrashReport, HeldPart};
+use carobwheel_core::{
+    crash::{CrashReport, HeldPart},
+    upstream_limit::LimitReport,
+};
 use carobwheel_edge::{
-    node::Gossip,
+    node::{Additions, Gossip},
     peers::{decode, encode},
 };
 
@@ -20,6 +23,7 @@
         forecasts: Vec::new(),
         trials: Vec::new(),
         crashes,
+        additions: Additions::default(),
     }
 }
 
@@ -59,3 +63,37 @@
         (7, vec![3, 4], vec![(9, 10)])
     );
 }
+
+/// Additions with a report about one limited upstream.
+fn additions() -> Additions {
+    let report = LimitReport {
+        rate_per_s: 1.4,
+        age_ms: Some(20),
+        sent: 3,
+        is_user: true,
+    };
+    Additions {
+        limits: vec![(11, report)],
+    }
+}
+
+#[test]
+fn limit_reports_survive_the_encoding_with_and_without_crash_reports() {
+    for crashes in [CrashReport::default(), report()] {
+        let mut message = gossip(crashes.clone());
+        message.additions = additions();
+        let decoded = decode(&encode(&message).unwrap()).unwrap();
+        assert_eq!(decoded.additions, additions());
+        assert_eq!(decoded.crashes, crashes);
+    }
+}
+
+#[test]
+fn a_build_without_limit_reports_understands_a_message_with_them() {
+    let mut message = gossip(report());
+    message.additions = additions();
+    let bytes = encode(&message).unwrap();
+    let (old, rest): (Gossip, &[u8]) = postcard::take_from_bytes(&bytes).unwrap();
+    let crashes: CrashReport = postcard::from_bytes(rest).unwrap();
+    assert_eq!((old.life, crashes), (7, report()));
+}
--- a/crates/gateway/tests/platform_support/engine.rs
+++ b/crates/gateway/tests/platform_support/engine.rs
@@ -11,7 +11,7 @@
         Arc, Mutex,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Scripted answer to one request.
@@ -90,6 +90,9 @@
     scripts: Mutex<VecDeque<Script>>,
     seen: Mutex<Vec<ReceivedRequest>>,
     abandoned: AtomicUsize,
+    arrivals: Mutex<Vec<Instant>>,
+    /// Text of the limit that scripted answers and events state.
+    limit: Mutex<Option<String>>,
 }
 
 impl Engine {
@@ -128,6 +131,16 @@
         *self.shared.scripts.lock().unwrap() = scripts.into_iter().collect();
     }
 
+    /// Makes all further answers and streams state this limit, or none.
+    pub(crate) fn state_limit(&self, limit: Option<&str>) {
+        *self.shared.limit.lock().unwrap() = limit.map(str::to_owned);
+    }
+
+    /// Times at which requests arrived.
+    pub(crate) fn arrivals(&self) -> Vec<Instant> {
+        self.shared.arrivals.lock().unwrap().clone()
+    }
+
     pub(crate) fn seen(&self) -> Vec<ReceivedRequest> {
         self.shared.seen.lock().unwrap().clone()
     }
@@ -149,6 +162,7 @@
             .header("last-event-id")
             .and_then(|id| id.parse().ok())
             .unwrap_or(0);
+        shared.arrivals.lock().unwrap().push(Instant::now());
         shared.seen.lock().unwrap().push(seen);
         let script = shared.scripts.lock().unwrap().pop_front();
         let script = script.unwrap_or(Script::Answer(200, "ok"));
@@ -170,9 +184,11 @@
     last: u64,
     shared: &Shared,
 ) -> Option<()> {
+    let limit = shared.limit.lock().unwrap().clone();
+    let limit = limit.map_or(String::new(), |limit| format!("server-limit: {limit}\r\n"));
     let whole = |status: u16, id: &str, extra: &str, body: &str| {
         format!(
-            "HTTP/1.1 {status} X\r\nx-carobwheel-attempt-id: {id}\r\n{extra}content-length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status} X\r\nx-carobwheel-attempt-id: {id}\r\n{limit}{extra}content-length: {}\r\n\r\n{body}",
             body.len()
         )
     };
@@ -213,7 +229,7 @@
             pause_ms,
             is_complete,
         } => {
-            let head = format!("HTTP/1.1 200 X\r\nx-carobwheel-attempt-id: {id}\r\n{seal}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
+            let head = format!("HTTP/1.1 200 X\r\nx-carobwheel-attempt-id: {id}\r\n{limit}{seal}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
             stream.write_all(head.as_bytes()).ok()?;
             for event in last + 1..=*until {
                 let text = format!("id: {event}\ndata: piece {event}\n\n");
