Order the store's changes by era and revision, and bridge the gap after a restore (CONFIG)

Callers of a route that was added after a restore got 404, and requests with homes left them: version 14 was confirmed and never in force. Cause: the replica dropped each fact whose revision was not above the one it held, and watches went on from the larger revision, while the restored store gave revisions out again; the number that its answers carry was not read. Class: an order that is unique only within one life of its source.

Change: a position is era and revision; answers of an older era are dropped; the configuration is ordered by its own version and asked for from instances with a higher one; for 5 s the copy neither removes what operators wrote nor brings back what was removed, then one listing counts; own entry and verdicts are written again, and leases of a former era are left alone. Eras follow the old fields in messages.

--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -40,6 +40,17 @@
         routes: usize,
         accounts: usize,
     },
+    /// The store has come back with an older copy; `config` is the version in force.
+    StoreRestored {
+        era: u64,
+        before: u64,
+        revision: u64,
+        config: u64,
+    },
+    OlderConfigIgnored {
+        version: u64,
+        in_force: u64,
+    },
     ConfigRefused {
         reason: &'a str,
     },
@@ -94,7 +105,9 @@
     Pulled {
         member: &'a str,
         prefix: usize,
+        after_era: u64,
         after: u64,
+        era: u64,
         revision: u64,
         facts: usize,
     },
--- a/crates/edge/src/member/mod.rs
+++ b/crates/edge/src/member/mod.rs
@@ -6,6 +6,7 @@
 use crate::{
     limit::Fleet,
     place::{JobKind, LatencyForecast},
+    store::Position,
 };
 use carobwheel_core::time::Millis;
 use serde::{Deserialize, Serialize};
@@ -73,6 +74,10 @@
     pub entry_at: Millis,
     /// Revisions up to which it knows the watched prefixes of the store.
     pub revisions: Vec<u64>,
+    /// Eras of the store that these revisions belong to; empty if its build does not report them.
+    pub eras: Vec<u64>,
+    /// Version of the configuration that it has in force; 0 if unknown.
+    pub config_version: u64,
     /// Latency forecasts for its region, by a hash of the service's name and the kind of job.
     pub forecasts: HashMap<(u32, JobKind), LatencyForecast>,
 }
@@ -84,6 +89,13 @@
             .is_some_and(|at| now.since(at) <= max_age_ms)
     }
 
+    /// Position up to which it knows a prefix. A revision without an era counts as of `own_era`.
+    pub fn position(&self, prefix: usize, own_era: u64) -> Option<Position> {
+        let revision = *self.revisions.get(prefix)?;
+        let era = self.eras.get(prefix).copied().unwrap_or(own_era);
+        Some(Position { era, revision })
+    }
+
     /// Whether it is ready and its last message is recent enough for requests to be sent to it.
     pub fn is_up(&self, now: Millis) -> bool {
         self.is_ready && self.has_message_within(LISTED_TIMEOUT_MS, now)
@@ -116,6 +128,8 @@
             last_message_at: None,
             entry_at: now,
             revisions: Vec::new(),
+            eras: Vec::new(),
+            config_version: 0,
             forecasts: HashMap::new(),
             entry,
         };
--- a/crates/edge/src/node/apply.rs
+++ b/crates/edge/src/node/apply.rs
@@ -6,7 +6,7 @@
     member::MemberEntry,
     model::{Config, ConfigParts},
     rollout::{RolloutOrder, Trial, Verdict},
-    store::{Fact, Facts, MemberChange, Replica, StoreEvent, StoreUpdate},
+    store::{Fact, MemberChange, StoreEvent, StoreUpdate},
     upstream::{Stage, UpstreamEntry},
 };
 use std::{rc::Rc, sync::Arc};
@@ -51,18 +51,8 @@
     /// Handles an event of the store's thread.
     pub fn apply_store_event(&self, event: StoreEvent) {
         match event {
-            StoreEvent::Listed(prefix, listing) => {
-                let fresh = self.with_replica(&prefix, |replica, at| {
-                    replica.listed(at, &listing.items, listing.revision)
-                });
-                self.apply_facts(&fresh);
-            }
-            StoreEvent::Changed(prefix, news) => {
-                let fresh = self.with_replica(&prefix, |replica, at| {
-                    replica.changed(at, news.changes, news.revision)
-                });
-                self.apply_facts(&fresh);
-            }
+            StoreEvent::Listed(prefix, listing) => self.apply_listing(&prefix, &listing),
+            StoreEvent::Changed(prefix, changes) => self.apply_changes(&prefix, changes),
             StoreEvent::Lost(reason) => self.store_lost(&reason),
             StoreEvent::Recovered => self.store_back(),
             StoreEvent::LeaseLost(reason) => self.log.event(Event::LeaseLost { reason: &reason }),
@@ -74,27 +64,8 @@
         }
     }
 
-    /// Updates the replica of a prefix. Returns the facts that are new.
-    fn with_replica(
-        &self,
-        prefix: &str,
-        update: impl FnOnce(&mut Replica, usize) -> Vec<Fact>,
-    ) -> Vec<Fact> {
-        let mut state = self.state.borrow_mut();
-        let Some(at) = state.replica.prefix(prefix) else {
-            return Vec::new();
-        };
-        update(&mut state.replica, at)
-    }
-
-    /// Applies facts that were pulled from another instance.
-    pub fn apply_pulled_facts(&self, prefix: usize, facts: Facts) {
-        let fresh = self.state.borrow_mut().replica.merge(prefix, facts);
-        self.apply_facts(&fresh);
-    }
-
     /// Decodes new facts and applies them.
-    fn apply_facts(&self, facts: &[Fact]) {
+    pub(super) fn apply_facts(&self, facts: &[Fact]) {
         for fact in facts {
             let news = match &fact.value {
                 Some(value) => Some((self.decoder.written)(&fact.key, value)),
@@ -110,8 +81,14 @@
     fn apply_config(&self, parts: ConfigParts) {
         let config = Rc::new(Config::from(parts));
         let mut state = self.state.borrow_mut();
-        let before = state.config.as_ref().map_or(0, |config| config.version);
+        let before = state.config_version();
         if state.config.is_some() && config.version <= before {
+            if config.version < before {
+                self.log.event(Event::OlderConfigIgnored {
+                    version: config.version,
+                    in_force: before,
+                });
+            }
             return;
         }
         self.log.event(Event::ConfigInForce {
@@ -186,6 +163,9 @@
         let Some(trial) = state.trials.get_mut(service) else {
             return;
         };
+        if is_own && trial.order.target == *target && trial.verdict == verdict {
+            trial.verdict_recorded();
+        }
         if trial.order.target != *target
             || trial.verdict != Verdict::Active
             || verdict == Verdict::Active
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -96,6 +96,10 @@
 pub struct Additions {
     /// Reports about limited upstreams of the region; empty between regions.
     pub limits: Vec<KeyedLimitReport>,
+    /// Era of each revision of the sender's replica.
+    pub eras: Vec<u64>,
+    /// Version of the configuration that the sender has in force; 0 if there is none.
+    pub config_version: u64,
 }
 
 impl Node {
@@ -147,6 +151,7 @@
                 .map(|(route, seen)| (*route, *seen))
                 .collect(),
         });
+        let positions = state.replica.positions();
         let buckets = state
             .buckets
             .iter()
@@ -155,7 +160,7 @@
             life: self.life,
             is_ready,
             has_store: state.store_lost_at.is_none() && state.replica.is_complete(),
-            revisions: state.replica.revisions(),
+            revisions: positions.iter().map(|at| at.revision).collect(),
             loads: if is_same_region {
                 loads.collect()
             } else {
@@ -173,6 +178,8 @@
                 } else {
                     Vec::new()
                 },
+                eras: positions.iter().map(|at| at.era).collect(),
+                config_version: state.config_version(),
             },
         }
     }
@@ -197,6 +204,8 @@
                     .map(|report| ((report.service, report.kind), report.forecast()))
                     .collect();
                 member.revisions.clone_from(&gossip.revisions);
+                member.eras.clone_from(&gossip.additions.eras);
+                member.config_version = gossip.additions.config_version;
                 member.has_store = gossip.has_store;
             }
             for (account, bucket) in &mut state.buckets {
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod evidence;
 mod gossip;
 mod limits;
+mod restore;
 mod state;
 mod tick;
 
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -111,6 +111,10 @@
     pub replica: Replica,
     /// Time since which another instance has had a newer revision, by position of the prefix.
     pub behind: HashMap<usize, Millis>,
+    /// Era of the store; `None` until it has answered.
+    pub store_era: Option<u64>,
+    /// Time at which this instance learned that the store was restored.
+    pub restored_at: Option<Millis>,
     /// Start of the current outage of the store.
     pub store_lost_at: Option<Millis>,
     /// End of the last outage of the store.
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -1,7 +1,11 @@
 //! Periodic work of the instance.
 
-use super::Node;
-use crate::{log::Event, rollout::Verdict, store::VerdictRecord};
+use super::{restore::CONFIG_PREFIX, Node};
+use crate::{
+    log::Event,
+    rollout::Verdict,
+    store::{Position, VerdictRecord},
+};
 use std::sync::Arc;
 
 /// Delay per preceding instance before an instance records a verdict itself, in milliseconds.
@@ -18,8 +22,8 @@
     pub member: Arc<str>,
     /// Position of the prefix.
     pub prefix: usize,
-    /// Revision of the own replica.
-    pub after: u64,
+    /// Position of the own replica.
+    pub after: Position,
 }
 
 impl Node {
@@ -58,7 +62,8 @@
     pub fn due_pulls(&self) -> Vec<Pull> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let own = state.replica.revisions();
+        let own = state.replica.positions();
+        let own_config = state.config_version();
         let mut pulls = Vec::new();
         for (prefix, after) in own.into_iter().enumerate() {
             let reachable = state
@@ -67,13 +72,23 @@
                 .values()
                 .filter(|member| member.has_message_within(PULL_DELAY_MS, now));
             let ahead = reachable.filter_map(|member| {
-                let revision = *member.revisions.get(prefix)?;
-                (revision > after).then(|| (revision, Arc::clone(&member.entry.name)))
+                let position = member.position(prefix, after.era)?;
+                let has_newer_config =
+                    prefix == CONFIG_PREFIX && member.config_version > own_config;
+                let key = (has_newer_config, position);
+                let is_ahead = has_newer_config || position > after;
+                is_ahead.then(|| (key, Arc::clone(&member.entry.name)))
             });
-            let Some((_, member)) = ahead.max() else {
+            let Some(((has_newer_config, _), member)) = ahead.max() else {
                 state.behind.remove(&prefix);
                 continue;
             };
+            // A newer version may stand at an older position, before a restore of the store.
+            let after = if has_newer_config {
+                Position::default()
+            } else {
+                after
+            };
             let since = *state.behind.entry(prefix).or_insert(now);
             if now.since(since) >= PULL_DELAY_MS {
                 state.behind.insert(prefix, now);
@@ -112,7 +127,7 @@
             let wanted = match due {
                 Some(verdict) => Some(verdict),
                 None if trial.verdict == Verdict::Active => Some(Verdict::Active),
-                None => None,
+                None => trial.lost_verdict(),
             };
             let Some(verdict) = wanted else {
                 continue;
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -16,7 +16,7 @@
 
 pub use dial::Links;
 pub(crate) use exchange::{exchange, ExchangeError};
-pub use pull::pull;
+pub use pull::{decode_facts, encode_facts, pull};
 pub use tls::{Identity, PeerError};
 
 use crate::node::{Additions, Gossip};
--- a/crates/edge/src/peers/pull.rs
+++ b/crates/edge/src/peers/pull.rs
@@ -4,7 +4,7 @@
 use crate::{
     log::Event,
     node::{Node, Pull},
-    store::Facts,
+    store::{Fact, Facts, Position},
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -23,6 +23,30 @@
 pub(super) struct PullQuery {
     prefix: usize,
     after: u64,
+    /// Era of `after`; builds without it ask in the era that this instance knows.
+    era: Option<u64>,
+}
+
+/// Fact in a response, without its era.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireFact {
+    key: String,
+    revision: u64,
+    value: Option<Vec<u8>>,
+}
+
+/// Response to a query. The eras follow it: builds that do not know them ignore trailing bytes.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireFacts {
+    facts: Vec<WireFact>,
+    revision: u64,
+}
+
+/// Eras of a response and of each of its facts.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct WireEras {
+    era: u64,
+    facts: Vec<u64>,
 }
 
 /// Pulls changes from another instance and applies them.
@@ -36,8 +60,10 @@
             node.log.event(Event::Pulled {
                 member: &pull.member,
                 prefix: pull.prefix,
-                after: pull.after,
-                revision: facts.revision,
+                after_era: pull.after.era,
+                after: pull.after.revision,
+                era: facts.at.era,
+                revision: facts.at.revision,
                 facts: facts.facts.len(),
             });
             node.apply_pulled_facts(pull.prefix, facts);
@@ -53,7 +79,8 @@
 async fn ask(node: &Node, pull: &Pull) -> Result<Facts, String> {
     let query = PullQuery {
         prefix: pull.prefix,
-        after: pull.after,
+        after: pull.after.revision,
+        era: Some(pull.after.era),
     };
     let query = serde_json::to_string(&query).map_err(|err| err.to_string())?;
     let mut request = Request::new(Full::<Bytes>::default());
@@ -68,12 +95,72 @@
         .collect()
         .await;
     let body = body.map_err(|err| err.to_string())?.to_bytes();
-    postcard::from_bytes(&body).map_err(|err| err.to_string())
+    decode_facts(&body, pull.after.era).map_err(|err| err.to_string())
 }
 
-/// Response to a query: the facts after its revision.
+/// Response to a query: the facts after its position.
 pub(super) fn answer(node: &Node, query: &HeaderValue) -> Option<Vec<u8>> {
     let query: PullQuery = serde_json::from_slice(query.as_bytes()).ok()?;
-    let facts = node.state.borrow().replica.since(query.prefix, query.after);
-    postcard::to_stdvec(&facts).ok()
+    let state = node.state.borrow();
+    let known = state.replica.positions();
+    let after = Position {
+        era: query.era.unwrap_or(known.get(query.prefix)?.era),
+        revision: query.after,
+    };
+    encode_facts(state.replica.since(query.prefix, after)).ok()
+}
+
+/// Encodes facts for a response.
+///
+/// # Errors
+///
+/// Fails if they cannot be serialized.
+pub fn encode_facts(facts: Facts) -> postcard::Result<Vec<u8>> {
+    let eras = WireEras {
+        era: facts.at.era,
+        facts: facts.facts.iter().map(|fact| fact.at.era).collect(),
+    };
+    let wire_facts = facts.facts.into_iter().map(|fact| WireFact {
+        key: fact.key,
+        revision: fact.at.revision,
+        value: fact.value,
+    });
+    let response = WireFacts {
+        facts: wire_facts.collect(),
+        revision: facts.at.revision,
+    };
+    postcard::to_extend(&eras, postcard::to_stdvec(&response)?)
+}
+
+/// Decodes a response. Without eras, it is of the era `own_era`.
+///
+/// # Errors
+///
+/// Fails if the bytes are no response.
+pub fn decode_facts(bytes: &[u8], own_era: u64) -> postcard::Result<Facts> {
+    let (response, rest): (WireFacts, &[u8]) = postcard::take_from_bytes(bytes)?;
+    let eras: Option<WireEras> = postcard::from_bytes(rest).ok();
+    let era_of = |index: usize| {
+        let eras = eras.as_ref()?;
+        eras.facts.get(index).copied()
+    };
+    let facts = response
+        .facts
+        .into_iter()
+        .enumerate()
+        .map(|(index, fact)| Fact {
+            key: fact.key,
+            at: Position {
+                era: era_of(index).unwrap_or(own_era),
+                revision: fact.revision,
+            },
+            value: fact.value,
+        });
+    Ok(Facts {
+        facts: facts.collect(),
+        at: Position {
+            era: eras.as_ref().map_or(own_era, |eras| eras.era),
+            revision: response.revision,
+        },
+    })
 }
--- a/crates/edge/src/rollout/trial.rs
+++ b/crates/edge/src/rollout/trial.rs
@@ -66,6 +66,8 @@
     is_suspect: bool,
     shifted_at: Option<Millis>,
     wanted: Option<(Verdict, Millis)>,
+    /// Whether the store may have lost the final verdict.
+    is_verdict_lost: bool,
 }
 
 impl Trial {
@@ -79,9 +81,26 @@
             is_suspect: false,
             shifted_at: None,
             wanted: None,
+            is_verdict_lost: false,
         }
     }
 
+    /// Records that the store was restored and may have lost the verdict.
+    pub fn record_again(&mut self) {
+        self.is_verdict_lost = self.verdict != Verdict::Active;
+        self.wanted = None;
+    }
+
+    /// Records that the store holds the verdict.
+    pub fn verdict_recorded(&mut self) {
+        self.is_verdict_lost = false;
+    }
+
+    /// Final verdict that the store may have lost.
+    pub fn lost_verdict(&self) -> Option<Verdict> {
+        self.is_verdict_lost.then_some(self.verdict)
+    }
+
     /// Whether the evidence was against the new version at any time.
     pub fn is_suspect(&self) -> bool {
         self.is_suspect
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -1,10 +1,11 @@
 //! Watching all changes below a prefix.
 
 use super::{
-    backoff::Backoff, ops::Freshness, task::Context, StoreError, StoreEvent, WatchedPrefix,
+    backoff::Backoff, ops::Freshness, task::Context, Position, StoreError, StoreEvent,
+    WatchedPrefix, RESTORE_SETTLE_MS,
 };
 use std::{sync::atomic::Ordering, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// Timeout of one watch call, in milliseconds.
 const WATCH_TIMEOUT_MS: u64 = 25_000;
@@ -15,6 +16,45 @@
 /// write; it changes often, and each reader also detects the changes by itself.
 const ENTRIES_PAUSE_MS: u64 = 700;
 
+/// Time after the first listing of a restored store at which it is listed once more, in
+/// milliseconds. By then the instance no longer holds back what it lists.
+const RESTORED_LISTING_DELAY_MS: u64 = RESTORE_SETTLE_MS + 300;
+
+/// Progress of following one prefix.
+#[derive(Default)]
+struct Progress {
+    /// Position to watch from; `None` if the prefix has to be listed.
+    position: Option<Position>,
+    /// Era of the last listing.
+    era: Option<u64>,
+    /// Time of another listing after a restore.
+    list_again_at: Option<Instant>,
+}
+
+impl Progress {
+    fn listed(&mut self, at: Position) {
+        if self.era.is_some_and(|era| era < at.era) {
+            let delay = Duration::from_millis(RESTORED_LISTING_DELAY_MS);
+            self.list_again_at = Some(Instant::now() + delay);
+        }
+        self.era = Some(at.era);
+        self.position = Some(at);
+    }
+
+    /// Longest wait of the next watch, in milliseconds. Demands a listing if one is due.
+    fn watch_timeout_ms(&mut self) -> u64 {
+        let Some(at) = self.list_again_at else {
+            return WATCH_TIMEOUT_MS;
+        };
+        let left = at.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            self.list_again_at = None;
+            self.position = None;
+        }
+        u64::try_from(left.as_millis()).map_or(WATCH_TIMEOUT_MS, |left| left.min(WATCH_TIMEOUT_MS))
+    }
+}
+
 /// Lists the prefix, then watches it, and lists it again whenever its history is no longer
 /// available. Makes no calls while other instances watch on behalf of this one.
 pub(super) async fn follow(
@@ -23,7 +63,7 @@
     mut watching: tokio::sync::watch::Receiver<bool>,
 ) {
     let mut backoff = Backoff::default();
-    let mut position = None;
+    let mut progress = Progress::default();
     // The first watch returns what changed since a stale listing.
     let mut freshness = if watched.is_urgent {
         Freshness::Latest
@@ -31,30 +71,34 @@
         Freshness::Stale
     };
     loop {
-        if position.is_some() && !*watching.borrow() {
+        if progress.position.is_some() && !*watching.borrow() {
             // The sender is dropped only at shutdown.
             if watching.wait_for(|is_watcher| *is_watcher).await.is_err() {
                 return;
             }
-            position = None;
+            progress.position = None;
         }
-        let result = match position {
-            None => list(&context, &watched.prefix, freshness).await,
-            Some(revision) => watch(&context, &watched, revision).await,
+        let timeout_ms = progress.watch_timeout_ms();
+        let result = match progress.position {
+            None => list(&context, &watched.prefix, freshness)
+                .await
+                .map(|at| progress.listed(at)),
+            Some(after) => watch(&context, &watched, after, timeout_ms)
+                .await
+                .map(|at| progress.position = at),
         };
         match result {
-            Ok(revision) => {
-                position = Some(revision);
+            Ok(()) => {
                 freshness = Freshness::Latest;
                 backoff.succeeded();
                 context.reachable().await;
             }
-            Err(StoreError::HistoryGone) => position = None,
+            Err(StoreError::HistoryGone) => progress.position = None,
             Err(err) => {
                 if matches!(err, StoreError::Malformed(_)) {
                     // The same watch would return the same answer, for instance one that is too
                     // long; a listing comes in pages.
-                    position = None;
+                    progress.position = None;
                 }
                 context.unreachable(&err).await;
                 let pause_ms = backoff.failed(rand::random());
@@ -64,19 +108,33 @@
     }
 }
 
-async fn list(context: &Context, prefix: &str, freshness: Freshness) -> Result<u64, StoreError> {
+async fn list(
+    context: &Context,
+    prefix: &str,
+    freshness: Freshness,
+) -> Result<Position, StoreError> {
     let listing = (context.ops.list)(prefix, freshness).await?;
-    let revision = listing.revision;
+    let at = listing.at;
     context
         .send(StoreEvent::Listed(prefix.to_owned(), listing))
         .await;
-    Ok(revision)
+    Ok(at)
 }
 
-async fn watch(context: &Context, watched: &WatchedPrefix, after: u64) -> Result<u64, StoreError> {
+/// Watches once. Returns the position to go on from; `None` if the store was restored, since
+/// revisions of two eras do not continue each other.
+async fn watch(
+    context: &Context,
+    watched: &WatchedPrefix,
+    after: Position,
+    timeout_ms: u64,
+) -> Result<Option<Position>, StoreError> {
     let prefix = &watched.prefix;
-    let response = (context.ops.watch)(prefix, after, WATCH_TIMEOUT_MS).await?;
-    let revision = response.revision.max(after);
+    let response = (context.ops.watch)(prefix, after.revision, timeout_ms).await?;
+    if response.at.era != after.era {
+        return Ok(None);
+    }
+    let at = response.at.max(after);
     let is_empty = response.changes.is_empty();
     context
         .send(StoreEvent::Changed(prefix.clone(), response))
@@ -89,7 +147,7 @@
         };
         sleep(Duration::from_millis(pause_ms)).await;
     }
-    Ok(revision)
+    Ok(Some(at))
 }
 
 impl Context {
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -13,11 +13,15 @@
 mod update;
 mod verdict;
 
+/// Time after a restore of the store in which operators and upstreams write again what it has lost,
+/// in milliseconds. Entries of upstreams that are gone lapse in it.
+pub const RESTORE_SETTLE_MS: u64 = 5_000;
+
 pub use ops::{
     Change, Changes, Commit, Expected, Freshness, Item, KeyCall, List, Listing, NumberCall,
-    StoreCall, StoreError, StoreOps, StoreResult, Watch, Write,
+    Position, StoreCall, StoreError, StoreOps, StoreResult, Watch, Write,
 };
-pub use replica::{Fact, Facts, Replica};
+pub use replica::{Fact, Facts, Replica, RestoreRules};
 pub use task::{start, StoreHandle, StoreKeys, StoreSettings, WatchedPrefix};
 pub use update::{Decoder, MemberChange, StoreEvent, StoreUpdate};
 pub use verdict::VerdictRecord;
--- a/crates/edge/src/store/ops.rs
+++ b/crates/edge/src/store/ops.rs
@@ -1,8 +1,21 @@
 //! Operations of the store, as an adapter provides them.
 
 use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
+/// Position in the history of the store. A restored store begins a new era, in which revisions may
+/// be given out again.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// Number of restores, as far as the store counts them.
+    pub era: u64,
+    /// Revision within the era.
+    pub revision: u64,
+}
+
 /// One key-value pair of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Item {
@@ -19,8 +32,8 @@
 pub struct Listing {
     /// Items in order of their keys.
     pub items: Vec<Item>,
-    /// Revision of the store before the first page was read.
-    pub revision: u64,
+    /// Position of the store before the first page was read.
+    pub at: Position,
 }
 
 /// Change of one item.
@@ -42,8 +55,8 @@
 pub struct Changes {
     /// Changes.
     pub changes: Vec<Change>,
-    /// Revision to continue the watch from.
-    pub revision: u64,
+    /// Position to continue the watch from.
+    pub at: Position,
 }
 
 /// Condition of a commit on the revision of a key.
@@ -144,6 +157,8 @@
     pub commit: Box<dyn Fn(Commit) -> StoreCall<u64> + Send + Sync>,
     /// Grants a lease with a time to live in milliseconds.
     pub grant: NumberCall<u64>,
+    /// Latest era that any response has named.
+    pub era: Box<dyn Fn() -> u64 + Send + Sync>,
     /// Renews a lease.
     pub renew: NumberCall<()>,
     /// Revokes a lease.
--- a/crates/edge/src/store/own_entry.rs
+++ b/crates/edge/src/store/own_entry.rs
@@ -11,6 +11,22 @@
 /// Interval between renewals of the lease, in milliseconds.
 const RENEW_INTERVAL_MS: u64 = 2_000;
 
+/// Lease of the entry.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: u64,
+    /// Era of the store in which it was granted.
+    era: u64,
+}
+
+impl Lease {
+    /// Whether the store has not been restored since. Afterwards another instance may hold a lease
+    /// with the same number.
+    fn is_of_era(&self, context: &Context) -> bool {
+        (context.ops.era)() == self.era
+    }
+}
+
 /// Writes the entry and renews its lease until `stop`, then revokes the lease.
 pub(super) async fn register(
     context: Context,
@@ -18,34 +34,40 @@
     entry: MemberEntry,
     stop: CancellationToken,
 ) {
-    let mut lease = 0;
+    let mut lease = None;
     tokio::select! {
         () = stop.cancelled() => {}
         () = renew(&context, &key, &entry, &mut lease) => {}
     }
-    if lease != 0 {
-        if let Err(err) = (context.ops.revoke)(lease).await {
+    if let Some(lease) = lease.filter(|lease| lease.is_of_era(&context)) {
+        if let Err(err) = (context.ops.revoke)(lease.id).await {
             context.send(StoreEvent::LeaseLost(err.to_string())).await;
         }
     }
 }
 
-async fn renew(context: &Context, key: &str, entry: &MemberEntry, lease: &mut u64) {
+async fn renew(context: &Context, key: &str, entry: &MemberEntry, lease: &mut Option<Lease>) {
     let mut backoff = Backoff::default();
     loop {
-        let result = match *lease {
-            0 => write(context, key, entry).await,
-            held => (context.ops.renew)(held).await.map(|()| held),
+        let result = match lease.filter(|lease| lease.is_of_era(context)) {
+            None => write(context, key, entry).await,
+            Some(held) => (context.ops.renew)(held.id).await.map(|()| held),
         };
         match result {
-            Ok(held) => {
-                *lease = held;
+            Ok(held) if held.is_of_era(context) => {
+                *lease = Some(held);
                 backoff.succeeded();
                 context.reachable().await;
                 sleep(Duration::from_millis(RENEW_INTERVAL_MS)).await;
             }
+            Ok(_) => {
+                *lease = None;
+                context
+                    .send(StoreEvent::LeaseLost("the store was restored".to_owned()))
+                    .await;
+            }
             Err(StoreError::NotFound) => {
-                *lease = 0;
+                *lease = None;
                 context
                     .send(StoreEvent::LeaseLost("lease expired".to_owned()))
                     .await;
@@ -58,13 +80,14 @@
     }
 }
 
-async fn write(context: &Context, key: &str, entry: &MemberEntry) -> Result<u64, StoreError> {
-    let lease = (context.ops.grant)(LEASE_MS).await?;
+async fn write(context: &Context, key: &str, entry: &MemberEntry) -> Result<Lease, StoreError> {
+    let id = (context.ops.grant)(LEASE_MS).await?;
+    let era = (context.ops.era)();
     let value = serde_json::to_vec(entry).map_err(|err| StoreError::Malformed(err.to_string()))?;
     let write = Write {
         key: key.to_owned(),
         value,
-        lease,
+        lease: id,
     };
     // A retry after a lost response writes the same entry under a newer lease.
     let commit = Commit {
@@ -72,5 +95,5 @@
         ..Commit::default()
     };
     (context.ops.commit)(commit).await?;
-    Ok(lease)
+    Ok(Lease { id, era })
 }
--- a/crates/edge/src/store/verdict.rs
+++ b/crates/edge/src/store/verdict.rs
@@ -46,6 +46,7 @@
     key: &str,
     wanted: &VerdictRecord,
 ) -> Result<StoreUpdate, StoreError> {
+    let era = (context.ops.era)();
     let known = match (context.ops.get)(key).await {
         Ok(item) => Some(item),
         Err(StoreError::NotFound) => None,
@@ -72,6 +73,10 @@
         removes: Vec::new(),
     };
     (context.ops.commit)(commit).await?;
+    if (context.ops.era)() != era {
+        // A restored store may have met the condition with a revision of another write.
+        return Err(StoreError::Conflict);
+    }
     let (service, target) = (Arc::clone(&wanted.service), Arc::clone(&wanted.target));
     Ok(StoreUpdate::Verdict(service, target, wanted.verdict))
 }
--- a/crates/edge/tests/gossip_encoding.rs
+++ b/crates/edge/tests/gossip_encoding.rs
@@ -74,6 +74,8 @@
     };
     Additions {
         limits: vec![(11, report)],
+        eras: vec![1, 1],
+        config_version: 9,
     }
 }
 
--- a/crates/edge/tests/small_parts.rs
+++ b/crates/edge/tests/small_parts.rs
@@ -8,10 +8,15 @@
     model::{split_service, Config, ConfigParts, Route, RouteKind, RouteMatch, ServiceShare},
     relay::EventSplitter,
     settings::Settings,
-    store::{Change, Item, Replica},
+    store::{Change, Item, Position, Replica},
 };
 use test_case::test_case;
 
+/// Position in the first era.
+fn at(revision: u64) -> Position {
+    Position { era: 0, revision }
+}
+
 fn item(key: &str, revision: u64) -> Item {
     Item {
         key: key.to_owned(),
@@ -24,26 +29,26 @@
 fn replica_returns_each_change_once_and_never_an_older_one() {
     let mut replica = Replica::new(vec!["a/".to_owned()]);
     assert!(!replica.is_complete());
-    let new_facts = replica.listed(0, &[item("a/1", 3), item("a/2", 5)], 5);
+    let new_facts = replica.listed(0, &[item("a/1", 3), item("a/2", 5)], at(5));
     assert_eq!(new_facts.len(), 2);
     let removed = Change::Removed {
         key: "a/1".to_owned(),
         revision: 7,
     };
-    let new_facts = replica.changed(0, vec![Change::Written(item("a/2", 6)), removed], 7);
+    let new_facts = replica.changed(0, vec![Change::Written(item("a/2", 6)), removed], at(7));
     assert_eq!(
         new_facts
             .iter()
-            .map(|fact| fact.revision)
+            .map(|fact| fact.at.revision)
             .collect::<Vec<_>>(),
         [6, 7]
     );
     // An older listing from another instance changes nothing.
     assert!(replica
-        .listed(0, &[item("a/1", 3), item("a/2", 5)], 5)
+        .listed(0, &[item("a/1", 3), item("a/2", 5)], at(5))
         .is_empty());
     // A newer listing that lacks an item removes it.
-    let new_facts = replica.listed(0, &[], 9);
+    let new_facts = replica.listed(0, &[], at(9));
     assert_eq!(new_facts.len(), 1);
     assert!(new_facts[0].value.is_none() && new_facts[0].key == "a/2");
 }
@@ -52,16 +57,16 @@
 fn replica_is_updated_from_another_replica() {
     let mut first = Replica::new(vec!["a/".to_owned()]);
     let mut second = first.clone();
-    first.listed(0, &[item("a/1", 3), item("a/2", 5)], 5);
-    let new_facts = second.merge(0, first.since(0, 0));
+    first.listed(0, &[item("a/1", 3), item("a/2", 5)], at(5));
+    let new_facts = second.merge(0, first.since(0, at(0)));
     assert_eq!(new_facts.len(), 2);
     let removed = Change::Removed {
         key: "a/2".to_owned(),
         revision: 8,
     };
-    first.changed(0, vec![removed], 8);
-    assert_eq!(second.merge(0, first.since(0, 5)).len(), 1);
-    assert_eq!(second.revisions(), first.revisions());
+    first.changed(0, vec![removed], at(8));
+    assert_eq!(second.merge(0, first.since(0, at(5))).len(), 1);
+    assert_eq!(second.positions(), first.positions());
 }
 
 #[test_case(&["id: 1\ndata: a\n\nid: 2\n", "data: b\n\n"], &[Some(1), Some(2)], false; "split between lines")]
--- a/crates/gateway/tests/platform_support/mod.rs
+++ b/crates/gateway/tests/platform_support/mod.rs
@@ -15,7 +15,7 @@
 pub(crate) use crash_engine::{CrashEngine, CrashOptions};
 pub(crate) use engine::{Engine, RawEnd, ReceivedRequest, Script};
 pub(crate) use instance::{Instance, InstanceOptions};
-pub(crate) use store::Store;
+pub(crate) use store::{Store, StoreCopy};
 
 use std::{
     thread,
--- a/crates/gateway/tests/platform_support/store.rs
+++ b/crates/gateway/tests/platform_support/store.rs
@@ -16,8 +16,10 @@
 };
 
 /// Items as Base64 value, revision and lease, and the history of changes.
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
+    /// Number of restores.
+    era: u64,
     revision: u64,
     items: BTreeMap<String, (String, u64, u64)>,
     history: Vec<Value>,
@@ -35,6 +37,9 @@
     calls: AtomicUsize,
 }
 
+/// Copy of everything that a store held at some time.
+pub(crate) struct StoreCopy(State);
+
 /// Running store.
 #[derive(Clone)]
 pub(crate) struct Store {
@@ -101,6 +106,25 @@
         self.shared.state.lock().unwrap().history.clear();
     }
 
+    /// Copies all items, leases and the history.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.state.lock().unwrap().clone())
+    }
+
+    /// Goes back to a copy: what was written since is lost, and its revisions are given out again.
+    pub(crate) fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.shared.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = copy.0.clone();
+        state.era = era;
+        self.shared.changed.notify_all();
+    }
+
+    /// Revision of the last change.
+    pub(crate) fn revision(&self) -> u64 {
+        self.shared.state.lock().unwrap().revision
+    }
+
     /// Makes the store accept calls without ever answering them.
     pub(crate) fn set_silent(&self, is_silent: bool) {
         self.shared.is_silent.store(is_silent, Ordering::SeqCst);
@@ -187,8 +211,10 @@
         } else {
             body.to_string()
         };
+        let era = shared.state.lock().unwrap().era;
         let head = format!(
-            "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
+            "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
+             Content-Length: {}\r\n\r\n{text}",
             text.len()
         );
         if stream.write_all(head.as_bytes()).is_err() {
@@ -258,7 +284,14 @@
             state.leases.insert(lease, lease);
             (200, json!({"lease": lease, "ttlMs": 6000}))
         }
-        ("POST", path) if path.starts_with("/kv-keep/") => (200, json!({"ttlMs": 6000})),
+        ("POST", path) if path.starts_with("/kv-keep/") => {
+            let lease: u64 = path.rsplit('/').next().unwrap().parse().unwrap();
+            if shared.state.lock().unwrap().leases.contains_key(&lease) {
+                (200, json!({"ttlMs": 6000}))
+            } else {
+                (404, Value::Null)
+            }
+        }
         ("DELETE", path) => {
             let lease: u64 = path.rsplit('/').next().unwrap().parse().unwrap();
             let mut state = shared.state.lock().unwrap();
@@ -282,7 +315,11 @@
     let wait = Duration::from_millis(query["waitMs"].parse().unwrap());
     let end = Instant::now() + wait;
     let mut state = shared.state.lock().unwrap();
+    let era = state.era;
     loop {
+        if after > state.revision || state.era != era {
+            return (410, Value::Null);
+        }
         let first = state.history.first().map_or(state.revision + 1, |event| {
             event["revision"].as_u64().unwrap()
         });
