--- a/crates/core/src/slot/mod.rs
+++ b/crates/core/src/slot/mod.rs
@@ -184,8 +184,13 @@
 
 /// Rendezvous hash score of an instance for a shard; the instance with the highest is preferred.
 pub(crate) fn rendezvous_score(instance: &InstanceId, shard: u16) -> u64 {
-    let hash = fnv1a(FNV_OFFSET, instance.as_str().as_bytes());
-    finalize_hash(fnv1a(hash, &shard.to_le_bytes()))
+    rendezvous_score_of(instance.as_str(), &shard.to_le_bytes())
+}
+
+/// Rendezvous hash score of an instance for anything that is named by `bytes`.
+pub(crate) fn rendezvous_score_of(instance: &str, bytes: &[u8]) -> u64 {
+    let hash = fnv1a(FNV_OFFSET, instance.as_bytes());
+    finalize_hash(fnv1a(hash, bytes))
 }
 
 /// FNV-1a hash of `bytes`, continuing from `seed`.
--- a/crates/core/src/upstream_limit/gate.rs
+++ b/crates/core/src/upstream_limit/gate.rs
@@ -1,6 +1,6 @@
 //! Rate limiter of one instance for one upstream.
 
-use super::News;
+use super::{LimitUsers, News};
 use crate::time::Millis;
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc};
@@ -25,15 +25,6 @@
 /// Time in which the largest debt is made up for, in seconds.
 const MAX_DEBT_S: f64 = 8.0;
 
-/// Instances that use one limited upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LimitUsers {
-    /// Whether this instance is one of them.
-    pub is_user: bool,
-    /// Their number.
-    pub all: usize,
-}
-
 /// Report of an instance about one upstream to the other instances.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitReport {
--- a/crates/core/src/upstream_limit/mod.rs
+++ b/crates/core/src/upstream_limit/mod.rs
@@ -8,10 +8,8 @@
 
 mod gate;
 mod news;
+mod users;
 
-pub use gate::{LimitReport, LimitUsers, RateGate};
+pub use gate::{LimitReport, RateGate};
 pub use news::{parse_rate, InvalidRate, News};
-
-/// Maximum number of instances that use one limited upstream. All of them may send at the same
-/// moment, so the number bounds the burst.
-pub const MAX_LIMIT_USERS: usize = 4;
+pub use users::{limit_users_among, LimitUsers, MAX_LIMIT_USERS};
--- a/crates/core/tests/upstream_limit.rs
+++ b/crates/core/tests/upstream_limit.rs
@@ -4,7 +4,9 @@
 
 use carobwheel_core::{
     time::Millis,
-    upstream_limit::{parse_rate, LimitReport, LimitUsers, News, RateGate, MAX_LIMIT_USERS},
+    upstream_limit::{
+        limit_users_among, parse_rate, LimitReport, LimitUsers, News, RateGate, MAX_LIMIT_USERS,
+    },
 };
 use rand::{rngs::StdRng, Rng as _, SeedableRng as _};
 use std::sync::Arc;
@@ -269,3 +271,20 @@
 fn only_a_positive_decimal_is_a_limit(text: &str, expected: Option<f64>) {
     assert_eq!(parse_rate(text).ok(), expected);
 }
+
+#[test_case(1)]
+#[test_case(3)]
+#[test_case(61)]
+#[test_case(370)]
+fn all_instances_choose_the_same_users(instances: usize) {
+    let names: Vec<String> = (0..instances).map(|n| format!("node-{n}")).collect();
+    for upstream in ["i-1", "i-2", "i-3"] {
+        let among = limit_users_among(names.clone(), upstream);
+        for own in &names {
+            let others = names.iter().filter(|name| *name != own);
+            let users = LimitUsers::choose(own, others.map(String::as_str), upstream);
+            assert_eq!(users.is_user, among.contains(own), "{own} of {upstream}");
+            assert_eq!(users.all, among.len());
+        }
+    }
+}
--- a/crates/edge/src/node/limits.rs
+++ b/crates/edge/src/node/limits.rs
@@ -4,7 +4,7 @@
 use crate::{hash::short_hash, log::Event, place::NOT_A_USER, upstream::Upstream};
 use carobwheel_core::{
     time::Millis,
-    upstream_limit::{LimitReport, LimitUsers, News, MAX_LIMIT_USERS},
+    upstream_limit::{limit_users_among, LimitReport, LimitUsers, News},
 };
 use std::{collections::HashMap, sync::Arc};
 
@@ -111,12 +111,9 @@
 
     /// Instances that use the upstream while it is limited, by rendezvous hashing.
     pub(super) fn limit_users(&self, node: &Node, upstream: &str, now: Millis) -> LimitUsers {
-        let ahead = self.members_ahead(node, upstream, now);
-        let others = self.region_members(node, now).len();
-        LimitUsers {
-            is_user: ahead < MAX_LIMIT_USERS,
-            all: (others + 1).min(MAX_LIMIT_USERS),
-        }
+        let others = self.region_members(node, now);
+        let others = others.iter().map(|name| &***name);
+        LimitUsers::choose(&node.name, others, upstream)
     }
 
     /// Time until this instance may send a request to the upstream by its limit, in milliseconds;
@@ -148,16 +145,11 @@
         });
         let mut users: Vec<Arc<str>> = Vec::new();
         for upstream in upstreams {
-            let mut members: Vec<&Arc<str>> = self
-                .members
-                .up_in(&node.region, now)
-                .map(|member| &member.entry.name)
+            let members = self.members.up_in(&node.region, now);
+            let names: Vec<Arc<str>> = members
+                .map(|member| Arc::clone(&member.entry.name))
                 .collect();
-            members.sort_by_cached_key(|name| {
-                std::cmp::Reverse(super::state::name_pair_hash(name, &upstream.entry.id))
-            });
-            members.truncate(MAX_LIMIT_USERS);
-            users.extend(members.into_iter().cloned());
+            users.extend(limit_users_among(names, &upstream.entry.id));
         }
         users.retain(|name| node.links.connection(name).is_some());
         if users.is_empty() {
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -318,16 +318,10 @@
     /// Whether this instance is one of those that use the cold upstream `id`, by rendezvous
     /// hashing.
     fn is_cold_user(&self, node: &Node, id: &str, now: Millis) -> bool {
-        self.members_ahead(node, id, now) < MAX_COLD_USERS
-    }
-
-    /// Number of other instances of the region that precede this one in the use of the upstream
-    /// `id`, by rendezvous hashing.
-    pub(super) fn members_ahead(&self, node: &Node, id: &str, now: Millis) -> usize {
         let weight = |name: &str| name_pair_hash(name, id);
         let own = weight(&node.name);
-        let members = self.region_members(node, now);
-        members.iter().filter(|name| weight(name) > own).count()
+        let ahead = self.region_members(node, now);
+        ahead.iter().filter(|name| weight(name) > own).count() < MAX_COLD_USERS
     }
 
     /// Builds the placement rules for a request and passes them to `decide`.
@@ -401,7 +395,7 @@
 }
 
 /// Hash of a pair of names, equal on all instances.
-pub(super) fn name_pair_hash(a: &str, b: &str) -> u32 {
+fn name_pair_hash(a: &str, b: &str) -> u32 {
     short_hash(&format!("{a}/{b}"))
 }
 
--- a/crates/gateway/src/decide/event.rs
+++ b/crates/gateway/src/decide/event.rs
@@ -14,6 +14,7 @@
     route::Hops,
     slot,
     time::Millis,
+    upstream_limit::News,
 };
 use carobwheel_wire::platform::InstanceList;
 use std::{net::SocketAddr, sync::Arc};
@@ -169,6 +170,13 @@
 pub enum Event {
     /// A request needs a placement.
     Place(Box<PlacementRequest>),
+    /// A response states a limit on the requests to its upstream, or none.
+    LimitNews {
+        /// Identifier of the placement.
+        ticket: u64,
+        /// What it states.
+        news: News,
+    },
     /// The first byte of a response arrived.
     FirstByte {
         /// Identifier of the placement.
--- a/crates/gateway/src/decide/gossip.rs
+++ b/crates/gateway/src/decide/gossip.rs
@@ -18,6 +18,8 @@
 pub(super) const EVIDENCE_CHANNEL: u8 = 2;
 /// Channel of evidence on prompt parts that crash engines.
 pub(super) const CRASH_CHANNEL: u8 = 3;
+/// Channel of reports about limited upstreams.
+pub(super) const LIMIT_CHANNEL: u8 = 4;
 /// Topic of the settled revision, sent to the whole fleet.
 const SETTLED_TOPIC: u8 = 1;
 /// Topic of the slots that a member owns, sent to the whole fleet.
@@ -187,6 +189,7 @@
                 Err(_) => log::warn!(from = from.as_str(); "malformed rollout evidence ignored"),
             },
             CRASH_CHANNEL => self.on_crash_report(from, bytes, now),
+            LIMIT_CHANNEL => self.on_limit_reports(from, bytes, now),
             _ => log::debug!(channel = channel; "message on unknown channel ignored"),
         }
     }
--- a/crates/gateway/src/decide/place.rs
+++ b/crates/gateway/src/decide/place.rs
@@ -2,6 +2,7 @@
 
 use super::{
     event::{Assignment, PlacementDecision, PlacementRequest, PlacementTarget},
+    limits::ClosedUpstreams,
     rollouts::{Rollouts, TrialRequest},
     state::{account_of, ActivePlacement, Configured, State},
 };
@@ -11,7 +12,7 @@
 };
 use carobwheel_core::{
     admit::{Dequeued, QueuedRequest},
-    id::{ModelId, VersionId},
+    id::{ModelId, UpstreamId, VersionId},
     route::{self, Placement, Request, Requirement},
     slot::TOLERATED_PAUSE_MS,
     time::{Millis, UnixMillis},
@@ -57,11 +58,13 @@
     /// Places a charged request at an upstream, or queues it if none has room.
     pub(super) fn place_or_queue(&mut self, request: Box<PlacementRequest>, now: Millis) {
         let unix_now = self.unix_now();
+        let closed = self.closed_upstreams(now);
         let Some(configured) = &self.configured else {
             return;
         };
         let context = PlacementContext {
             configured,
+            closed: &closed,
             rollouts: &self.rollouts,
             unix_now,
             now,
@@ -103,11 +106,13 @@
     pub(super) fn place_waiting(&mut self, now: Millis) {
         let unix_now = self.unix_now();
         while !self.queues.is_empty() {
+            let closed = self.closed_upstreams(now);
             let Some(configured) = &self.configured else {
                 return;
             };
             let context = PlacementContext {
                 configured,
+                closed: &closed,
                 rollouts: &self.rollouts,
                 unix_now,
                 now,
@@ -180,6 +185,7 @@
             self.rollouts.begin(trial, now);
         }
         self.crashes.sent(&request.parts, now);
+        let upstream = placement.upstream.clone();
         let active = ActivePlacement {
             request_id: request.id,
             waits_for_output: !request.parts.is_empty(),
@@ -190,6 +196,7 @@
         };
         let former = self.active.insert(ticket, active);
         assert!(former.is_none(), "placement tickets are unique");
+        self.record_limited_send(&upstream, now);
     }
 }
 
@@ -212,6 +219,7 @@
 /// Inputs of a placement decision.
 struct PlacementContext<'a> {
     configured: &'a Configured,
+    closed: &'a ClosedUpstreams,
     rollouts: &'a Rollouts,
     unix_now: UnixMillis,
     now: Millis,
@@ -297,18 +305,31 @@
         target: route::LatencyTarget,
         rng: &mut impl Rng,
     ) -> Result<Placement, route::Refusal> {
-        let route_request = Request {
-            id: &request.id,
-            requirement,
-            prompt_tokens: request.prompt_tokens,
-            max_output_tokens: request.max_output_tokens,
-            prefix_hashes: &request.prefix,
-            target,
-            bound_region: request.bound_region.as_ref(),
-            hops: &request.hops,
-            tried: &request.tried,
+        let place = |tried: &[UpstreamId], rng: &mut _| {
+            let route_request = Request {
+                id: &request.id,
+                requirement,
+                prompt_tokens: request.prompt_tokens,
+                max_output_tokens: request.max_output_tokens,
+                prefix_hashes: &request.prefix,
+                target,
+                bound_region: request.bound_region.as_ref(),
+                hops: &request.hops,
+                tried,
+            };
+            self.configured.router.place(&route_request, self.now, rng)
         };
-        self.configured.router.place(&route_request, self.now, rng)
+        if self.closed.ids.is_empty() {
+            return place(&request.tried, rng);
+        }
+        let excluded = [request.tried.as_slice(), self.closed.ids.as_slice()].concat();
+        let placed = place(&excluded, rng);
+        let wait_ms = self.closed.wait_ms;
+        let is_kept_by_limits = matches!(placed, Err(route::Refusal::NoUpstream));
+        if is_kept_by_limits && wait_ms > 0 && place(&request.tried, rng).is_ok() {
+            return Err(route::Refusal::Full { wait_ms });
+        }
+        placed
     }
 }
 
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -4,6 +4,7 @@
     charge::Charging,
     crash::PromptCrashes,
     event::{Event, PlacementRequest},
+    limits::UpstreamLimits,
     membership,
     outputs::Outputs,
     rollouts::{Rollouts, TrialRequest},
@@ -65,6 +66,7 @@
     pub(super) charging: Charging,
     pub(super) rollouts: Rollouts,
     pub(super) crashes: PromptCrashes,
+    pub(super) limits: UpstreamLimits,
     pub(super) queues: AdmissionQueues<Box<PlacementRequest>>,
     pub(super) active: HashMap<u64, ActivePlacement>,
     pub(super) last_ticket: u64,
@@ -117,6 +119,7 @@
             charging: Charging::new(me.clone(), identity.region.clone()),
             rollouts: Rollouts::new(&me, &identity.region),
             crashes: PromptCrashes::default(),
+            limits: UpstreamLimits::default(),
             identity,
             me,
             outputs,
@@ -139,6 +142,7 @@
         let now = self.clock.now();
         match event {
             Event::Place(request) => self.on_placement_request(request, now),
+            Event::LimitNews { ticket, news } => self.on_limit_news(ticket, news, now),
             Event::FirstByte { ticket } => self.on_first_byte(ticket, now),
             Event::FirstOutput { ticket } => self.on_first_output(ticket, now),
             Event::Progress {
@@ -194,6 +198,7 @@
             self.expire_waiting(now);
             self.expire_crashes(now);
             self.readmit_upstreams(now);
+            self.send_limit_reports(now);
             self.place_waiting(now);
         }
     }
--- a/crates/gateway/src/intake/attempt.rs
+++ b/crates/gateway/src/intake/attempt.rs
@@ -15,6 +15,7 @@
     retry::{Decision, Failure},
     route::Hops,
     time::Millis,
+    upstream_limit::{parse_rate, InvalidRate, News},
 };
 use reqwest::{header::HeaderMap, Method};
 use std::{
@@ -30,6 +31,9 @@
 };
 use tokio_util::sync::CancellationToken;
 
+/// Response header of an upstream with the requests a second that it takes from all instances.
+const RATE_LIMIT_HEADER: &str = "x-requests-per-second";
+
 /// A request that has been read and classified.
 #[derive(Clone)]
 pub(super) struct ClassifiedRequest {
@@ -174,9 +178,37 @@
         .dispatch
         .try_send(call)
         .map_err(|_| ExchangeError::NotConnected("the dispatching ring is full".to_owned()))?;
-    answered
+    let exchange = answered
         .await
-        .unwrap_or_else(|_| Err(ExchangeError::Cancelled))
+        .unwrap_or_else(|_| Err(ExchangeError::Cancelled));
+    if let Ok(head) = &exchange {
+        report_limit(shared, placed, head);
+    }
+    exchange
+}
+
+/// Reports what a response states about its upstream's limit.
+fn report_limit(shared: &IntakeState, placed: &Assignment, head: &AnswerHead) {
+    let news = match head.headers.get(RATE_LIMIT_HEADER) {
+        Some(value) => match value.to_str().map_err(|_| InvalidRate).and_then(parse_rate) {
+            Ok(rate) => News::Limited(rate),
+            Err(err) => {
+                log::warn!(upstream = placed.upstream.as_str(); "limit ignored: {err}");
+                return;
+            }
+        },
+        None if (200..300).contains(&head.status) => News::Unlimited,
+        // A refusal need not repeat the limit.
+        None => return,
+    };
+    let ticket = placed.ticket;
+    if shared
+        .decide
+        .try_send(Event::LimitNews { ticket, news })
+        .is_err()
+    {
+        log::warn!(upstream = placed.upstream.as_str(); "news of a limit lost: the ring is full");
+    }
 }
 
 /// Returns the delay before the next attempt, in milliseconds; `None` if there is no retry.
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -2,7 +2,7 @@
 
 use super::{
     completion::CompletionRequest, fault::Fault, generate, output, Shared, CRASHES_PATH,
-    RESUME_HEADER,
+    RATE_LIMIT_HEADER, RESUME_HEADER,
 };
 use crate::{
     http::{ConnectionState, Request, Responder},
@@ -109,6 +109,11 @@
     let responder = responder
         .with_header("x-engine-request", &completion.id)
         .with_header("x-model-version", &shared.options.version);
+    let rate_limit_per_s = lock(&shared.faults).rate_limit_per_s;
+    let responder = match rate_limit_per_s {
+        Some(per_s) => responder.with_header(RATE_LIMIT_HEADER, &per_s.to_string()),
+        None => responder,
+    };
     generate::run(shared, &completion, fault, responder).await
 }
 
--- a/crates/standin/src/engine/fault.rs
+++ b/crates/standin/src/engine/fault.rs
@@ -70,6 +70,8 @@
     rules: Vec<FaultRule>,
     pub(super) slowdown_pct: u64,
     pub(super) prompt_crash: Option<PromptCrash>,
+    /// Limit that answers state, in requests a second.
+    pub(super) rate_limit_per_s: Option<f64>,
     rng: StdRng,
 }
 
@@ -79,6 +81,7 @@
             rules: Vec::new(),
             slowdown_pct: 100,
             prompt_crash: None,
+            rate_limit_per_s: None,
             rng: StdRng::seed_from_u64(seed),
         }
     }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -40,6 +40,9 @@
 /// Request header with the number of answer tokens that the caller already has.
 pub const RESUME_HEADER: &str = "carobwheel-resume-from";
 
+/// Response header with the requests a second that the engine takes from all callers.
+pub const RATE_LIMIT_HEADER: &str = "x-requests-per-second";
+
 /// Path that returns the number of crashes since the start, as JSON.
 pub const CRASHES_PATH: &str = "/standin/crashes";
 
@@ -201,6 +204,11 @@
         lock(&self.shared.faults).prompt_crash = crash;
     }
 
+    /// Makes all further answers state a limit in requests a second, or none.
+    pub fn set_rate_limit(&self, per_s: Option<f64>) {
+        lock(&self.shared.faults).rate_limit_per_s = per_s;
+    }
+
     /// Removes all fault rules and resets the slowdown.
     pub fn clear_faults(&self) {
         lock(&self.shared.faults).clear();
