Put documents in force that are written after the store went back, and not its older copy (CONFIG)

The cluster's identifier tells a watch. The stand-in store learns to go back; its open watches end with the restore.

--- a/crates/gateway/src/daemon/mod.rs
+++ b/crates/gateway/src/daemon/mod.rs
@@ -81,6 +81,7 @@
         clock,
         store.clone(),
         decide.clone(),
+        current.clone(),
         platform_commands,
         cancel.child_token(),
     )?);
--- a/crates/gateway/src/platform/mod.rs
+++ b/crates/gateway/src/platform/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     decide,
+    in_force::SharedDocument,
     ring::{AsyncReceiver, Full, Sender},
     settings::Settings,
     store::{StoreClient, StoreClientOptions},
@@ -91,6 +92,7 @@
     clock: Clock,
     store: StoreClient,
     decide: Sender<decide::Event>,
+    current: SharedDocument,
     commands: AsyncReceiver<Command>,
     cancel: CancellationToken,
 ) -> anyhow::Result<thread::JoinHandle<()>> {
@@ -113,6 +115,7 @@
                 clock,
                 store,
                 decide,
+                current,
                 client,
             };
             event_loop.block_on(async {
@@ -130,6 +133,8 @@
     clock: Clock,
     store: StoreClient,
     decide: Sender<decide::Event>,
+    /// Document in force.
+    current: SharedDocument,
     client: Client,
 }
 
@@ -139,7 +144,7 @@
         // An instance that has no members yet watches the document itself.
         let (watching, is_watcher) = watch::channel(true);
         tokio::join!(
-            document::follow(&self.store, &self.decide, is_watcher),
+            document::follow(&self.store, &self.decide, &self.current, is_watcher),
             slots::follow(&self.store, self.clock, &self.decide),
             self.run_commands(commands, &leave, &watching),
             self.follow_platform(&leave),
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -59,6 +59,8 @@
     range: KeyRange,
     /// First revision not reported yet; 0 to start at the current one.
     next_revision: i64,
+    /// Cluster that the last connection was made to; 0 if unknown.
+    cluster_id: u64,
     connection: Option<WatchConnection>,
     is_reset_due: bool,
     /// Consecutive connections lost before the store sent anything but the creation of the watch.
@@ -72,6 +74,7 @@
             client: self.clone(),
             range,
             next_revision: from_revision,
+            cluster_id: 0,
             connection: None,
             is_reset_due: false,
             lost_connections: 0,
@@ -213,9 +216,12 @@
             if self.next_revision == 0 {
                 self.next_revision = revision + 1;
             }
+            let cluster_id = message.header.cluster_id;
+            let is_restored = self.cluster_id != 0 && self.cluster_id != cluster_id;
+            self.cluster_id = cluster_id;
             // After the store was reset to an earlier revision, it would report nothing until it
-            // reached the requested one.
-            if revision + 1 < self.next_revision {
+            // reached the requested one, and then only what came later.
+            if is_restored || revision + 1 < self.next_revision {
                 self.connection = None;
                 self.is_reset_due = true;
             }
--- a/crates/gateway/tests/store_watch.rs
+++ b/crates/gateway/tests/store_watch.rs
@@ -129,3 +129,28 @@
         "old watches are closed"
     );
 }
+
+#[tokio::test]
+async fn watch_of_a_restored_store_starts_over_though_its_revisions_have_passed_the_old_ones() {
+    let bench = bench();
+    bench.store.set_value("w/a", b"0");
+    let copy = bench.store.copy();
+    bench.store.set_value("w/b", b"lost");
+    let mut watch = watch(&bench);
+    bench.store.set_value("w/a", b"1");
+    assert_eq!(values_until(&mut watch, "1").await, ["0", "lost", "1"]);
+    bench.store.restore(&copy);
+    for number in 0..10 {
+        bench.store.set_value("w/a", number.to_string().as_bytes());
+    }
+    loop {
+        match within(watch.next()).await {
+            WatchUpdate::Lost(_) => {}
+            WatchUpdate::Reset(snapshot) => {
+                assert!(snapshot.records.iter().any(|record| record.value == b"9"));
+                return;
+            }
+            WatchUpdate::Changes(changes) => panic!("not reset: {changes:?}"),
+        }
+    }
+}
--- a/crates/standin/src/store/mod.rs
+++ b/crates/standin/src/store/mod.rs
@@ -120,6 +120,9 @@
     }
 }
 
+/// Copy of everything that a store held at some time.
+pub struct StoreCopy(State);
+
 /// Handle of a running store. Dropping it stops the store.
 pub struct Store {
     server: Server,
@@ -197,6 +200,17 @@
         lock(&self.shared.faults).is_watch_silent = is_silent;
     }
 
+    /// Copies everything that the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.state().clone())
+    }
+
+    /// Goes back to a copy: what was written since is lost, and its revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.shared.state().restore(&copy.0);
+        self.server.close_connections();
+    }
+
     /// Closes all open connections.
     pub fn close_connections(&self) {
         self.server.close_connections();
--- a/crates/standin/src/store/state.rs
+++ b/crates/standin/src/store/state.rs
@@ -25,6 +25,7 @@
     LeaseNotFound,
 }
 
+#[derive(Clone)]
 struct Lease {
     ttl_s: i64,
     expires_at: Millis,
@@ -32,7 +33,10 @@
 }
 
 /// Contents of the store.
+#[derive(Clone)]
 pub(super) struct State {
+    /// Identifier of the cluster, which changes with each restore.
+    cluster_id: u64,
     revision: i64,
     keys: BTreeMap<Vec<u8>, KeyValue>,
     /// Keys and values at the revision `compact_revision`.
@@ -48,6 +52,7 @@
     /// Creates an empty store that keeps the last `max_history` changes.
     pub(super) fn new(max_history: usize) -> Self {
         Self {
+            cluster_id: 1,
             revision: 1,
             keys: BTreeMap::new(),
             compacted_keys: BTreeMap::new(),
@@ -63,12 +68,20 @@
         self.revision
     }
 
+    /// Goes back to an earlier copy, as a new cluster.
+    pub(super) fn restore(&mut self, copy: &Self) {
+        let cluster_id = self.cluster_id + 1;
+        *self = copy.clone();
+        self.cluster_id = cluster_id;
+    }
+
     pub(super) fn compact_revision(&self) -> i64 {
         self.compact_revision
     }
 
     pub(super) fn header(&self) -> Header {
         Header {
+            cluster_id: self.cluster_id,
             revision: self.revision,
         }
     }
@@ -210,7 +223,10 @@
         let mut has_written = false;
         let mut responses = Vec::with_capacity(ops.len());
         for op in ops {
-            let header = Header { revision };
+            let header = Header {
+                revision,
+                ..self.header()
+            };
             responses.push(match op {
                 RequestOp::Range(range) => ResponseOp::Range(self.range(range)?),
                 RequestOp::Put(put) => {
--- a/crates/standin/src/store/watch.rs
+++ b/crates/standin/src/store/watch.rs
@@ -69,6 +69,7 @@
         };
         return send(body, canceled).await;
     }
+    let cluster_id = header.cluster_id;
     let mut next_revision = match request.start_revision {
         0 => header.revision + 1,
         start => start,
@@ -85,6 +86,10 @@
                 state.events(&request.key, &request.range_end, next_revision),
             )
         };
+        if header.cluster_id != cluster_id {
+            let reason = "the store was restored";
+            return Err(io::Error::new(io::ErrorKind::ConnectionAborted, reason));
+        }
         let is_progress_due = request.progress_notify && last_sent.elapsed() >= progress_interval;
         let is_silent = shared.is_watch_silent();
         if !is_silent && (!events.is_empty() || is_progress_due) {
--- a/crates/wire/src/etcd/mod.rs
+++ b/crates/wire/src/etcd/mod.rs
@@ -46,6 +46,10 @@
 #[serde_as]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
+    /// Identifier of the cluster; a cluster that is restored from a snapshot gets a new one.
+    #[serde_as(as = "PickFirst<(DisplayFromStr, _)>")]
+    #[serde(default, skip_serializing_if = "is_zero_id")]
+    pub cluster_id: u64,
     /// Revision of the store at the time of the response.
     #[serde_as(as = "PickFirst<(DisplayFromStr, _)>")]
     #[serde(default, skip_serializing_if = "is_zero")]
@@ -92,6 +96,10 @@
     *value == 0
 }
 
+fn is_zero_id(value: &u64) -> bool {
+    *value == 0
+}
+
 fn is_false(value: &bool) -> bool {
     !*value
 }
