--- a/crates/gateway/tests/platform_limit.rs
+++ b/crates/gateway/tests/platform_limit.rs
@@ -115,6 +115,10 @@
     assert!(most as f64 <= allowed, "{most} of {allowed} in 4 s");
     assert!(most >= 4, "{most}: the limit is not used");
     assert!(answers.iter().all(|(status, ..)| *status == 200));
+    for instance in &instances {
+        let metrics = instance.metrics_text();
+        assert!(metrics.contains("carobwheel_upstreams_limited 1\n"));
+    }
     limited.state_limit(None);
     wait_until("the upstream is used again", || {
         let before = limited.seen().len();
