--- a/crates/edge/src/front/aux_endpoint.rs
+++ b/crates/edge/src/front/aux_endpoint.rs
@@ -169,6 +169,7 @@
         ("carobwheel_upstreams_usable", usable as u64),
         ("carobwheel_upstreams_limited", limited as u64),
         ("carobwheel_store_lost_ms", lost_ms),
+        ("carobwheel_store_era", state.store_era.unwrap_or_default()),
         (
             "carobwheel_log_lines_left_out_total",
             node.log.dropped_lines(),
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -48,7 +48,6 @@
         config: u64,
     },
     OlderConfigIgnored {
-        version: u64,
         in_force: u64,
     },
     ConfigRefused {
--- a/crates/edge/src/node/apply.rs
+++ b/crates/edge/src/node/apply.rs
@@ -84,10 +84,8 @@
         let before = state.config_version();
         if state.config.is_some() && config.version <= before {
             if config.version < before {
-                self.log.event(Event::OlderConfigIgnored {
-                    version: config.version,
-                    in_force: before,
-                });
+                self.log
+                    .event(Event::OlderConfigIgnored { in_force: before });
             }
             return;
         }
--- a/crates/edge/src/node/restore.rs
+++ b/crates/edge/src/node/restore.rs
@@ -48,21 +48,20 @@
     pub(super) fn apply_changes(&self, prefix: &str, changes: Changes) {
         self.note_era(changes.at);
         let in_force = self.state.borrow().config_version();
-        let is_older_config = |change: &Change| match change {
-            Change::Written(item) => {
-                is_newer_config(self.decoder, in_force, &item.key, &item.value) == Some(false)
-            }
-            Change::Removed { .. } => false,
-        };
-        let mut kept = changes.changes;
         // Others are told of the version in force, not of an older one that is written again.
-        kept.retain(|change| !is_older_config(change));
+        let (older, changed): (Vec<Change>, Vec<Change>) = changes
+            .changes
+            .into_iter()
+            .partition(|change| is_older_config(self.decoder, in_force, change));
+        if !older.is_empty() {
+            self.log.event(Event::OlderConfigIgnored { in_force });
+        }
         let facts = {
             let mut state = self.state.borrow_mut();
             let Some(index) = state.replica.prefix(prefix) else {
                 return;
             };
-            state.replica.changed(index, kept, changes.at)
+            state.replica.changed(index, changed, changes.at)
         };
         self.apply_facts(&facts);
     }
@@ -139,6 +138,16 @@
     }
 }
 
+/// Whether a change writes a configuration with a lower version than the one in force.
+fn is_older_config(decoder: Decoder, in_force: u64, change: &Change) -> bool {
+    match change {
+        Change::Written(item) => {
+            is_newer_config(decoder, in_force, &item.key, &item.value) == Some(false)
+        }
+        Change::Removed { .. } => false,
+    }
+}
+
 /// Whether an item is a configuration with a higher version than the one in force; `None` if it is
 /// another item, or the same version.
 fn is_newer_config(decoder: Decoder, in_force: u64, key: &str, value: &[u8]) -> Option<bool> {
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -79,15 +79,15 @@
                 let is_ahead = has_newer_config || position > after;
                 is_ahead.then(|| (key, Arc::clone(&member.entry.name)))
             });
-            let Some(((has_newer_config, _), member)) = ahead.max() else {
+            let Some(((_, position), member)) = ahead.max() else {
                 state.behind.remove(&prefix);
                 continue;
             };
-            // A newer version may stand at an older position, before a restore of the store.
-            let after = if has_newer_config {
-                Position::default()
-            } else {
+            // A newer version may stand at an older position, from before a restore of the store.
+            let after = if position > after {
                 after
+            } else {
+                Position::default()
             };
             let since = *state.behind.entry(prefix).or_insert(now);
             if now.since(since) >= PULL_DELAY_MS {
--- a/crates/gateway/tests/platform_restore.rs
+++ b/crates/gateway/tests/platform_restore.rs
@@ -94,6 +94,7 @@
     for instance in &instances {
         assert_eq!(status(instance, "/added-3/x"), 200);
         assert_eq!(instance.logged("store_restored").len(), 1);
+        assert!(instance.metrics_text().contains("carobwheel_store_era 1\n"));
     }
     store.publish(&config(5, 4));
     thread::sleep(APPLY_TIME);
