Guard against a limited upstream's bucket that saves up while idle (LIMIT)

Asked while reading the fix again: an idle instance's copy of the bucket adds tokens until its own next send, so reports of others could be paid from them.

--- a/crates/core/tests/upstream_limit.rs
+++ b/crates/core/tests/upstream_limit.rs
@@ -155,6 +155,28 @@
     }
 }
 
+#[test_case(100; "frequent reports")]
+#[test_case(1_000; "rare reports")]
+fn what_is_not_sent_is_not_saved_up_beyond_the_bucket(period_ms: u64) {
+    for seed in 0..30 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut fleet = Fleet::new(2);
+        fleet.offer(0, 0, Some(3.0));
+        for now in (STEP_MS..40_000).step_by(STEP_MS as usize) {
+            fleet.exchange(now, period_ms, 40, &mut rng);
+            if now > 12_000 {
+                fleet.offer(0, now, Some(3.0));
+            }
+            if now > 24_000 {
+                fleet.offer(1, now, Some(3.0));
+            }
+        }
+        let most = fleet.most_in_window(0) as f64;
+        let allowed = 1.5 * 3.0 * WINDOW_MS as f64 / 1_000.0 + SLACK;
+        assert!(most <= allowed, "seed {seed}: {most} of {allowed}");
+    }
+}
+
 #[test]
 fn instances_that_do_not_hear_each_other_do_not_spend_the_rate_twice() {
     for seed in 0..30 {
