Log requests that wait for a limited upstream (LIMIT)

The refusal named its reason, but not how long the request had waited and behind how many. limit_waited says so with the request's id; platform_limit counts one for each refusal.

--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -85,6 +85,13 @@
         before_per_s: f64,
         news_age_ms: u64,
     },
+    /// A request has waited for a limited upstream, behind `ahead` others.
+    LimitWaited {
+        request: &'a str,
+        ahead: usize,
+        waited_ms: u64,
+        is_placed: bool,
+    },
     UpstreamLimitIgnored {
         upstream: &'a str,
         request: &'a str,
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -11,5 +11,6 @@
 pub use evidence::SendIds;
 pub use gossip::{Additions, Gossip};
 pub use limits::KeyedLimitReport;
+pub(crate) use limits::LimitWait;
 pub use state::{urgency, Node, PlacementRequest, State};
 pub use tick::Pull;
--- a/crates/edge/src/pipeline/attempts.rs
+++ b/crates/edge/src/pipeline/attempts.rs
@@ -12,7 +12,7 @@
     crash::SendWatch,
     dispatch::{ConnectionCheckout, LoadGuard},
     log::Event,
-    node::{Node, PlacementRequest},
+    node::{LimitWait, Node, PlacementRequest},
     place::{Choice, LimitOutlook, Placement, NOT_A_USER},
 };
 use bytes::Bytes;
@@ -180,8 +180,28 @@
     ctx: &RequestContext,
     attempts: &Attempts,
 ) -> Result<Placement, Refusal> {
-    let wait_until = node.now().plus(NO_UPSTREAM_WAIT_MS.min(ctx.left_ms(node)));
+    let started_at = node.now();
     let mut limit_wait = None;
+    let placed = place_or_wait(node, ctx, attempts, &mut limit_wait).await;
+    if let Some(wait) = limit_wait {
+        node.log.event(Event::LimitWaited {
+            request: &ctx.meta.request,
+            ahead: wait.ahead,
+            waited_ms: node.now().since(started_at),
+            is_placed: placed.is_ok(),
+        });
+    }
+    placed
+}
+
+/// Chooses an upstream. Sets `limit_wait` once the request waits for a limited one.
+async fn place_or_wait<'a>(
+    node: &'a Node,
+    ctx: &'a RequestContext,
+    attempts: &Attempts,
+    limit_wait: &mut Option<LimitWait<'a>>,
+) -> Result<Placement, Refusal> {
+    let wait_until = node.now().plus(NO_UPSTREAM_WAIT_MS.min(ctx.left_ms(node)));
     loop {
         match node
             .place(&placement_request(ctx, &attempts.tried))
--- a/crates/gateway/tests/platform_limit.rs
+++ b/crates/gateway/tests/platform_limit.rs
@@ -145,6 +145,9 @@
         .filter(|(status, ..)| *status == 503)
         .collect();
     assert!(refused.len() >= 15, "{answers:?}");
+    let waits = instances[0].logged("limit_waited");
+    let is_refusal = |line: &&serde_json::Value| line["is_placed"] == false;
+    assert_eq!(waits.iter().filter(is_refusal).count(), refused.len());
     for (_, took, retry_after) in &refused {
         // Half of the target latency of the route.
         assert!(*took < Duration::from_millis(450), "{took:?}");
