--- a/crates/gateway/tests/platform_limit.rs
+++ b/crates/gateway/tests/platform_limit.rs
@@ -115,6 +115,10 @@
     assert!(most as f64 <= allowed, "{most} of {allowed} in 4 s");
     assert!(most >= 4, "{most}: the limit is not used");
     assert!(answers.iter().all(|(status, ..)| *status == 200));
+    for instance in &instances {
+        let metrics = instance.metrics_text();
+        assert!(metrics.contains("carobwheel_upstreams_limited 1\n"));
+    }
     limited.state_limit(None);
     wait_until("the upstream is used again", || {
         let before = limited.seen().len();
@@ -141,6 +145,9 @@
         .filter(|(status, ..)| *status == 503)
         .collect();
     assert!(refused.len() >= 15, "{answers:?}");
+    let waits = instances[0].logged("limit_waited");
+    let is_refusal = |line: &&serde_json::Value| line["is_placed"] == false;
+    assert_eq!(waits.iter().filter(is_refusal).count(), refused.len());
     for (_, took, retry_after) in &refused {
         // Half of the target latency of the route.
         assert!(*took < Duration::from_millis(450), "{took:?}");
