--- a/crates/gateway/src/intake/pipeline.rs
+++ b/crates/gateway/src/intake/pipeline.rs
@@ -16,7 +16,7 @@
     dispatch::{AnswerHead, ExchangeError},
     in_flight::InFlightGuard,
     in_force::ActiveDocument,
-    refusal::{execution_of_status, Cause, Refusal},
+    refusal::{execution_of_status, Cause, Execution, Refusal},
     relay::{Framing, PlacementGuard, RelayBody, Resumer},
     report::Label,
 };
@@ -181,9 +181,16 @@
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
     let mut charge_guard = None;
+    // Refusal for the first attempt that may have run; a later one cannot take it back.
+    let mut may_have_run: Option<Refusal> = None;
     loop {
         let is_retry = !tried.is_empty();
-        let mut placement = match attempt::place(shared, classified, &tried, charge_guard).await? {
+        let placed = attempt::place(shared, classified, &tried, charge_guard).await;
+        let destination = match (placed, may_have_run.clone()) {
+            (Ok(destination), _) => destination,
+            (Err(_), Some(refusal)) | (Err(refusal), None) => return Err(refusal),
+        };
+        let mut placement = match destination {
             Destination::Upstream(placement) => placement,
             Destination::Instance(to) => {
                 return forward::send(shared, classified, to, running).await
@@ -214,9 +221,12 @@
             .placement_guard
             .settle(AttemptOutcome::Failed(failure));
         tried.push(placement.placed.upstream);
+        if refusal.run != Execution::NotRun {
+            may_have_run.get_or_insert_with(|| refusal.clone());
+        }
         let after_ms = attempt::retry_delay_ms(shared, classified, failure, true, tried.len())
             .await
-            .ok_or(refusal)?;
+            .ok_or_else(|| may_have_run.clone().unwrap_or(refusal))?;
         time::sleep(Duration::from_millis(after_ms)).await;
     }
 }
--- a/crates/gateway/tests/promise_answers.rs
+++ b/crates/gateway/tests/promise_answers.rs
@@ -221,3 +221,20 @@
         .sum();
     assert_eq!((started, fleet.runs("a-1")), (0, 0));
 }
+
+#[tokio::test]
+async fn a_refusal_after_an_attempt_that_may_have_run_does_not_say_not_run() {
+    let fleet = fleet().await;
+    // An error answer may come after the engine has run the request; the other engines refuse it.
+    fleet.engines["north"].add_fault(FaultRule::for_next(Fault::Status(500), 1));
+    for region in REGIONS {
+        fleet.engines[region].add_fault(FaultRule::random(Fault::Status(503), 1_000_000));
+    }
+    let url = &fleet.instance("north").url;
+    let caller = Caller::of("insurers");
+    let reply = caller.chat(url, "hello", false).await.unwrap();
+    assert!(fleet.engine_requests() > 1, "the request was repeated");
+    assert_eq!(reply.run, "may-have-run", "{reply:?}");
+    let reply = caller.chat(url, "hello", false).await.unwrap();
+    assert_eq!(reply.run, "not-run", "{reply:?}");
+}
