--- a/crates/gateway/tests/platform_crash_evidence.rs
+++ b/crates/gateway/tests/platform_crash_evidence.rs
@@ -4,7 +4,9 @@
 
 mod platform_support;
 
-use platform_support::{ConfigBuilder, Engine, Instance, InstanceOptions, RawEnd, Script, Store};
+use platform_support::{
+    wait_until, ConfigBuilder, Engine, Instance, InstanceOptions, RawEnd, Script, Store,
+};
 use serde_json::json;
 use std::{thread, time::Duration};
 use test_case::test_case;
@@ -77,7 +79,9 @@
     let (_, is_complete) = setup.ask(1, "aa:40,bb:40", &script);
     assert!(!is_complete);
     assert_eq!(setup.sends(), 1);
-    assert_eq!(setup.instance.logged("crash_seen").len(), 1);
+    let crashes = || setup.instance.logged("crash_seen").len();
+    wait_until("the crash is logged", || crashes() > 0);
+    assert_eq!(crashes(), 1);
 }
 
 /// Guards against malformed requests that clear a part which crashes engines.
--- a/crates/gateway/tests/platform_limit.rs
+++ b/crates/gateway/tests/platform_limit.rs
@@ -145,9 +145,15 @@
         .filter(|(status, ..)| *status == 503)
         .collect();
     assert!(refused.len() >= 15, "{answers:?}");
-    let waits = instances[0].logged("limit_waited");
-    let is_refusal = |line: &&serde_json::Value| line["is_placed"] == false;
-    assert_eq!(waits.iter().filter(is_refusal).count(), refused.len());
+    let refused_waits = || {
+        let waits = instances[0].logged("limit_waited");
+        let is_refusal = |line: &&serde_json::Value| line["is_placed"] == false;
+        waits.iter().filter(is_refusal).count()
+    };
+    wait_until("the refusals are logged", || {
+        refused_waits() >= refused.len()
+    });
+    assert_eq!(refused_waits(), refused.len());
     for (_, took, retry_after) in &refused {
         // Half of the target latency of the route.
         assert!(*took < Duration::from_millis(450), "{took:?}");
@@ -168,7 +174,9 @@
         let answers = send_all(&instances[0], "/read/x", 10, Duration::from_millis(5));
         assert!(answers.iter().all(|(status, ..)| *status == 200), "{text}");
     }
-    assert!(!instances[0].logged("upstream_limit_ignored").is_empty());
+    wait_until("the texts are logged", || {
+        !instances[0].logged("upstream_limit_ignored").is_empty()
+    });
 }
 
 #[test]
