--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -72,7 +72,7 @@
     pub is_ready: bool,
     /// Whether the sender has a complete replica and is connected to the store.
     pub has_store: bool,
-    /// Revision of the sender's replica, by position of the prefix.
+    /// Revision of the sender's replica, by index of the prefix.
     pub revisions: Vec<u64>,
     /// Load that the sender has placed on upstreams, by hash of the upstream's id; empty between
     /// regions.
--- a/crates/edge/src/node/restore.rs
+++ b/crates/edge/src/node/restore.rs
@@ -14,7 +14,8 @@
 };
 use carobwheel_core::time::Millis;
 
-/// Position of the prefix that holds the configuration.
+/// Index of the prefix that holds the configuration, the first that
+/// [`StoreKeys`](crate::store::StoreKeys) names.
 pub(super) const CONFIG_PREFIX: usize = 0;
 
 impl Node {
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -109,7 +109,7 @@
     pub crashes: CrashDetector,
     /// Replica of the followed prefixes of the store.
     pub replica: Replica,
-    /// Time since which another instance has had a newer revision, by position of the prefix.
+    /// Time since which another instance has been ahead, by index of the prefix.
     pub behind: HashMap<usize, Millis>,
     /// Era of the store; `None` until it has answered.
     pub store_era: Option<u64>,
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -20,7 +20,7 @@
 pub struct Pull {
     /// Name of the instance.
     pub member: Arc<str>,
-    /// Position of the prefix.
+    /// Index of the prefix.
     pub prefix: usize,
     /// Position of the own replica.
     pub after: Position,
--- a/crates/edge/src/store/task.rs
+++ b/crates/edge/src/store/task.rs
@@ -37,7 +37,7 @@
 /// Key prefixes of the deployment's store.
 #[derive(Clone, Debug)]
 pub struct StoreKeys {
-    /// Prefixes to watch besides the instances' entries.
+    /// Prefixes to watch besides the instances' entries; the first holds the configuration.
     pub watched: Vec<WatchedPrefix>,
     /// Prefix of the instances' entries, which is watched as well.
     pub members: String,
