--- a/crates/gateway/tests/platform_support/config.rs
+++ b/crates/gateway/tests/platform_support/config.rs
@@ -88,7 +88,7 @@
         json!({"version": self.version, "routes": self.routes, "tenants": self.accounts,
             "services": [
                 {"name": "registry", "maxConnections": 96},
-                {"name": "model", "maxConnections": 360, "coldS": 3.0, "coldPerS": 2.0,
+                {"name": "model", "healthCheck": "/health", "maxConnections": 360, "coldS": 3.0, "coldPerS": 2.0,
                     "engine": engine},
             ],
             "limits": {"maxHeaderBytes": 16_384, "maxBodyBytes": self.max_body_bytes,
--- a/crates/gateway/tests/platform_support/engine.rs
+++ b/crates/gateway/tests/platform_support/engine.rs
@@ -93,6 +93,9 @@
     arrivals: Mutex<Vec<Instant>>,
     /// Text of the limit that scripted answers and events state.
     limit: Mutex<Option<String>>,
+    /// End of the time for which the engine is cold.
+    cold_until: Mutex<Option<Instant>>,
+    health_checks: AtomicUsize,
 }
 
 impl Engine {
@@ -104,10 +107,11 @@
             shared: Arc::default(),
         };
         let shared = Arc::clone(&engine.shared);
+        let id = engine.id.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let shared = Arc::clone(&shared);
-                thread::spawn(move || serve(stream, &shared));
+                let (shared, id) = (Arc::clone(&shared), id.clone());
+                thread::spawn(move || serve(stream, &shared, &id));
             }
         });
         engine
@@ -116,11 +120,22 @@
     /// Registers the upstream in the store.
     pub(crate) fn register(&self, store: &Store, service: &str, zone: &str, state: &str) {
         let entry = json!({"service": service, "address": self.address, "zone": zone,
-            "version": "v1", "slots": 6, "state": state, "coldRemainingMs": 0, "sequence": 1,
-            "born": 1});
+            "version": "v1", "slots": 6, "state": state,
+            "coldRemainingMs": self.shared.cold_left_ms(), "sequence": 1, "born": 1});
         store.put(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Makes the engine cold for a time, which its health responses and its next entry state.
+    pub(crate) fn become_cold(&self, cold_ms: u64) {
+        let until = Instant::now() + Duration::from_millis(cold_ms);
+        *self.shared.cold_until.lock().unwrap() = Some(until);
+    }
+
+    /// Number of health checks that were answered.
+    pub(crate) fn health_checks(&self) -> usize {
+        self.shared.health_checks.load(Ordering::SeqCst)
+    }
+
     /// Appends answers to the script. Requests beyond the script get a 200 with the body `ok`.
     pub(crate) fn script(&self, scripts: impl IntoIterator<Item = Script>) {
         self.shared.scripts.lock().unwrap().extend(scripts);
@@ -151,9 +166,38 @@
     }
 }
 
-fn serve(stream: TcpStream, shared: &Shared) {
+impl Shared {
+    fn cold_left_ms(&self) -> u128 {
+        let until = *self.cold_until.lock().unwrap();
+        until.map_or(0, |until| {
+            until.saturating_duration_since(Instant::now()).as_millis()
+        })
+    }
+
+    /// Answers a health check.
+    fn answer_health_check(&self, mut stream: &TcpStream, id: &str) {
+        self.health_checks.fetch_add(1, Ordering::SeqCst);
+        let left_ms = self.cold_left_ms();
+        let cold = if left_ms > 0 {
+            format!("x-carobwheel-cold-ms: {left_ms}\r\n")
+        } else {
+            String::new()
+        };
+        let text = format!(
+            "HTTP/1.1 200 X\r\nx-carobwheel-instance-id: {id}\r\n{cold}content-length: 0\r\n\r\n"
+        );
+        // The caller may have gone.
+        let _ = stream.write_all(text.as_bytes());
+    }
+}
+
+fn serve(stream: TcpStream, shared: &Shared, engine: &str) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     while let Some(seen) = read_request(&mut reader) {
+        if seen.line.starts_with("GET /health ") {
+            shared.answer_health_check(&stream, engine);
+            continue;
+        }
         let id = seen
             .header("x-carobwheel-attempt-id")
             .unwrap_or("none")
--- a/crates/gateway/tests/platform_support/store.rs
+++ b/crates/gateway/tests/platform_support/store.rs
@@ -34,6 +34,8 @@
     changed: Condvar,
     is_silent: AtomicBool,
     is_refusing: AtomicBool,
+    /// Prefix whose reads and watches are refused.
+    held_back: Mutex<Option<String>>,
     calls: AtomicUsize,
 }
 
@@ -135,6 +137,12 @@
         self.shared.is_refusing.store(is_refusing, Ordering::SeqCst);
     }
 
+    /// Refuses all reads and watches of a prefix, or of none.
+    pub(crate) fn hold_back(&self, prefix: Option<&str>) {
+        *self.shared.held_back.lock().unwrap() = prefix.map(str::to_owned);
+        self.shared.changed.notify_all();
+    }
+
     /// Number of calls that were received.
     pub(crate) fn calls(&self) -> usize {
         self.shared.calls.load(Ordering::SeqCst)
@@ -258,6 +266,9 @@
         .filter_map(|pair| pair.split_once('='))
         .collect();
     let prefix = query.get("pathPrefix").copied().unwrap_or_default();
+    if is_held_back(shared, prefix) {
+        return (503, Value::Null);
+    }
     match (method, path) {
         ("GET", "/kv-key") => {
             let state = shared.state.lock().unwrap();
@@ -305,6 +316,11 @@
     }
 }
 
+fn is_held_back(shared: &Shared, prefix: &str) -> bool {
+    let held_back = shared.held_back.lock().unwrap();
+    held_back.as_deref().is_some_and(|held| held == prefix)
+}
+
 fn watch(
     shared: &Shared,
     prefix: &str,
@@ -332,7 +348,7 @@
         };
         let events: Vec<Value> = state.history.iter().filter(is_newer).cloned().collect();
         let is_over = Instant::now() >= end;
-        if is_blocked.load(Ordering::SeqCst) {
+        if is_blocked.load(Ordering::SeqCst) || is_held_back(shared, prefix) {
             return (503, Value::Null);
         }
         if !events.is_empty() || is_over {
