--- a/crates/edge/src/cold/mod.rs
+++ b/crates/edge/src/cold/mod.rs
@@ -3,11 +3,16 @@
 //! A cold upstream fails if the rate of requests exceeds its limit. The limit applies to the
 //! requests of all instances, which may be unable to communicate. So only a few instances of the
 //! region use a cold upstream, each with a fixed share of the rate.
+//!
+//! What an upstream states in its entry holds until the next entry. What is assumed without an
+//! entry runs out by itself: an entry that was written before may arrive later.
 
 use carobwheel_core::time::Millis;
 
 /// Maximum number of instances of a region that use one cold upstream.
 pub const MAX_COLD_USERS: usize = 2;
+/// Longest time for which an upstream counts as cold, in milliseconds; bounds faulty statements.
+const MAX_COLD_MS: u64 = 60_000;
 
 /// One instance's share of the request rate of a cold upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,38 +24,57 @@
 /// Limiter of one instance's requests to one upstream while that is cold.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdGate {
-    cold_until: Option<Millis>,
+    /// End of the time that the latest entry states.
+    stated_until: Option<Millis>,
+    /// End of the time for which it is assumed to be cold.
+    assumed_until: Option<Millis>,
     next_at: Option<Millis>,
 }
 
 impl ColdGate {
-    /// Sets the remaining time for which the upstream is cold, in milliseconds.
+    /// Applies an entry: the upstream is cold for another `remaining_ms` milliseconds.
     pub fn set_remaining(&mut self, remaining_ms: u64, now: Millis) {
-        self.cold_until = (remaining_ms > 0).then(|| now.plus(remaining_ms));
+        self.stated_until = (remaining_ms > 0).then(|| end(remaining_ms, now));
+        if remaining_ms > 0 {
+            self.assumed_until = None;
+        }
+    }
+
+    /// Applies the first entry of another process of the upstream. It does not end what is known:
+    /// it may be the entry of an earlier process.
+    pub fn set_remaining_of_other_process(&mut self, remaining_ms: u64, now: Millis) {
+        if remaining_ms > 0 {
+            self.set_remaining(remaining_ms, now);
+        }
     }
 
-    /// Ensures that the upstream counts as cold for at least `left_ms` more milliseconds.
-    pub fn extend(&mut self, remaining_ms: u64, now: Millis) {
-        let until = now.plus(remaining_ms);
-        self.cold_until = Some(self.cold_until.map_or(until, |known| known.max(until)));
+    /// Assumes that the upstream is cold for at least another `remaining_ms` milliseconds. Returns
+    /// whether it counted as warm before.
+    pub fn assume(&mut self, remaining_ms: u64, now: Millis) -> bool {
+        let was_cold = self.is_cold(now);
+        self.assumed_until = self.assumed_until.max(Some(end(remaining_ms, now)));
+        !was_cold && self.is_cold(now)
     }
 
     /// Whether the upstream is cold at `now`.
     pub fn is_cold(&self, now: Millis) -> bool {
-        self.cold_until.is_some_and(|until| now < until)
+        self.stated_until.max(self.assumed_until) > Some(now)
     }
 
-    /// Whether a request may be sent at `now`.
+    /// Whether a request may be sent at `now` if the upstream is cold.
     pub fn is_open(&self, now: Millis) -> bool {
-        !self.is_cold(now) || self.next_at.is_none_or(|at| now >= at)
+        self.next_at.is_none_or(|at| now >= at)
     }
 
-    /// Records that a request is sent at `now`.
+    /// Records that a request is sent at `now`. Requests to a warm upstream count too: it may have
+    /// become cold before.
     pub fn record_sent(&mut self, rate: ColdRate, now: Millis) {
-        if self.is_cold(now) {
-            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let interval_ms = (1_000.0 / rate.per_s.max(0.1)).ceil() as u64;
-            self.next_at = Some(now.plus(interval_ms));
-        }
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let interval_ms = (1_000.0 / rate.per_s.max(0.1)).ceil() as u64;
+        self.next_at = Some(now.plus(interval_ms));
     }
 }
+
+fn end(remaining_ms: u64, now: Millis) -> Millis {
+    now.plus(remaining_ms.min(MAX_COLD_MS))
+}
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -76,6 +76,12 @@
         request: &'a str,
         error_share: f64,
     },
+    /// An upstream that counted as warm is taken to be cold, without an entry that says so.
+    UpstreamAssumedCold {
+        upstream: &'a str,
+        cause: &'a str,
+        left_ms: u64,
+    },
     UpstreamLimited {
         upstream: &'a str,
         /// Instance whose report brought the news; empty if a response did.
--- a/crates/edge/src/node/apply.rs
+++ b/crates/edge/src/node/apply.rs
@@ -1,6 +1,6 @@
 //! Application of changes in the store to the instance's state.
 
-use super::Node;
+use super::{evidence::ColdCause, Node, State};
 use crate::{
     log::Event,
     member::MemberEntry,
@@ -117,11 +117,35 @@
         } else {
             state.evacuated.remove(data_centre)
         };
-        if is_change {
-            self.log.event(Event::Evacuated {
-                data_centre,
-                is_evacuated,
-            });
+        if !is_change {
+            return;
+        }
+        self.log.event(Event::Evacuated {
+            data_centre,
+            is_evacuated,
+        });
+        if !is_evacuated {
+            self.assume_all_cold(&mut state, data_centre);
+        }
+    }
+
+    /// Treats the upstreams of a data centre whose evacuation has ended as cold, except those whose
+    /// entries tell how long they are: the order may be read before the entries.
+    fn assume_all_cold(&self, state: &mut State, data_centre: &str) {
+        let now = self.now();
+        let config = state.config.clone();
+        let cold_ms = |service: &str| {
+            let services = config.as_ref().map(|config| &config.services);
+            services
+                .and_then(|services| services.get(service))
+                .map_or(0, |service| service.cold_ms)
+        };
+        for upstream in state.upstreams.by_id.values_mut() {
+            let is_there = *upstream.entry.data_centre == *data_centre;
+            if is_there && !upstream.cold.is_cold(now) {
+                let cold_ms = cold_ms(&upstream.entry.service);
+                self.assume_cold(upstream, cold_ms, ColdCause::EvacuationEnded, now);
+            }
         }
     }
 
--- a/crates/edge/src/node/evidence.rs
+++ b/crates/edge/src/node/evidence.rs
@@ -6,10 +6,32 @@
     hash::short_hash,
     log::Event,
     rollout::VersionCounts,
-    upstream::{Load, Outcome},
+    upstream::{Load, Outcome, Upstream},
 };
+use carobwheel_core::time::Millis;
 use std::sync::Arc;
 
+/// Why an upstream is taken to be cold without an entry that says so.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum ColdCause {
+    /// It could not be reached and may be restarting.
+    Unreachable,
+    /// The evacuation of its data centre has ended.
+    EvacuationEnded,
+    /// It stated so in a response.
+    Response,
+}
+
+impl ColdCause {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::EvacuationEnded => "evacuation_ended",
+            Self::Response => "response",
+        }
+    }
+}
+
 /// Identifiers of one send of a request to an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct SendIds<'a> {
@@ -40,9 +62,7 @@
             // cold.
             let cold_ms = state.service(&service).map_or(0, |service| service.cold_ms);
             if let Some(upstream) = state.upstreams.by_id.get_mut(sent.upstream) {
-                if cold_ms > 0 {
-                    upstream.cold.extend(cold_ms, now);
-                }
+                self.assume_cold(upstream, cold_ms, ColdCause::Unreachable, now);
                 upstream.cache.clear();
             }
         }
@@ -72,11 +92,28 @@
         }
     }
 
-    /// Sets the time for which an upstream states that it stays cold.
+    /// Records the time for which a response states that its upstream stays cold.
     pub fn note_cold(&self, id: &str, left_ms: u64) {
         let now = self.now();
         if let Some(upstream) = self.state.borrow_mut().upstreams.by_id.get_mut(id) {
-            upstream.cold.set_remaining(left_ms, now);
+            self.assume_cold(upstream, left_ms, ColdCause::Response, now);
+        }
+    }
+
+    /// Treats an upstream as cold for a time, whatever its entry says, and logs the change.
+    pub(super) fn assume_cold(
+        &self,
+        upstream: &mut Upstream,
+        left_ms: u64,
+        cause: ColdCause,
+        now: Millis,
+    ) {
+        if upstream.cold.assume(left_ms, now) {
+            self.log.event(Event::UpstreamAssumedCold {
+                upstream: &upstream.entry.id,
+                cause: cause.name(),
+                left_ms,
+            });
         }
     }
 
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -300,9 +300,13 @@
         })
     }
 
-    /// Number of instances of the region that share one cold upstream.
+    /// Number of instances of the region that share one cold upstream. There may be others that an
+    /// instance without the store does not know.
     fn cold_users(&self, node: &Node, now: Millis) -> usize {
         let others = self.region_members(node, now).len();
+        if self.store_lost_at.is_some() || !self.replica.is_complete() {
+            return MAX_COLD_USERS;
+        }
         (others + 1).min(MAX_COLD_USERS)
     }
 
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -174,8 +174,9 @@
             known.entry = entry;
             return is_change;
         }
-        let mut cold = ColdGate::default();
-        cold.set_remaining(entry.cold_left_ms, now);
+        let before = self.by_id.get(&entry.id);
+        let mut cold = before.map_or_else(ColdGate::default, |before| before.cold);
+        cold.set_remaining_of_other_process(entry.cold_left_ms, now);
         let upstream = Upstream {
             hash: short_hash(&entry.id),
             region: Arc::clone(region),
