--- a/crates/edge/src/cold/mod.rs
+++ b/crates/edge/src/cold/mod.rs
@@ -56,6 +56,12 @@
         !was_cold && self.is_cold(now)
     }
 
+    /// Ends the cold time: the upstream itself says that it is warm.
+    pub fn confirm_warm(&mut self) {
+        self.stated_until = None;
+        self.assumed_until = None;
+    }
+
     /// Whether the upstream is cold at `now`.
     pub fn is_cold(&self, now: Millis) -> bool {
         self.stated_until.max(self.assumed_until) > Some(now)
--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 use crate::{
     dispatch::Pools,
     front::{bind, serve_aux, serve_callers, AuxEndpoint, AuxInterface, Connections},
+    health_check,
     log::{Event, Log},
     member::MemberEntry,
     metrics::Metrics,
@@ -210,6 +211,9 @@
     loop {
         ticks.tick().await;
         node.tick();
+        for check in node.due_health_checks() {
+            tokio::task::spawn_local(health_check::run(Rc::clone(&node), check));
+        }
         for pull in node.due_pulls() {
             tokio::task::spawn_local(peers::pull(Rc::clone(&node), pull));
         }
--- /dev/null
+++ b/crates/edge/src/health_check/mod.rs
@@ -0,0 +1,97 @@
+//! Health checks of upstreams whose entries this instance cannot follow.
+//!
+//! An upstream may become cold at any moment and says so in its entry. An instance that hears of no
+//! entries, neither from the store nor from others, asks the upstreams themselves.
+
+use crate::{
+    dispatch::{send, Target},
+    node::Node,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{header::HOST, HeaderMap, Request};
+use std::{rc::Rc, sync::Arc, time::Duration};
+use tokio::time::timeout;
+
+/// Timeout for the response to a health check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum idle time of a connection that is used for a check, in milliseconds.
+const MAX_IDLE_MS: u64 = 4_000;
+/// Maximum size of the body of a response, in bytes.
+const MAX_BODY_BYTES: usize = 4 * 1024;
+
+/// A health check that is due.
+#[derive(Clone, Debug)]
+pub struct HealthCheck {
+    /// Upstream to ask.
+    pub target: Target,
+    /// Path of the check.
+    pub path: Arc<str>,
+}
+
+impl HealthCheck {
+    /// Check of an upstream.
+    pub fn new(target_id: &Arc<str>, address: std::net::SocketAddr, path: &Arc<str>) -> Self {
+        Self {
+            target: Target {
+                id: Arc::clone(target_id),
+                address,
+                max_idle_ms: MAX_IDLE_MS,
+            },
+            path: Arc::clone(path),
+        }
+    }
+}
+
+/// What a health response says about the time for which the upstream stays cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Warmth {
+    /// It is warm.
+    Warm,
+    /// It stays cold for this many milliseconds.
+    Cold(u64),
+    /// There was no response, or one of another upstream.
+    Unknown,
+}
+
+/// Runs a check and records its result.
+pub async fn run(node: Rc<Node>, check: HealthCheck) {
+    let warmth = match timeout(CHECK_TIMEOUT, ask(&node, &check)).await {
+        Ok(warmth) => warmth,
+        Err(_) => Warmth::Unknown,
+    };
+    node.note_health_check(&check.target.id, warmth);
+}
+
+async fn ask(node: &Node, check: &HealthCheck) -> Warmth {
+    let request = Request::get(&*check.path)
+        .header(HOST, check.target.address.to_string())
+        .body(Full::new(Bytes::new()));
+    let Ok(request) = request else {
+        return Warmth::Unknown;
+    };
+    // A check that fails leaves the upstream unconfirmed, which is logged there.
+    let Ok(reply) = send(node, &check.target, request).await else {
+        return Warmth::Unknown;
+    };
+    let warmth = read_warmth(node, &check.target.id, reply.head().headers());
+    let (response, checkout) = reply.split();
+    let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
+    if body.collect().await.is_ok() {
+        checkout.check_in(node);
+    }
+    warmth
+}
+
+/// Reads what the head of a health response says, if the upstream `id` has sent it.
+fn read_warmth(node: &Node, id: &str, headers: &HeaderMap) -> Warmth {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    if text(&node.names.upstream_id) != Some(id) {
+        return Warmth::Unknown;
+    }
+    match text(&node.names.cold_ms).map(str::parse::<u64>) {
+        None | Some(Ok(0)) => Warmth::Warm,
+        Some(Ok(left_ms)) => Warmth::Cold(left_ms),
+        Some(Err(_)) => Warmth::Unknown,
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatch;
 pub mod front;
 pub mod hash;
+pub mod health_check;
 pub mod limit;
 pub mod log;
 pub mod member;
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -82,6 +82,11 @@
         cause: &'a str,
         left_ms: u64,
     },
+    /// Whether the upstreams' entries can be followed; if not, the upstreams are asked.
+    UpstreamNews {
+        has_news: bool,
+        without_ms: u64,
+    },
     UpstreamLimited {
         upstream: &'a str,
         /// Instance whose report brought the news; empty if a response did.
--- a/crates/edge/src/model/mod.rs
+++ b/crates/edge/src/model/mod.rs
@@ -86,6 +86,8 @@
     pub name: Arc<str>,
     /// Maximum number of connections that one upstream accepts in total.
     pub max_connections: u32,
+    /// Path of the upstreams' health checks, if they answer any.
+    pub health_path: Option<Arc<str>>,
     /// Time for which an upstream is cold after its start, in milliseconds.
     pub cold_ms: u64,
     /// Maximum rate of requests to a cold upstream, per second.
--- a/crates/edge/src/names/mod.rs
+++ b/crates/edge/src/names/mod.rs
@@ -27,6 +27,8 @@
     pub prompt_parts: HeaderName,
     /// Remaining time for which the responding upstream is cold, in milliseconds.
     pub cold_ms: HeaderName,
+    /// Identifier of the upstream that answers a health check.
+    pub upstream_id: HeaderName,
     /// Requests a second that the responding upstream takes from all instances together.
     pub rate_limit: HeaderName,
     /// Priority at the upstream, from 0 (highest) to 9; set by the gateway.
--- a/crates/edge/src/node/apply.rs
+++ b/crates/edge/src/node/apply.rs
@@ -53,6 +53,7 @@
         match event {
             StoreEvent::Listed(prefix, listing) => self.apply_listing(&prefix, &listing),
             StoreEvent::Changed(prefix, changes) => self.apply_changes(&prefix, changes),
+            StoreEvent::PrefixLost(prefix) => self.prefix_lost(&prefix),
             StoreEvent::Lost(reason) => self.store_lost(&reason),
             StoreEvent::Recovered => self.store_back(),
             StoreEvent::LeaseLost(reason) => self.log.event(Event::LeaseLost { reason: &reason }),
@@ -291,6 +292,14 @@
         }
     }
 
+    /// Records that the items below a prefix could not be read.
+    fn prefix_lost(&self, prefix: &str) {
+        let mut state = self.state.borrow_mut();
+        if let Some(index) = state.replica.prefix(prefix) {
+            state.lost_prefixes.insert(index);
+        }
+    }
+
     /// Records the start of an outage of the store.
     fn store_lost(&self, reason: &str) {
         self.state
--- a/crates/edge/src/node/evidence.rs
+++ b/crates/edge/src/node/evidence.rs
@@ -20,6 +20,8 @@
     EvacuationEnded,
     /// It stated so in a response.
     Response,
+    /// Its entry cannot be followed, and it has not said lately that it is warm.
+    Unconfirmed,
 }
 
 impl ColdCause {
@@ -28,6 +30,7 @@
             Self::Unreachable => "unreachable",
             Self::EvacuationEnded => "evacuation_ended",
             Self::Response => "response",
+            Self::Unconfirmed => "unconfirmed",
         }
     }
 }
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -70,7 +70,7 @@
     pub life: u64,
     /// Whether the sender takes requests.
     pub is_ready: bool,
-    /// Whether the sender has a complete replica and is connected to the store.
+    /// Whether the sender has a complete replica and follows the upstreams' entries in the store.
     pub has_store: bool,
     /// Revision of the sender's replica, by index of the prefix.
     pub revisions: Vec<u64>,
@@ -159,7 +159,7 @@
         Gossip {
             life: self.life,
             is_ready,
-            has_store: state.store_lost_at.is_none() && state.replica.is_complete(),
+            has_store: state.follows_upstreams(),
             revisions: positions.iter().map(|at| at.revision).collect(),
             loads: if is_same_region {
                 loads.collect()
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -117,6 +117,12 @@
     pub restored_at: Option<Millis>,
     /// Start of the current outage of the store.
     pub store_lost_at: Option<Millis>,
+    /// Indexes of prefixes whose last read has failed.
+    pub lost_prefixes: HashSet<usize>,
+    /// Time since which the upstreams' entries cannot be followed.
+    pub news_lost_at: Option<Millis>,
+    /// Whether the upstreams are asked since then.
+    pub is_asking: bool,
     /// End of the last outage of the store.
     pub store_back_at: Option<Millis>,
     /// Time of the signal to stop.
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -9,6 +9,8 @@
 
 /// Timeout of one watch call, in milliseconds.
 const WATCH_TIMEOUT_MS: u64 = 25_000;
+/// Timeout of the first watch after a failed call, in milliseconds.
+const RECOVERY_WATCH_MS: u64 = 100;
 /// Pause after changes of urgent prefixes, so that one call returns several changes, in
 /// milliseconds. These are what operators write.
 const URGENT_PAUSE_MS: u64 = 120;
@@ -29,6 +31,9 @@
     era: Option<u64>,
     /// Time of another listing after a restore.
     list_again_at: Option<Instant>,
+    /// Whether the last call failed. The next watch is short, to tell soon that the prefix can be
+    /// read again.
+    is_lost: bool,
 }
 
 impl Progress {
@@ -43,15 +48,20 @@
 
     /// Longest wait of the next watch, in milliseconds. Demands a listing if one is due.
     fn watch_timeout_ms(&mut self) -> u64 {
+        let max_ms = if self.is_lost {
+            RECOVERY_WATCH_MS
+        } else {
+            WATCH_TIMEOUT_MS
+        };
         let Some(at) = self.list_again_at else {
-            return WATCH_TIMEOUT_MS;
+            return max_ms;
         };
         let left = at.saturating_duration_since(Instant::now());
         if left.is_zero() {
             self.list_again_at = None;
             self.position = None;
         }
-        u64::try_from(left.as_millis()).map_or(WATCH_TIMEOUT_MS, |left| left.min(WATCH_TIMEOUT_MS))
+        u64::try_from(left.as_millis()).map_or(max_ms, |left| left.min(max_ms))
     }
 }
 
@@ -90,6 +100,7 @@
         match result {
             Ok(()) => {
                 freshness = Freshness::Latest;
+                progress.is_lost = false;
                 backoff.succeeded();
                 context.reachable().await;
             }
@@ -101,6 +112,10 @@
                     progress.position = None;
                 }
                 context.unreachable(&err).await;
+                if !std::mem::replace(&mut progress.is_lost, true) {
+                    let prefix = watched.prefix.clone();
+                    context.send(StoreEvent::PrefixLost(prefix)).await;
+                }
                 let pause_ms = backoff.failed(rand::random());
                 sleep(Duration::from_millis(pause_ms)).await;
             }
--- a/crates/edge/src/store/update.rs
+++ b/crates/edge/src/store/update.rs
@@ -50,6 +50,8 @@
     Listed(String, Listing),
     /// Changes below a prefix, possibly none.
     Changed(String, Changes),
+    /// The items below a prefix could not be read.
+    PrefixLost(String),
     /// The store has become unreachable, for this reason.
     Lost(String),
     /// The store is reachable again.
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -1,7 +1,9 @@
 //! Table of upstreams, and the rules for when one takes requests.
 
 use super::{Health, Load};
-use crate::{cold::ColdGate, hash::short_hash, place::PrefixCache, rate::MeanRate};
+use crate::{
+    cold::ColdGate, hash::short_hash, node::HealthChecks, place::PrefixCache, rate::MeanRate,
+};
 use carobwheel_core::{time::Millis, upstream_limit::RateGate};
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
@@ -90,6 +92,8 @@
     pub cache: PrefixCache,
     /// Rate limit on this instance's requests while the upstream is cold.
     pub cold: ColdGate,
+    /// Health checks of it.
+    pub checks: HealthChecks,
     /// Limit that it states on the requests of all instances.
     pub limit: RateGate,
     /// Moving average of its prefill speed, in tokens a millisecond.
@@ -188,6 +192,7 @@
             health: Health::default(),
             cache: PrefixCache::new(kv_cache_tokens),
             cold,
+            checks: HealthChecks::default(),
             limit: RateGate::default(),
             prefill_tokens_per_ms: DEFAULT_PREFILL_TOKENS_PER_MS,
             entry,
