--- a/crates/gateway/tests/platform_support/crash_engine.rs
+++ b/crates/gateway/tests/platform_support/crash_engine.rs
@@ -16,8 +16,12 @@
 /// Behaviour of a [`CrashEngine`].
 #[derive(Clone, Debug)]
 pub(crate) struct CrashOptions {
+    /// Service of the engine.
+    pub(crate) service: &'static str,
     /// Identifier of the part that crashes the engine, in hexadecimal.
     pub(crate) crash_part: &'static str,
+    /// Text in the request line or the body that crashes the engine.
+    pub(crate) crash_text: Option<&'static str>,
     /// Whether it crashes after it has sent the head of the response.
     pub(crate) sends_head: bool,
     /// Time before the first event or the crash, in milliseconds.
@@ -29,7 +33,9 @@
 impl Default for CrashOptions {
     fn default() -> Self {
         Self {
+            service: "model",
             crash_part: "dead",
+            crash_text: None,
             sends_head: true,
             think_ms: 30,
             down_ms: 500,
@@ -50,13 +56,15 @@
     options: CrashOptions,
     connections: Mutex<Vec<TcpStream>>,
     prompts: Mutex<Vec<String>>,
+    /// Request lines and bodies.
+    texts: Mutex<Vec<String>>,
     is_down: AtomicBool,
     started: AtomicU64,
     crashes: AtomicUsize,
 }
 
 impl CrashEngine {
-    /// Starts an upstream of the service `model` and registers it.
+    /// Starts an upstream and registers it.
     pub(crate) fn start(id: &str, zone: &str, store: &Store, options: &CrashOptions) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let shared = Arc::new(Shared {
@@ -67,6 +75,7 @@
             options: options.clone(),
             connections: Mutex::default(),
             prompts: Mutex::default(),
+            texts: Mutex::default(),
             is_down: AtomicBool::new(false),
             started: AtomicU64::new(1),
             crashes: AtomicUsize::new(0),
@@ -97,9 +106,17 @@
     }
 }
 
+impl CrashEngine {
+    /// Number of received requests whose line or body contains the text.
+    pub(crate) fn received_text(&self, text: &str) -> usize {
+        let texts = self.shared.texts.lock().unwrap();
+        texts.iter().filter(|known| known.contains(text)).count()
+    }
+}
+
 impl Shared {
     fn register(&self) {
-        let entry = json!({"service": "model", "address": self.address, "zone": self.zone,
+        let entry = json!({"service": self.options.service, "address": self.address, "zone": self.zone,
             "version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
             "born": self.started.load(Ordering::SeqCst)});
         self.store.put(&format!("servers/{}", self.id), &entry);
@@ -157,7 +174,11 @@
             .header("x-carobwheel-prompt-prefix")
             .unwrap_or_default();
         shared.prompts.lock().unwrap().push(prompt.to_owned());
-        let crashes = contains(prompt, shared.options.crash_part);
+        let text = format!("{} {}", seen.line, String::from_utf8_lossy(&seen.body));
+        shared.texts.lock().unwrap().push(text.clone());
+        let crash_text = shared.options.crash_text;
+        let crashes = contains(prompt, shared.options.crash_part)
+            || crash_text.is_some_and(|part| text.contains(part));
         let id = seen.header("x-carobwheel-attempt-id").unwrap_or_default();
         let head = format!(
             "HTTP/1.1 200 X\r\nx-carobwheel-attempt-id: {id}\r\nx-carobwheel-server-seal: sealed\r\n\
