--- a/crates/core/src/crash/detector.rs
+++ b/crates/core/src/crash/detector.rs
@@ -17,14 +17,30 @@
 const WEIGHT_PER_OTHER: u32 = 500;
 /// Maximum of the weight from which a part is held, in thousandths.
 const MAX_HOLD_WEIGHT: u32 = 7_000;
+/// The same for a whole request. Three crashes may be followed by three more sends, of which one is
+/// the repeat after the first crash.
+const MAX_REQUEST_HOLD_WEIGHT: u32 = 5_000;
 /// Weight from which a part is held again after its hold has lapsed, in thousandths.
 const RENEW_WEIGHT: u32 = 500;
 /// Period for which an answer speaks for a repeat, in milliseconds.
 pub(super) const ANSWERED_LATELY_MS: u64 = 30_000;
 
-/// Evidence of one instance on prompt parts, from its own requests and from other instances.
+/// What the detector tells apart by the evidence.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Subject {
+    /// Parts of prompts, which many requests share.
+    #[default]
+    PromptParts,
+    /// Whole requests, by their fingerprints. All requests with one fingerprint are alike, so one
+    /// repeat after the first crash is no risk to others, and each crash counts in full.
+    Requests,
+}
+
+/// Evidence of one instance on prompt parts, from its own requests and from other instances. The
+/// evidence on whole requests is kept in a detector of its own, in which a part is a fingerprint.
 #[derive(Clone, Debug, Default)]
 pub struct CrashDetector {
+    subject: Subject,
     pub(super) in_flight: InFlight,
     pub(super) answers: RecentAnswers,
     pub(super) evidence: CrashEvidence,
@@ -38,9 +54,22 @@
 }
 
 impl CrashDetector {
+    /// Detector for whole requests.
+    pub fn of_requests() -> Self {
+        Self {
+            subject: Subject::Requests,
+            ..Self::default()
+        }
+    }
+
+    /// Whether nothing is known of crashes and nothing is held.
+    pub fn is_quiet(&self) -> bool {
+        self.evidence.is_empty() && self.holds.is_empty()
+    }
+
     /// Decides on a request with these shared parts (all parts of its prompt but the last).
     pub fn gate(&self, parts: &[PartId], now: Millis) -> Gate {
-        if self.holds.is_empty() && self.evidence.is_empty() {
+        if self.is_quiet() {
             return Gate::Open;
         }
         let held = |part: &PartId| Some((*part, self.holds.left_ms(*part, now)?));
@@ -128,12 +157,15 @@
 
     /// Whether a request under which an engine ended may be sent again. Such a request is itself
     /// the likeliest cause of the crash, so each of its shared parts must have been answered
-    /// lately, or no crash may speak against it; nor may any be suspected or held. Call this after
-    /// [`Self::crashed`].
+    /// lately, or no crash may speak against it; nor may any be suspected or held. A whole request
+    /// is sent again until it is suspected. Call this after [`Self::crashed`].
     pub fn may_repeat(&self, parts: &[PartId], now: Millis) -> bool {
         parts.iter().all(|part| {
             let count = self.evidence.count(*part);
-            let is_cleared = count == 0 || self.is_answered_lately(*part, now);
+            let is_cleared = match self.subject {
+                Subject::PromptParts => count == 0 || self.is_answered_lately(*part, now),
+                Subject::Requests => true,
+            };
             is_cleared && count < SUSPECT_CRASHES && !self.holds.contains(*part)
         })
     }
@@ -230,14 +262,14 @@
             .counted(1)
             .filter(|counted| {
                 !self.holds.is_held(counted.part, now)
-                    && counted.weight >= self.weight_to_hold(counted, now)
+                    && self.weight_of(counted) >= self.weight_to_hold(counted, now)
             })
             .collect();
         let count_before = suspects.len();
         suspects.retain(|counted| self.last_answer.is_some_and(|at| at >= counted.first_at));
         self.needs_answer = suspects.len() < count_before;
-        let most = suspects.iter().map(|counted| counted.weight).max();
-        suspects.retain(|counted| Some(counted.weight) == most);
+        let most = suspects.iter().map(|counted| self.weight_of(counted)).max();
+        suspects.retain(|counted| Some(self.weight_of(counted)) == most);
         let is_lately = |counted: &CountedPart| {
             let last = self.answers.last(counted.part);
             let last = last.max(self.evidence.reported_answer(counted.part));
@@ -254,6 +286,18 @@
         if self.holds.is_lapsed(counted.part, now) {
             return RENEW_WEIGHT;
         }
-        (HOLD_WEIGHT + counted.others * WEIGHT_PER_OTHER).min(MAX_HOLD_WEIGHT)
+        let max_weight = match self.subject {
+            Subject::PromptParts => MAX_HOLD_WEIGHT,
+            Subject::Requests => MAX_REQUEST_HOLD_WEIGHT,
+        };
+        (HOLD_WEIGHT + counted.others * WEIGHT_PER_OTHER).min(max_weight)
+    }
+
+    /// Weight of the crashes that count, in thousandths.
+    fn weight_of(&self, counted: &CountedPart) -> u32 {
+        match self.subject {
+            Subject::PromptParts => counted.weight,
+            Subject::Requests => counted.count * 1_000,
+        }
     }
 }
--- a/crates/edge/src/crash/evidence.rs
+++ b/crates/edge/src/crash/evidence.rs
@@ -1,5 +1,6 @@
 //! Recording of crashes and first outputs, and exchange of this evidence with other instances.
 
+use super::{Fingerprint, HoldSubject};
 use crate::{
     hash::short_hash,
     log::Event,
@@ -7,7 +8,7 @@
     rollout::Verdict,
     upstream::{Stage, Upstream},
 };
-use carobwheel_core::crash::{CrashReport, HoldChange, PartId};
+use carobwheel_core::crash::{CrashDetector, CrashReport, HoldChange, PartId};
 
 /// Identifies the process of an engine in messages between instances.
 pub(super) fn engine_id(upstream: &str, started_unix_ms: Option<u64>) -> u32 {
@@ -39,37 +40,60 @@
 }
 
 impl Node {
-    /// Records that a request with these shared parts has got its first output.
-    pub(super) fn note_first_output(&self, parts: &[PartId]) {
+    /// Records that a request with these shared parts and this fingerprint has got its first
+    /// output.
+    pub(super) fn note_first_output(&self, parts: &[PartId], fingerprint: &Fingerprint) {
         let now = self.now();
-        let (changes, is_cleared) = {
+        let (part_changes, request_changes, is_cleared) = {
             let mut state = self.state.borrow_mut();
-            let crashes = &mut state.crashes;
-            let before = crashes.suspect_count() + crashes.held_count();
-            let changes = crashes.answered(parts, now);
-            (
-                changes,
-                crashes.suspect_count() + crashes.held_count() < before,
-            )
+            let before = state.suspicion_count();
+            let part_changes = if parts.is_empty() {
+                Vec::new()
+            } else {
+                state.crashes.answered(parts, now)
+            };
+            let requests = &mut state.request_crashes;
+            let request_changes = if requests.is_quiet() {
+                Vec::new()
+            } else {
+                requests.answered(&[fingerprint.value()], now)
+            };
+            let is_cleared = state.suspicion_count() < before;
+            (part_changes, request_changes, is_cleared)
         };
-        self.log_hold_changes(&changes, Source::Own);
+        self.log_hold_changes(HoldSubject::PromptPart, &part_changes, Source::Own);
+        self.log_hold_changes(HoldSubject::Request, &request_changes, Source::Own);
         if is_cleared {
             self.links.announce();
         }
     }
 
-    /// Records that an engine's connection broke while a request with these shared parts waited
-    /// for its first output. Planned ends of engines are no evidence.
-    pub(super) fn note_crash(&self, request: &str, upstream: &str, engine: u32, parts: &[PartId]) {
+    /// Records that an upstream's connection broke while a request with these shared parts and
+    /// this fingerprint waited for its first output. `engine` identifies the upstream's process.
+    /// Planned ends of upstreams are no evidence.
+    pub(super) fn note_crash(
+        &self,
+        request: &str,
+        (upstream, engine): (&str, u32),
+        parts: &[PartId],
+        fingerprint: PartId,
+    ) {
         let now = self.now();
-        let (changes, at_upstream) = {
+        let (part_changes, request_changes, at_upstream) = {
             let mut state = self.state.borrow_mut();
             let known = state.upstreams.by_id.get(upstream);
             if known.is_some_and(|known| state.is_end_planned(known)) {
                 return;
             }
             let at_upstream = known.map_or(0, |known| known.own.requests);
-            (state.crashes.crashed(engine, parts, now), at_upstream)
+            let part_changes = if parts.is_empty() {
+                Vec::new()
+            } else {
+                state.crashes.crashed(engine, parts, now)
+            };
+            let requests = &mut state.request_crashes;
+            let request_changes = requests.crashed(engine, &[fingerprint], now);
+            (part_changes, request_changes, at_upstream)
         };
         self.metrics.crashes_seen.add(1);
         self.log.event(Event::CrashSeen {
@@ -79,30 +103,36 @@
                 .iter()
                 .map(|part| part_name(*part))
                 .collect::<Vec<_>>(),
+            fingerprint: &part_name(fingerprint),
             at_upstream,
         });
-        self.log_hold_changes(&changes, Source::Own);
+        self.log_hold_changes(HoldSubject::PromptPart, &part_changes, Source::Own);
+        self.log_hold_changes(HoldSubject::Request, &request_changes, Source::Own);
         self.links.announce();
     }
 
     /// Applies the evidence of another instance.
-    pub fn receive_crash_report(&self, report: &CrashReport) {
+    pub fn receive_crash_report(&self, subject: HoldSubject, report: &CrashReport) {
         if *report == CrashReport::default() {
             return;
         }
         let now = self.now();
-        let changes = self.state.borrow_mut().crashes.receive(report, now);
-        self.log_hold_changes(&changes, Source::Member);
+        let mut state = self.state.borrow_mut();
+        let changes = state.detector(subject).receive(report, now);
+        drop(state);
+        self.log_hold_changes(subject, &changes, Source::Member);
     }
 
     /// Drops expired evidence and logs the holds that have lapsed.
     pub fn expire_crashes(&self) {
         let now = self.now();
-        let changes = self.state.borrow_mut().crashes.expire(now);
-        self.log_hold_changes(&changes, Source::Time);
+        for subject in HoldSubject::ALL {
+            let changes = self.state.borrow_mut().detector(subject).expire(now);
+            self.log_hold_changes(subject, &changes, Source::Time);
+        }
     }
 
-    fn log_hold_changes(&self, changes: &[HoldChange], source: Source) {
+    fn log_hold_changes(&self, subject: HoldSubject, changes: &[HoldChange], source: Source) {
         let source = source.name();
         for change in changes {
             match *change {
@@ -110,18 +140,39 @@
                     part,
                     crashes,
                     for_ms,
-                } => self.log.event(Event::PartHeld {
-                    part: &part_name(part),
-                    crashes,
-                    for_ms,
-                    source,
-                }),
-                HoldChange::Released { part } => self.log.event(Event::PartReleased {
-                    part: &part_name(part),
-                    source,
-                }),
+                } => {
+                    let name = part_name(part);
+                    self.log.event(match subject {
+                        HoldSubject::PromptPart => Event::PartHeld {
+                            part: &name,
+                            crashes,
+                            for_ms,
+                            source,
+                        },
+                        HoldSubject::Request => Event::RequestHeld {
+                            fingerprint: &name,
+                            crashes,
+                            for_ms,
+                            source,
+                        },
+                    });
+                }
+                HoldChange::Released { part } => {
+                    let name = part_name(part);
+                    self.log.event(match subject {
+                        HoldSubject::PromptPart => Event::PartReleased {
+                            part: &name,
+                            source,
+                        },
+                        HoldSubject::Request => Event::RequestReleased {
+                            fingerprint: &name,
+                            source,
+                        },
+                    });
+                }
                 HoldChange::Lapsed { part } => self.log.event(Event::HoldLapsed {
                     part: &part_name(part),
+                    subject: subject.name(),
                     source,
                 }),
             }
@@ -130,6 +181,21 @@
 }
 
 impl State {
+    /// Evidence on this kind of subject.
+    pub(super) fn detector(&mut self, subject: HoldSubject) -> &mut CrashDetector {
+        match subject {
+            HoldSubject::PromptPart => &mut self.crashes,
+            HoldSubject::Request => &mut self.request_crashes,
+        }
+    }
+
+    /// Number of suspected and held parts and requests.
+    fn suspicion_count(&self) -> usize {
+        let detectors = [&self.crashes, &self.request_crashes];
+        let counts = detectors.map(|known| known.suspect_count() + known.held_count());
+        counts.iter().sum()
+    }
+
     /// Whether the engine is expected to stop: it drains, its data centre is evacuated, or the
     /// verdict of a rollout has retired its version.
     fn is_end_planned(&self, upstream: &Upstream) -> bool {
@@ -149,7 +215,7 @@
     }
 }
 
-/// Name of a part in the log: its identifier in hexadecimal, as callers state it.
+/// Name of a part or fingerprint in the log: in hexadecimal, parts as callers state them.
 pub(super) fn part_name(part: PartId) -> String {
     format!("{part:x}")
 }
--- a/crates/edge/src/crash/gate.rs
+++ b/crates/edge/src/crash/gate.rs
@@ -1,28 +1,64 @@
-//! Refusal of requests with held parts, and waiting for the outcome of suspected ones.
+//! Refusal of held requests, and waiting for the outcome of suspected ones.
 
 use super::evidence::part_name;
-use crate::{log::Event, node::Node, place::InferenceJob};
+use crate::{log::Event, node::Node, pipeline::RequestContext};
 use carobwheel_core::crash::Gate;
 
-/// Reason of the refusal of a request with a held part.
-pub const HOLD_REFUSAL: &str = "a part of the prompt is held after engine crashes";
-/// Reason of the refusal of a request with a suspected part that another request is testing.
-pub const SUSPECT_REFUSAL: &str = "a part of the prompt is suspected after engine crashes";
-/// Lower bound of the `Retry-After` of a request with a held part, in milliseconds.
+/// Lower bound of the `Retry-After` of a held request, in milliseconds.
 const MIN_HELD_RETRY_AFTER_MS: u64 = 500;
-/// Upper bound of the `Retry-After` of a request with a held part, in milliseconds. An answer at
-/// another instance may release the part long before the hold lapses.
+/// Upper bound of the `Retry-After` of a held request, in milliseconds. An answer at another
+/// instance may release it long before the hold lapses.
 const MAX_HELD_RETRY_AFTER_MS: u64 = 4_000;
 
-/// Decision on a request by the evidence on its shared parts.
+/// What is suspected or held after crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldSubject {
+    /// A part of prompts.
+    PromptPart,
+    /// A whole request.
+    Request,
+}
+
+impl HoldSubject {
+    /// All kinds of subjects.
+    pub const ALL: [Self; 2] = [Self::PromptPart, Self::Request];
+
+    /// Name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::PromptPart => "prompt_part",
+            Self::Request => "request",
+        }
+    }
+
+    /// Reason of the refusal of a held request.
+    pub fn held_reason(self) -> &'static str {
+        match self {
+            Self::PromptPart => "a part of the prompt is held after engine crashes",
+            Self::Request => "the request is held after crashes of upstreams",
+        }
+    }
+
+    /// Reason of the refusal of a suspected request while another one like it is in flight.
+    pub fn suspected_reason(self) -> &'static str {
+        match self {
+            Self::PromptPart => "a part of the prompt is suspected after engine crashes",
+            Self::Request => "the request is suspected after crashes of upstreams",
+        }
+    }
+}
+
+/// Decision on a request by the evidence on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HoldDecision {
     /// The request may be sent.
     Send,
-    /// Another request with a suspected part is in flight.
-    Wait,
+    /// Another request with the suspected subject is in flight.
+    Wait(HoldSubject),
     /// The request is refused.
     Refuse {
+        /// What is held.
+        subject: HoldSubject,
         /// `Retry-After` of the refusal, in milliseconds.
         retry_after_ms: u64,
     },
@@ -30,41 +66,57 @@
 
 impl Node {
     /// Decides whether a request may be sent.
-    pub fn hold_decision(&self, job: &InferenceJob) -> HoldDecision {
-        match self.gate(job) {
+    pub fn hold_decision(&self, ctx: &RequestContext) -> HoldDecision {
+        let (subject, gate) = self.gate(ctx);
+        match gate {
             Gate::Open => HoldDecision::Send,
-            Gate::Wait { .. } => HoldDecision::Wait,
+            Gate::Wait { .. } => HoldDecision::Wait(subject),
             Gate::Held { left_ms, .. } => HoldDecision::Refuse {
+                subject,
                 retry_after_ms: left_ms.clamp(MIN_HELD_RETRY_AFTER_MS, MAX_HELD_RETRY_AFTER_MS),
             },
         }
     }
 
-    /// Logs and counts the refusal of a request because of one of its parts.
-    pub fn note_hold_refusal(&self, request: &str, job: &InferenceJob) {
-        let (part, left_ms) = match self.gate(job) {
+    /// Logs and counts the refusal of a request.
+    pub fn note_hold_refusal(&self, ctx: &RequestContext) {
+        let (subject, gate) = self.gate(ctx);
+        let (part, left_ms) = match gate {
             Gate::Open => return,
             Gate::Wait { part } => (part, 0),
             Gate::Held { part, left_ms } => (part, left_ms),
         };
         self.metrics.hold_refusals.add(1);
         self.log.event(Event::HoldApplied {
-            request,
+            request: &ctx.meta.request,
             part: &part_name(part),
+            subject: subject.name(),
             is_held: left_ms > 0,
             left_ms,
         });
     }
 
-    /// Whether a request under which an engine crashed may be sent to another engine.
-    pub fn may_repeat_after_crash(&self, job: &InferenceJob) -> bool {
+    /// Whether a request under which an upstream crashed may be sent to another one.
+    pub fn may_repeat_after_crash(&self, ctx: &RequestContext) -> bool {
         let now = self.now();
-        let parts = job.shared_parts();
-        self.state.borrow().crashes.may_repeat(&parts, now)
+        let state = self.state.borrow();
+        let fingerprint = ctx.fingerprint.value();
+        state.crashes.may_repeat(&ctx.job.shared_parts(), now)
+            && state.request_crashes.may_repeat(&[fingerprint], now)
     }
 
-    fn gate(&self, job: &InferenceJob) -> Gate {
+    /// The stricter of the decisions on the request's parts and on the request itself.
+    fn gate(&self, ctx: &RequestContext) -> (HoldSubject, Gate) {
+        let now = self.now();
         let state = self.state.borrow();
-        state.crashes.gate(&job.shared_parts(), self.now())
+        let by_part = state.crashes.gate(&ctx.job.shared_parts(), now);
+        if matches!(by_part, Gate::Held { .. }) || state.request_crashes.is_quiet() {
+            return (HoldSubject::PromptPart, by_part);
+        }
+        let fingerprint = ctx.fingerprint.value();
+        match state.request_crashes.gate(&[fingerprint], now) {
+            Gate::Open => (HoldSubject::PromptPart, by_part),
+            by_request => (HoldSubject::Request, by_request),
+        }
     }
 }
--- a/crates/edge/src/crash/mod.rs
+++ b/crates/edge/src/crash/mod.rs
@@ -1,11 +1,14 @@
-//! Connection of the request path to the detection of prompt parts that crash engines.
+//! Connection of the request path to the detection of prompt parts, and of whole requests, that
+//! crash upstreams.
 //!
-//! Evidence comes from each send ([`SendWatch`]) and from other instances; requests with a held
-//! part are refused before they are sent.
+//! Evidence comes from each send ([`SendWatch`]) and from other instances; held requests, and
+//! requests with a held part, are refused before they are sent.
 
 mod evidence;
+mod fingerprint;
 mod gate;
 mod send_watch;
 
-pub use gate::{HoldDecision, HOLD_REFUSAL, SUSPECT_REFUSAL};
+pub use fingerprint::Fingerprint;
+pub use gate::{HoldDecision, HoldSubject};
 pub use send_watch::SendWatch;
--- a/crates/edge/src/front/aux_endpoint.rs
+++ b/crates/edge/src/front/aux_endpoint.rs
@@ -182,6 +182,14 @@
             "carobwheel_prompt_parts_suspected",
             state.crashes.suspect_count() as u64,
         ),
+        (
+            "carobwheel_requests_held",
+            state.request_crashes.held_count() as u64,
+        ),
+        (
+            "carobwheel_requests_suspected",
+            state.request_crashes.suspect_count() as u64,
+        ),
         (
             "carobwheel_ready",
             u64::from(state.config.is_some() && state.leaving_at.is_none()),
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -242,6 +242,7 @@
         request: &'a str,
         upstream: &'a str,
         parts: &'a [String],
+        fingerprint: &'a str,
         at_upstream: u32,
     },
     PartHeld {
@@ -250,17 +251,31 @@
         for_ms: u64,
         source: &'a str,
     },
+    RequestHeld {
+        fingerprint: &'a str,
+        crashes: u32,
+        for_ms: u64,
+        source: &'a str,
+    },
+    RequestReleased {
+        fingerprint: &'a str,
+        source: &'a str,
+    },
     PartReleased {
         part: &'a str,
         source: &'a str,
     },
+    /// `part` is a fingerprint if the subject is a request.
     HoldLapsed {
         part: &'a str,
+        subject: &'a str,
         source: &'a str,
     },
+    /// `part` is a fingerprint if the subject is a request.
     HoldApplied {
         request: &'a str,
         part: &'a str,
+        subject: &'a str,
         is_held: bool,
         left_ms: u64,
     },
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -3,6 +3,7 @@
 use super::{limits::KeyedLimitReport, Node};
 use crate::hash::short_hash;
 use crate::{
+    crash::HoldSubject,
     log::Event,
     place::{JobKind, LatencyForecast},
     rollout::{RouteEvidence, Verdict},
@@ -100,6 +101,9 @@
     pub eras: Vec<u64>,
     /// Version of the configuration that the sender has in force; 0 if there is none.
     pub config_version: u64,
+    /// Evidence on whole requests that crash upstreams; appended to the encoded message.
+    #[serde(skip)]
+    pub request_crashes: CrashReport,
 }
 
 impl Node {
@@ -180,6 +184,7 @@
                 },
                 eras: positions.iter().map(|at| at.era).collect(),
                 config_version: state.config_version(),
+                request_crashes: state.request_crashes.report(now),
             },
         }
     }
@@ -218,7 +223,8 @@
             state.apply_trial_reports(self, name, gossip.trials)
         };
         self.receive_limits(name, life, &additions.limits);
-        self.receive_crash_report(&crashes);
+        self.receive_crash_report(HoldSubject::PromptPart, &crashes);
+        self.receive_crash_report(HoldSubject::Request, &additions.request_crashes);
         for (service, target, verdict) in verdicts {
             self.apply_verdict(&service, &target, verdict, false);
         }
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -107,6 +107,8 @@
     pub versions: HashMap<(Arc<str>, Arc<str>), Millis>,
     /// Evidence on prompt parts that crash engines.
     pub crashes: CrashDetector,
+    /// Evidence on whole requests that crash upstreams.
+    pub request_crashes: CrashDetector,
     /// Replica of the followed prefixes of the store.
     pub replica: Replica,
     /// Time since which another instance has been ahead, by index of the prefix.
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -45,8 +45,9 @@
 /// Maximum size of a gossip message, in bytes.
 const MAX_GOSSIP_BYTES: usize = 256 * 1024;
 
-/// Encodes a message. Crash reports and additions follow the other fields, each unless it and what
-/// follows are empty: builds that do not know them ignore trailing bytes.
+/// Encodes a message. Crash reports, additions and reports on whole requests follow the other
+/// fields, each unless it and what follows are empty: builds that do not know them ignore trailing
+/// bytes.
 ///
 /// # Errors
 ///
@@ -62,7 +63,13 @@
     if !has_additions {
         return Ok(bytes);
     }
-    postcard::to_extend(&gossip.additions, bytes).map_err(|err| PeerError(err.to_string()))
+    let bytes = postcard::to_extend(&gossip.additions, bytes);
+    let bytes = bytes.map_err(|err| PeerError(err.to_string()))?;
+    let requests = &gossip.additions.request_crashes;
+    if *requests == CrashReport::default() {
+        return Ok(bytes);
+    }
+    postcard::to_extend(requests, bytes).map_err(|err| PeerError(err.to_string()))
 }
 
 /// Decodes a message, with or without crash reports and additions.
@@ -76,7 +83,11 @@
     // Parts of another build's form must not cost the rest of the message.
     if let Ok((crashes, rest)) = postcard::take_from_bytes(rest) {
         gossip.crashes = crashes;
-        gossip.additions = postcard::from_bytes(rest).unwrap_or_default();
+        if let Ok((additions, rest)) = postcard::take_from_bytes(rest) {
+            gossip.additions = additions;
+            let requests = postcard::from_bytes(rest);
+            gossip.additions.request_crashes = requests.unwrap_or_default();
+        }
     }
     Ok(gossip)
 }
--- a/crates/edge/src/pipeline/attempts.rs
+++ b/crates/edge/src/pipeline/attempts.rs
@@ -156,7 +156,7 @@
     let may_run_again = attempts.runs == 0
         || (ctx.meta.kind.is_repeatable() && attempts.runs < ctx.meta.max_attempts);
     may_run_again
-        && (!attempts.has_lost_engine || node.may_repeat_after_crash(&ctx.job))
+        && (!attempts.has_lost_engine || node.may_repeat_after_crash(ctx))
         && attempts.tried.len() < MAX_UPSTREAMS_TRIED as usize
         && ctx.left_ms(node) > 0
 }
--- a/crates/edge/src/pipeline/context.rs
+++ b/crates/edge/src/pipeline/context.rs
@@ -1,12 +1,12 @@
 //! Context of a request that has been identified and admitted.
 
 use super::identify::{header_text, job};
-use crate::{model::RouteKind, node::Node, place::InferenceJob};
+use crate::{crash::Fingerprint, model::RouteKind, node::Node, place::InferenceJob};
 use bytes::Bytes;
 use carobwheel_core::time::Millis;
 use hyper::{http::request::Parts, HeaderMap, Method, Uri};
 use serde::{Deserialize, Serialize};
-use std::sync::Arc;
+use std::{rc::Rc, sync::Arc};
 
 /// Lower bound of the first-byte limit of a stream, in milliseconds. Callers abandon a stream after
 /// a pause of at least this length.
@@ -31,6 +31,8 @@
     pub body: Bytes,
     /// Prompt size and cacheable parts of the prompt.
     pub job: InferenceJob,
+    /// Identity of the request that does not depend on its id.
+    pub fingerprint: Rc<Fingerprint>,
     /// Time at which this instance received the request.
     pub started_at: Millis,
     /// Time by which the response has to be complete.
@@ -80,7 +82,9 @@
         started_at: Millis,
     ) -> Self {
         let last_event = header_text(&head.headers, &node.names.last_event_id);
+        let fingerprint = Fingerprint::new(&meta, &head.method, &head.uri, &body);
         Self {
+            fingerprint: Rc::new(fingerprint),
             method: head.method,
             uri: head.uri,
             job: job(&node.names, &head.headers, meta.is_yielding),
--- a/crates/edge/src/pipeline/identify.rs
+++ b/crates/edge/src/pipeline/identify.rs
@@ -2,6 +2,7 @@
 
 use super::{Refusal, RequestContext, RequestMeta};
 use crate::{
+    crash::Fingerprint,
     dispatch::is_hop_header,
     log::Event,
     model::{allowed_regions, split_service, Account, Config, Route, RouteMatch},
@@ -183,7 +184,9 @@
             config: config.version,
             tokens: self.tokens,
         });
+        let fingerprint = Fingerprint::new(&meta, &head.method, &head.uri, &body);
         Ok(RequestContext {
+            fingerprint: Rc::new(fingerprint),
             meta,
             method: head.method,
             uri: head.uri,
--- a/crates/edge/src/pipeline/run.rs
+++ b/crates/edge/src/pipeline/run.rs
@@ -110,7 +110,7 @@
         Err(refusal) => !refusal.is_not_run(),
     };
     let runs_left = retry_ctx.meta.max_attempts.saturating_sub(attempts.runs);
-    let may_repeat = !attempts.has_lost_engine || node.may_repeat_after_crash(&retry_ctx.job);
+    let may_repeat = !attempts.has_lost_engine || node.may_repeat_after_crash(&retry_ctx);
     if !has_failed || !may_repeat || runs_left == 0 || !retry_ctx.has_time_to_forward(node) {
         return outcome;
     }
--- a/crates/edge/src/pipeline/send_once.rs
+++ b/crates/edge/src/pipeline/send_once.rs
@@ -93,7 +93,7 @@
     });
     node.note_sent(placed, &ctx.job, cold_per_s);
     let load_guard = LoadGuard::new(node, &placed.id, placed.load, waiting_tokens);
-    let mut send_watch = SendWatch::start(node, &ctx.meta.request, &placed.id, &ctx.job);
+    let mut send_watch = SendWatch::start(node, ctx, &placed.id);
     let limit_ms = answer_timeout_ms(node, ctx, wait_ms);
     let request = upstream_request(node, ctx, &placed.id);
     let sent = SendIds {
--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -201,7 +201,7 @@
             attempts.tried.push(Arc::clone(&source.upstream));
         }
         ctx.last_event = progress.last_event;
-        let may_repeat = !attempts.has_lost_engine || node.may_repeat_after_crash(&ctx.job);
+        let may_repeat = !attempts.has_lost_engine || node.may_repeat_after_crash(&ctx);
         let next = if may_resume && may_repeat && ctx.left_ms(node) > 0 {
             let answer = send_until_answered(node, &ctx, &mut attempts).await;
             if let Ok(answer) = &answer {
--- a/crates/edge/tests/gossip_encoding.rs
+++ b/crates/edge/tests/gossip_encoding.rs
@@ -76,9 +76,33 @@
         limits: vec![(11, report)],
         eras: vec![1, 1],
         config_version: 9,
+        request_crashes: CrashReport::default(),
     }
 }
 
+#[test]
+fn reports_on_requests_survive_the_encoding_with_and_without_other_parts() {
+    for (crashes, limits) in [(CrashReport::default(), false), (report(), true)] {
+        let mut message = gossip(crashes.clone());
+        if limits {
+            message.additions = additions();
+        }
+        message.additions.request_crashes = report();
+        let decoded = decode(&encode(&message).unwrap()).unwrap();
+        assert_eq!(decoded.crashes, crashes);
+        assert_eq!(decoded.additions, message.additions);
+    }
+}
+
+/// Guards against a build without reports on requests, whose additions end the message.
+#[test]
+fn additions_without_reports_on_requests_are_understood() {
+    let mut message = gossip(report());
+    message.additions = additions();
+    let decoded = decode(&encode(&message).unwrap()).unwrap();
+    assert_eq!(decoded.additions, additions());
+}
+
 #[test]
 fn limit_reports_survive_the_encoding_with_and_without_crash_reports() {
     for crashes in [CrashReport::default(), report()] {
