--- a/crates/gateway/tests/platform_support/store.rs
+++ b/crates/gateway/tests/platform_support/store.rs
@@ -88,6 +88,13 @@
         self.shared.changed.notify_all();
     }
 
+    /// Writes a value whose text need not be Base64.
+    pub(crate) fn put_text(&self, key: &str, text: &str) {
+        let mut state = self.shared.state.lock().unwrap();
+        state.write(key, text.to_owned(), 0);
+        self.shared.changed.notify_all();
+    }
+
     pub(crate) fn publish(&self, config: &ConfigBuilder) {
         self.put("op/config", &config.value());
     }
