Take a refusal for one of another request unless its id says otherwise (REFUSED, TWICE)

Reported by other operators: a faulty engine writes an earlier refusal once more on a kept connection, and callers are told 'not run' for a request that runs, or it runs at a second engine. It could happen here: the not-run header and status 421 were looked at before the request's id. Now a response with another id is none of this request, whatever it says, and a refusal without an id counts only as the first response on its connection. What a response says of a cold upstream counts only with id and seal.

--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -44,9 +44,16 @@
     connection: Connection,
     advertised_ms: Option<u64>,
     upstream: Arc<str>,
+    is_first: bool,
 }
 
 impl Reply {
+    /// Whether it is the first response on its connection, so that it cannot be an earlier one that is
+    /// repeated.
+    pub fn is_first(&self) -> bool {
+        self.is_first
+    }
+
     /// Head of the response.
     pub fn head(&self) -> &Response<Incoming> {
         &self.response
@@ -118,7 +125,7 @@
     // A pooled connection that the upstream has closed returns the request unsent.
     while let Some(mut connection) = pooled(node, target) {
         match connection.try_send_request(request).await {
-            Ok(response) => return Ok(reply(target, response, connection)),
+            Ok(response) => return Ok(reply(target, response, connection, false)),
             Err(mut err) => match err.take_message() {
                 Some(unsent) => request = unsent,
                 None => return Err(broken(&err.into_error())),
@@ -130,7 +137,7 @@
         .map_err(|err| SendError::Unreachable(err.to_string()))?;
     node.metrics.connections_opened.add(1);
     match connection.send_request(request).await {
-        Ok(response) => Ok(reply(target, response, connection)),
+        Ok(response) => Ok(reply(target, response, connection, true)),
         Err(err) => Err(broken(&err)),
     }
 }
@@ -144,13 +151,19 @@
 }
 
 /// Combines a response with its connection.
-fn reply(target: &Target, response: Response<Incoming>, connection: Connection) -> Reply {
+fn reply(
+    target: &Target,
+    response: Response<Incoming>,
+    connection: Connection,
+    is_first: bool,
+) -> Reply {
     let advertised_ms = keep_alive_ms(&response);
     Reply {
         response,
         connection,
         advertised_ms,
         upstream: Arc::clone(&target.id),
+        is_first,
     }
 }
 
--- a/crates/edge/src/pipeline/send_once.rs
+++ b/crates/edge/src/pipeline/send_once.rs
@@ -157,32 +157,33 @@
 fn check_head(node: &Node, ctx: &RequestContext, sent: SendIds<'_>, reply: &Reply) -> HeadCheck {
     let names = &node.names;
     let (status, headers) = (reply.head().status(), reply.head().headers());
-    if status == StatusCode::MISDIRECTED_REQUEST {
+    let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    let is_refusal = is_misdirected || headers.contains_key(&names.not_run);
+    if let Err(reason) = check_identity(node, ctx, reply, is_refusal) {
+        node.note_outcome(sent, Outcome::Failed);
+        return HeadCheck::Invalid(reason);
+    }
+    if is_misdirected {
         let mut state = node.state.borrow_mut();
         state
             .upstreams
             .entry_removed(sent.upstream, false, node.now());
         return HeadCheck::NotRun;
     }
-    if headers.contains_key(&names.not_run) {
+    if is_refusal {
         record_limit(node, sent, headers);
         node.note_outcome(sent, Outcome::Refused);
         return HeadCheck::NotRun;
     }
-    let cold_ms = header_text(headers, &names.cold_ms).and_then(|text| text.parse::<u64>().ok());
-    if let Some(cold_ms) = cold_ms.filter(|ms| *ms > 0) {
-        node.note_cold(sent.upstream, cold_ms);
-    }
-    let echoed = header_text(headers, &names.request_id);
-    if echoed.is_some_and(|echoed| echoed != ctx.meta.request) {
-        node.note_outcome(sent, Outcome::Failed);
-        return HeadCheck::Invalid("the answer belongs to another request");
-    }
     let is_sealed = headers.contains_key(&names.seal);
     if !is_sealed && (status.is_success() || status.is_server_error()) {
         node.note_outcome(sent, Outcome::Failed);
         return HeadCheck::Invalid("the response has no seal header");
     }
+    let cold_ms = header_text(headers, &names.cold_ms).and_then(|text| text.parse::<u64>().ok());
+    if let Some(cold_ms) = cold_ms.filter(|ms| is_sealed && *ms > 0) {
+        node.note_cold(sent.upstream, cold_ms);
+    }
     if is_sealed {
         record_limit(node, sent, headers);
     }
@@ -193,6 +194,23 @@
     HeadCheck::Pass
 }
 
+/// Checks that a response belongs to the request. Without the request's id, a refusal on a kept
+/// connection may be an earlier one that the upstream has written once more.
+fn check_identity(
+    node: &Node,
+    ctx: &RequestContext,
+    reply: &Reply,
+    is_refusal: bool,
+) -> Result<(), &'static str> {
+    match header_text(reply.head().headers(), &node.names.request_id) {
+        Some(echoed) if echoed != ctx.meta.request => Err("the answer belongs to another request"),
+        None if is_refusal && !reply.is_first() => {
+            Err("a refusal without the request's id on a kept connection")
+        }
+        Some(_) | None => Ok(()),
+    }
+}
+
 /// Records the limit that a response of the upstream states. Only a sealed response without one
 /// removes it: a refusal need not repeat the limit.
 fn record_limit(node: &Node, sent: SendIds<'_>, headers: &HeaderMap) {
