--- a/crates/gateway/src/decide/crash.rs
+++ b/crates/gateway/src/decide/crash.rs
@@ -1,7 +1,8 @@
-//! Requests whose prompt crashes engines: evidence, refusals and its exchange with other instances.
+//! Requests that crash upstreams, by parts of their prompt or as a whole: evidence, refusals and its
+//! exchange with other instances.
 
 use super::{
-    event::{PlacementRequest, RetryRequest, Settlement},
+    event::{PlacementRequest, PlacementTarget, RetryRequest, Settlement},
     place::key_withdrawn,
     state::{ActivePlacement, State},
 };
@@ -99,10 +100,18 @@
         self.crashes.counts.refused_held += 1;
         log::info!(
             request = request.id.as_str(), part = hex(part).as_str(), left_ms = left_ms;
-            "request refused: engines crashed on a part of its prompt"
+            "request refused: upstreams crashed on it or on a part of its prompt"
         );
-        let message = "engines crashed on requests with a part of this prompt";
-        Some(Refusal::not_run(Cause::PromptHeld, message).retry_after(left_ms))
+        let (cause, message) = match request.target {
+            PlacementTarget::Model { .. } => (
+                Cause::PromptHeld,
+                "engines crashed on requests with a part of this prompt",
+            ),
+            PlacementTarget::Service { .. } => {
+                (Cause::RequestHeld, "services crashed on this request")
+            }
+        };
+        Some(Refusal::not_run(cause, message).retry_after(left_ms))
     }
 
     /// Returns the request if it may be sent now. Otherwise it is refused, or waits for the outcome
@@ -134,10 +143,19 @@
         self.crashes.counts.refused_suspected += 1;
         log::info!(
             request = request.id.as_str(), part = hex(part).as_str();
-            "request refused: a part of its prompt is suspected of crashing engines"
+            "request refused: it or a part of its prompt is suspected of crashing upstreams"
         );
-        let message = "a part of this prompt is being tested after engines crashed";
-        let refusal = Refusal::not_run(Cause::PromptHeld, message);
+        let (cause, message) = match request.target {
+            PlacementTarget::Model { .. } => (
+                Cause::PromptHeld,
+                "a part of this prompt is being tested after engines crashed",
+            ),
+            PlacementTarget::Service { .. } => (
+                Cause::RequestHeld,
+                "this request is being tested after services crashed",
+            ),
+        };
+        let refusal = Refusal::not_run(cause, message);
         self.reject(request, refusal.retry_after(SUSPECT_RETRY_AFTER_MS), now);
     }
 
--- a/crates/gateway/src/decide/event.rs
+++ b/crates/gateway/src/decide/event.rs
@@ -55,7 +55,7 @@
     pub max_output_tokens: u64,
     /// Hashes of growing prefixes of the prompt, shortest first.
     pub prefix: Vec<u64>,
-    /// Parts of the prompt that crashes of engines are traced to; the last is the whole prompt.
+    /// Parts that crashes of upstreams are traced to; the last is the whole prompt or request.
     pub parts: Arc<[PartId]>,
     /// Latest end of the wait for the outcome of another request with a suspected part.
     pub waits_until: Option<Millis>,
--- a/crates/gateway/src/intake/classify.rs
+++ b/crates/gateway/src/intake/classify.rs
@@ -1,6 +1,9 @@
 //! Classification of requests: a model and its class, or a service route.
 
-use super::{head::BodyLength, parts::prompt_parts};
+use super::{
+    head::BodyLength,
+    parts::{prompt_parts, whole_request},
+};
 use crate::{
     decide::PlacementTarget,
     refusal::{Cause, Refusal},
@@ -38,7 +41,7 @@
     pub(super) prompt_tokens: u64,
     pub(super) max_output_tokens: u64,
     pub(super) prefix: Vec<u64>,
-    /// Parts of the prompt that crashes of engines are traced to; the last is the whole prompt.
+    /// Parts that crashes of upstreams are traced to; the last is the whole prompt or request.
     pub(super) parts: Arc<[PartId]>,
     pub(super) bound_region: Option<RegionId>,
     pub(super) idempotent: bool,
@@ -78,18 +81,34 @@
     Ok(Endpoint::Route(route))
 }
 
-/// Classifies a request whose body has been read.
+/// Request whose body has been read.
+pub(super) struct ReadRequest<'a> {
+    pub(super) method: &'a str,
+    pub(super) path_and_query: &'a str,
+    pub(super) body: &'a [u8],
+}
+
+/// Classifies a request.
 pub(super) fn classify(
     document: &Document,
     endpoint: Endpoint<'_>,
     account: Option<&Account>,
-    body: &[u8],
+    request: &ReadRequest<'_>,
 ) -> Result<Classification, Refusal> {
     match endpoint {
-        Endpoint::Model => classify_model_call(document, account, body),
+        Endpoint::Model => classify_model_call(document, account, request.body),
         Endpoint::Route(route) => {
             let account_region = account.and_then(|account| account.bound_region.clone());
-            classify_route_call(document, route, account_region)
+            let mut classification = classify_route_call(document, route, account_region)?;
+            let account_id = account.map_or("", |account| account.id.as_str());
+            let part = whole_request(
+                account_id,
+                request.method,
+                request.path_and_query,
+                request.body,
+            );
+            classification.parts = Arc::new([part]);
+            Ok(classification)
         }
     }
 }
--- a/crates/gateway/src/intake/parts/mod.rs
+++ b/crates/gateway/src/intake/parts/mod.rs
@@ -1,4 +1,4 @@
-//! Parts of a prompt for the detection of prompts that crash engines.
+//! Parts of a prompt, and whole requests, for the detection of what crashes upstreams.
 
 use carobwheel_core::crash::PartId;
 use carobwheel_wire::openai::{Prompt, RequestView};
@@ -55,6 +55,23 @@
     parts
 }
 
+/// Returns the part that stands for a whole request without a prompt. Headers do not count, since
+/// callers send such a request again with new ones.
+pub(super) fn whole_request(
+    account: &str,
+    method: &str,
+    path_and_query: &str,
+    body: &[u8],
+) -> PartId {
+    let mut hasher = Sha256::new();
+    for text in [account, method, path_and_query] {
+        add_text(&mut hasher, text.as_bytes());
+    }
+    add_text(&mut hasher, body);
+    hasher.update(b"request");
+    part_of(hasher)
+}
+
 /// Adds a text with its length, so that texts cannot run into each other.
 fn add_text(hasher: &mut Sha256, text: &[u8]) {
     hasher.update((text.len() as u64).to_le_bytes());
--- a/crates/gateway/src/intake/pipeline.rs
+++ b/crates/gateway/src/intake/pipeline.rs
@@ -6,7 +6,7 @@
     attempt::{self, ClassifiedRequest, Destination},
     body,
     buffer::buffer_answer,
-    classify,
+    classify::{self, ReadRequest},
     forward::{self, ForwardedHead},
     head::{BodyLength, RequestHead},
     resume, upstream_headers, IntakeState,
@@ -103,7 +103,12 @@
     let path = head.path_and_query.split('?').next().unwrap_or_default();
     let length = BodyLength::Bytes(head.body_bytes);
     let endpoint = classify::endpoint(document, path, &head.method, length)?;
-    classify::classify(document, endpoint, account_of(in_force, caller), body)
+    let request = ReadRequest {
+        method: &head.method,
+        path_and_query: &head.path_and_query,
+        body,
+    };
+    classify::classify(document, endpoint, account_of(in_force, caller), &request)
 }
 
 fn account_of<'a>(in_force: &'a ActiveDocument, caller: &Caller) -> Option<&'a Account> {
@@ -150,8 +155,13 @@
     let buffered = body::read(shared, data, head.length, max_body_bytes).await?;
     upstream_headers::refuse_exposed_key(request, &head, &buffered.bytes)?;
     let account = account_of(&in_force, &caller);
-    let classification =
-        classify::classify(&in_force.document, endpoint, account, &buffered.bytes)?;
+    let path_and_query = upstream_headers::path_and_query(&head);
+    let request_read = ReadRequest {
+        method: head.method.as_str(),
+        path_and_query: &path_and_query,
+        body: &buffered.bytes,
+    };
+    let classification = classify::classify(&in_force.document, endpoint, account, &request_read)?;
     let hops = Hops::default()
         .arrive(&shared.instance)
         .map_err(|fault| Refusal::not_run(Cause::InvalidRequest, fault.to_string()))?;
@@ -159,7 +169,7 @@
     Ok(ClassifiedRequest {
         request_id: request_id.clone(),
         method: method.unwrap_or(Method::POST),
-        path_and_query: upstream_headers::path_and_query(&head),
+        path_and_query,
         headers: upstream_headers::allowed(request, request_id),
         body: buffered.bytes,
         idempotency_key: head.idempotency_key,
--- a/crates/gateway/src/refusal/mod.rs
+++ b/crates/gateway/src/refusal/mod.rs
@@ -53,6 +53,8 @@
     NoUpstream,
     /// Engines have crashed on requests with a part of the prompt.
     PromptHeld,
+    /// Services have crashed on the request.
+    RequestHeld,
     /// The instance has no configuration document yet, or is stopping.
     NotReady,
     /// The action needs the store, which does not answer.
@@ -82,6 +84,7 @@
             Self::Overloaded
             | Self::NoUpstream
             | Self::PromptHeld
+            | Self::RequestHeld
             | Self::NotReady
             | Self::StoreUnavailable => 503,
             Self::UpstreamTimeout => 504,
@@ -105,6 +108,7 @@
             Self::Overloaded => "overloaded",
             Self::NoUpstream => "no_upstream",
             Self::PromptHeld => "prompt_held",
+            Self::RequestHeld => "request_held",
             Self::NotReady => "not_ready",
             Self::StoreUnavailable => "store_unavailable",
             Self::UpstreamFailed => "upstream_failed",
--- a/crates/gateway/tests/promise_crash.rs
+++ b/crates/gateway/tests/promise_crash.rs
@@ -178,3 +178,43 @@
         assert!(is_served(&reply), "{reply:?}");
     }
 }
+
+/// Time between two requests that crash services, longer than the time within which the ends of
+/// connections count as one crash.
+const SERVICE_CRASH_INTERVAL: Duration = Duration::from_millis(1_100);
+/// The third crash, and three further requests.
+const MAX_SERVICE_CRASHES: u64 = 6;
+
+/// Guards against a request without a prompt that is sent to service after service.
+#[test_case::test_case("/rounds/7", ""; "told by its path")]
+#[test_case::test_case("/rounds/x", "round 7"; "told by its body")]
+#[tokio::test]
+async fn a_request_that_crashes_services_is_refused_after_a_few_crashes(path: &str, body: &str) {
+    const ROUNDS: usize = 8;
+    let fleet = fleet(20).await;
+    for service in fleet.services.values() {
+        service.set_crash_text(Some("7"));
+    }
+    let caller = Caller::of("insurers");
+    let ask = |region: &str, path: &str, body: &str| {
+        let url = format!("{}{path}", fleet.instance(region).url);
+        let method = if body.is_empty() { "GET" } else { "POST" };
+        send(caller.request(method, &url).body(body.to_owned()))
+    };
+    let mut last = None;
+    for round in 0..ROUNDS {
+        let region = REGIONS[round % REGIONS.len()];
+        for region in REGIONS {
+            let sound = ask(region, "/rounds/x", "round 8").await.unwrap();
+            assert_eq!(sound.status, 200, "{sound:?}");
+        }
+        last = Some(ask(region, path, body).await.unwrap());
+        sleep(SERVICE_CRASH_INTERVAL).await;
+    }
+    let services = fleet.services.values();
+    let crashes: u64 = services.map(|service| service.crashes()).sum();
+    assert!(crashes <= MAX_SERVICE_CRASHES, "{crashes} crashes");
+    let last = last.unwrap();
+    assert_eq!((last.status, last.run.as_str()), (503, "not-run"));
+    assert!(last.body.unwrap().contains("request_held"));
+}
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -89,6 +89,10 @@
     latency_ms: u64,
     pending_faults: VecDeque<ServiceFault>,
     is_leaving: bool,
+    /// Text in the path, query or body of requests under which the service crashes.
+    crash_text: Option<String>,
+    /// Number of such requests.
+    crashes: u64,
     /// Number of runs of each key's action.
     runs: BTreeMap<String, u64>,
     keyless_runs: u64,
@@ -174,6 +178,17 @@
         lock(&self.shared.state).pending_faults.extend(faults);
     }
 
+    /// Closes the connections of requests with this text in their path, query or body, as if the
+    /// service crashed under them.
+    pub fn set_crash_text(&self, text: Option<&str>) {
+        lock(&self.shared.state).crash_text = text.map(str::to_owned);
+    }
+
+    /// Returns the number of crashes that requests have caused.
+    pub fn crashes(&self) -> u64 {
+        lock(&self.shared.state).crashes
+    }
+
     /// Sets the duration of an action, in milliseconds.
     pub fn set_latency_ms(&self, latency_ms: u64) {
         lock(&self.shared.state).latency_ms = latency_ms;
@@ -249,6 +264,14 @@
     if !is_authorized(shared, request) {
         return (Some(ServiceFault::Status(401)), 0);
     }
+    let contains = |text: &String| {
+        let body = String::from_utf8_lossy(&request.body);
+        request.target.contains(text.as_str()) || body.contains(text.as_str())
+    };
+    if state.crash_text.as_ref().is_some_and(contains) {
+        state.crashes += 1;
+        return (Some(ServiceFault::CloseBeforeRunning), 0);
+    }
     (state.pending_faults.pop_front(), state.latency_ms)
 }
 
