--- a/crates/edge/src/node/news.rs
+++ b/crates/edge/src/node/news.rs
@@ -173,6 +173,7 @@
                 *upstream.entry.service == *service.name
                     && *upstream.region == *node.region
                     && upstream.leaving_at.is_none()
+                    && !self.evacuated.contains(&upstream.entry.data_centre)
             };
             let mut ids: Vec<&Arc<str>> = self
                 .upstreams
