--- a/crates/core/src/crash/detector.rs
+++ b/crates/core/src/crash/detector.rs
@@ -25,22 +25,27 @@
 /// Period for which an answer speaks for a repeat, in milliseconds.
 pub(super) const ANSWERED_LATELY_MS: u64 = 30_000;
 
-/// What the detector tells apart by the evidence.
+/// What crashes are counted against.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Subject {
-    /// Parts of prompts, which many requests share.
+pub enum CrashSubject {
+    /// A part of prompts, which many requests share.
     #[default]
-    PromptParts,
-    /// Whole requests, by their fingerprints. All requests with one fingerprint are alike, so one
+    PromptPart,
+    /// A whole request, by its fingerprint. All requests with one fingerprint are alike, so one
     /// repeat after the first crash is no risk to others, and each crash counts in full.
-    Requests,
+    Request,
+}
+
+impl CrashSubject {
+    /// All kinds of subjects.
+    pub const ALL: [Self; 2] = [Self::PromptPart, Self::Request];
 }
 
 /// Evidence of one instance on prompt parts, from its own requests and from other instances. The
 /// evidence on whole requests is kept in a detector of its own, in which a part is a fingerprint.
 #[derive(Clone, Debug, Default)]
 pub struct CrashDetector {
-    subject: Subject,
+    subject: CrashSubject,
     pub(super) in_flight: InFlight,
     pub(super) answers: RecentAnswers,
     pub(super) evidence: CrashEvidence,
@@ -54,10 +59,10 @@
 }
 
 impl CrashDetector {
-    /// Detector for whole requests.
-    pub fn of_requests() -> Self {
+    /// Detector without evidence.
+    pub fn new(subject: CrashSubject) -> Self {
         Self {
-            subject: Subject::Requests,
+            subject,
             ..Self::default()
         }
     }
@@ -163,8 +168,8 @@
         parts.iter().all(|part| {
             let count = self.evidence.count(*part);
             let is_cleared = match self.subject {
-                Subject::PromptParts => count == 0 || self.is_answered_lately(*part, now),
-                Subject::Requests => true,
+                CrashSubject::PromptPart => count == 0 || self.is_answered_lately(*part, now),
+                CrashSubject::Request => true,
             };
             is_cleared && count < SUSPECT_CRASHES && !self.holds.contains(*part)
         })
@@ -287,8 +292,8 @@
             return RENEW_WEIGHT;
         }
         let max_weight = match self.subject {
-            Subject::PromptParts => MAX_HOLD_WEIGHT,
-            Subject::Requests => MAX_REQUEST_HOLD_WEIGHT,
+            CrashSubject::PromptPart => MAX_HOLD_WEIGHT,
+            CrashSubject::Request => MAX_REQUEST_HOLD_WEIGHT,
         };
         (HOLD_WEIGHT + counted.others * WEIGHT_PER_OTHER).min(max_weight)
     }
@@ -296,8 +301,8 @@
     /// Weight of the crashes that count, in thousandths.
     fn weight_of(&self, counted: &CountedPart) -> u32 {
         match self.subject {
-            Subject::PromptParts => counted.weight,
-            Subject::Requests => counted.count * 1_000,
+            CrashSubject::PromptPart => counted.weight,
+            CrashSubject::Request => counted.count * 1_000,
         }
     }
 }
--- a/crates/core/src/crash/mod.rs
+++ b/crates/core/src/crash/mod.rs
@@ -1,4 +1,4 @@
-//! Detection of prompt parts that crash the engines which answer them.
+//! Detection of prompt parts, and of whole requests, that crash the upstreams which run them.
 //!
 //! An engine that ends takes many requests with it, of which at most one was the cause. A part is
 //! told apart by two facts: requests with it were waiting for their first output at each of several
@@ -15,7 +15,7 @@
 mod share;
 mod times;
 
-pub use detector::CrashDetector;
+pub use detector::{CrashDetector, CrashSubject};
 pub use gate::{Gate, HoldChange};
 pub use report::{AnsweredPart, Crash, CrashReport, HeldPart};
 
--- a/crates/core/tests/crash_requests.rs
+++ b/crates/core/tests/crash_requests.rs
@@ -1,6 +1,6 @@
 //! Cases of the detection of whole requests that crash upstreams.
 
-use carobwheel_core::crash::{CrashDetector, Gate, PartId};
+use carobwheel_core::crash::{CrashDetector, CrashSubject, Gate, PartId};
 use carobwheel_core::time::Millis;
 use rand::{rngs::StdRng, Rng as _, SeedableRng as _};
 use test_case::test_case;
@@ -24,7 +24,7 @@
 
 #[test]
 fn a_request_is_repeated_after_its_first_crash_only() {
-    let mut detector = CrashDetector::of_requests();
+    let mut detector = CrashDetector::new(CrashSubject::Request);
     crash(&mut detector, 1, &[BAD], 1_000);
     assert!(detector.may_repeat(&[BAD], Millis(1_001)));
     crash(&mut detector, 2, &[BAD], 2_000);
@@ -35,7 +35,7 @@
 #[test_case(200; "close to each other")]
 #[test_case(900; "apart")]
 fn several_crashing_requests_are_all_held(pause_ms: u64) {
-    let mut detector = CrashDetector::of_requests();
+    let mut detector = CrashDetector::new(CrashSubject::Request);
     let requests = [BAD, OTHER_BAD, 9];
     let mut crashes = [0; 3];
     for round in 0_u64..8 {
@@ -58,7 +58,7 @@
 /// Guards against sound requests that are refused because they waited beside a crashing one.
 #[test]
 fn a_request_beside_a_crashing_one_is_not_held_once_it_was_answered() {
-    let mut detector = CrashDetector::of_requests();
+    let mut detector = CrashDetector::new(CrashSubject::Request);
     for (engine, at) in [(1, 1_000), (2, 2_000), (3, 3_000)] {
         detector.answered(&[SOUND], Millis(at - 500));
         crash(&mut detector, engine, &[BAD, SOUND], at);
@@ -72,7 +72,7 @@
 fn requests_asked_for_often_are_not_held_while_upstreams_end_at_random() {
     for seed in 0..50 {
         let mut rng = StdRng::seed_from_u64(seed);
-        let mut detector = CrashDetector::of_requests();
+        let mut detector = CrashDetector::new(CrashSubject::Request);
         for step in 0..6_000_u64 {
             let at = 1_000 + step * 10;
             let request = SOUND + rng.random_range(0..20);
--- a/crates/edge/src/crash/evidence.rs
+++ b/crates/edge/src/crash/evidence.rs
@@ -1,6 +1,6 @@
 //! Recording of crashes and first outputs, and exchange of this evidence with other instances.
 
-use super::{Fingerprint, HoldSubject};
+use super::{gate::subject_name, Fingerprint};
 use crate::{
     hash::short_hash,
     log::Event,
@@ -8,7 +8,7 @@
     rollout::Verdict,
     upstream::{Stage, Upstream},
 };
-use carobwheel_core::crash::{CrashDetector, CrashReport, HoldChange, PartId};
+use carobwheel_core::crash::{CrashDetector, CrashReport, CrashSubject, HoldChange, PartId};
 
 /// Identifies the process of an engine in messages between instances.
 pub(super) fn engine_id(upstream: &str, started_unix_ms: Option<u64>) -> u32 {
@@ -61,8 +61,8 @@
             let is_cleared = state.suspicion_count() < before;
             (part_changes, request_changes, is_cleared)
         };
-        self.log_hold_changes(HoldSubject::PromptPart, &part_changes, Source::Own);
-        self.log_hold_changes(HoldSubject::Request, &request_changes, Source::Own);
+        self.log_hold_changes(CrashSubject::PromptPart, &part_changes, Source::Own);
+        self.log_hold_changes(CrashSubject::Request, &request_changes, Source::Own);
         if is_cleared {
             self.links.announce();
         }
@@ -106,13 +106,13 @@
             fingerprint: &part_name(fingerprint),
             at_upstream,
         });
-        self.log_hold_changes(HoldSubject::PromptPart, &part_changes, Source::Own);
-        self.log_hold_changes(HoldSubject::Request, &request_changes, Source::Own);
+        self.log_hold_changes(CrashSubject::PromptPart, &part_changes, Source::Own);
+        self.log_hold_changes(CrashSubject::Request, &request_changes, Source::Own);
         self.links.announce();
     }
 
     /// Applies the evidence of another instance.
-    pub fn receive_crash_report(&self, subject: HoldSubject, report: &CrashReport) {
+    pub fn receive_crash_report(&self, subject: CrashSubject, report: &CrashReport) {
         if *report == CrashReport::default() {
             return;
         }
@@ -126,66 +126,72 @@
     /// Drops expired evidence and logs the holds that have lapsed.
     pub fn expire_crashes(&self) {
         let now = self.now();
-        for subject in HoldSubject::ALL {
+        for subject in CrashSubject::ALL {
             let changes = self.state.borrow_mut().detector(subject).expire(now);
             self.log_hold_changes(subject, &changes, Source::Time);
         }
     }
 
-    fn log_hold_changes(&self, subject: HoldSubject, changes: &[HoldChange], source: Source) {
-        let source = source.name();
+    fn log_hold_changes(&self, subject: CrashSubject, changes: &[HoldChange], source: Source) {
         for change in changes {
             match *change {
                 HoldChange::Held {
                     part,
                     crashes,
                     for_ms,
-                } => {
-                    let name = part_name(part);
-                    self.log.event(match subject {
-                        HoldSubject::PromptPart => Event::PartHeld {
-                            part: &name,
-                            crashes,
-                            for_ms,
-                            source,
-                        },
-                        HoldSubject::Request => Event::RequestHeld {
-                            fingerprint: &name,
-                            crashes,
-                            for_ms,
-                            source,
-                        },
-                    });
-                }
-                HoldChange::Released { part } => {
-                    let name = part_name(part);
-                    self.log.event(match subject {
-                        HoldSubject::PromptPart => Event::PartReleased {
-                            part: &name,
-                            source,
-                        },
-                        HoldSubject::Request => Event::RequestReleased {
-                            fingerprint: &name,
-                            source,
-                        },
-                    });
-                }
+                } => self.log_held(subject, part, (crashes, for_ms), source.name()),
+                HoldChange::Released { part } => self.log_released(subject, part, source.name()),
                 HoldChange::Lapsed { part } => self.log.event(Event::HoldLapsed {
                     part: &part_name(part),
-                    subject: subject.name(),
-                    source,
+                    subject: subject_name(subject),
+                    source: source.name(),
                 }),
             }
         }
     }
+
+    fn log_held(
+        &self,
+        subject: CrashSubject,
+        part: PartId,
+        (crashes, for_ms): (u32, u64),
+        source: &str,
+    ) {
+        let name = &part_name(part);
+        self.log.event(match subject {
+            CrashSubject::PromptPart => Event::PartHeld {
+                part: name,
+                crashes,
+                for_ms,
+                source,
+            },
+            CrashSubject::Request => Event::RequestHeld {
+                fingerprint: name,
+                crashes,
+                for_ms,
+                source,
+            },
+        });
+    }
+
+    fn log_released(&self, subject: CrashSubject, part: PartId, source: &str) {
+        let name = &part_name(part);
+        self.log.event(match subject {
+            CrashSubject::PromptPart => Event::PartReleased { part: name, source },
+            CrashSubject::Request => Event::RequestReleased {
+                fingerprint: name,
+                source,
+            },
+        });
+    }
 }
 
 impl State {
     /// Evidence on this kind of subject.
-    pub(super) fn detector(&mut self, subject: HoldSubject) -> &mut CrashDetector {
+    pub(super) fn detector(&mut self, subject: CrashSubject) -> &mut CrashDetector {
         match subject {
-            HoldSubject::PromptPart => &mut self.crashes,
-            HoldSubject::Request => &mut self.request_crashes,
+            CrashSubject::PromptPart => &mut self.crashes,
+            CrashSubject::Request => &mut self.request_crashes,
         }
     }
 
--- a/crates/edge/src/crash/fingerprint.rs
+++ b/crates/edge/src/crash/fingerprint.rs
@@ -7,8 +7,9 @@
 use sha2::{Digest as _, Sha256};
 use std::{cell::OnceCell, sync::Arc};
 
-/// Fingerprint of account, route, method, path, query and body; computed when it is first needed. Headers
-/// do not count. The digest is cut to 64 bits, for which no account can find a request of another.
+/// Fingerprint of account, route, method, path, query and body, without the headers; computed when it
+/// is first needed. It is a digest cut to 64 bits, so no account can find a request that shares the
+/// fingerprint of another account's.
 #[derive(Debug)]
 pub struct Fingerprint {
     account: Arc<str>,
--- a/crates/edge/src/crash/gate.rs
+++ b/crates/edge/src/crash/gate.rs
@@ -2,7 +2,7 @@
 
 use super::evidence::part_name;
 use crate::{log::Event, node::Node, pipeline::RequestContext};
-use carobwheel_core::crash::Gate;
+use carobwheel_core::crash::{CrashSubject, Gate};
 
 /// Lower bound of the `Retry-After` of a held request, in milliseconds.
 const MIN_HELD_RETRY_AFTER_MS: u64 = 500;
@@ -10,41 +10,27 @@
 /// instance may release it long before the hold lapses.
 const MAX_HELD_RETRY_AFTER_MS: u64 = 4_000;
 
-/// What is suspected or held after crashes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HoldSubject {
-    /// A part of prompts.
-    PromptPart,
-    /// A whole request.
-    Request,
-}
-
-impl HoldSubject {
-    /// All kinds of subjects.
-    pub const ALL: [Self; 2] = [Self::PromptPart, Self::Request];
-
-    /// Name in the log.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::PromptPart => "prompt_part",
-            Self::Request => "request",
-        }
+/// Name of a kind of subject in the log.
+pub(super) fn subject_name(subject: CrashSubject) -> &'static str {
+    match subject {
+        CrashSubject::PromptPart => "prompt_part",
+        CrashSubject::Request => "request",
     }
+}
 
-    /// Reason of the refusal of a held request.
-    pub fn held_reason(self) -> &'static str {
-        match self {
-            Self::PromptPart => "a part of the prompt is held after engine crashes",
-            Self::Request => "the request is held after crashes of upstreams",
-        }
+/// Reason of the refusal of a held request.
+pub fn held_reason(subject: CrashSubject) -> &'static str {
+    match subject {
+        CrashSubject::PromptPart => "a part of the prompt is held after engine crashes",
+        CrashSubject::Request => "the request is held after crashes of upstreams",
     }
+}
 
-    /// Reason of the refusal of a suspected request while another one like it is in flight.
-    pub fn suspected_reason(self) -> &'static str {
-        match self {
-            Self::PromptPart => "a part of the prompt is suspected after engine crashes",
-            Self::Request => "the request is suspected after crashes of upstreams",
-        }
+/// Reason of the refusal of a suspected request while another one like it is in flight.
+pub fn suspected_reason(subject: CrashSubject) -> &'static str {
+    match subject {
+        CrashSubject::PromptPart => "a part of the prompt is suspected after engine crashes",
+        CrashSubject::Request => "the request is suspected after crashes of upstreams",
     }
 }
 
@@ -54,11 +40,11 @@
     /// The request may be sent.
     Send,
     /// Another request with the suspected subject is in flight.
-    Wait(HoldSubject),
+    Wait(CrashSubject),
     /// The request is refused.
     Refuse {
         /// What is held.
-        subject: HoldSubject,
+        subject: CrashSubject,
         /// `Retry-After` of the refusal, in milliseconds.
         retry_after_ms: u64,
     },
@@ -90,7 +76,7 @@
         self.log.event(Event::HoldApplied {
             request: &ctx.meta.request,
             part: &part_name(part),
-            subject: subject.name(),
+            subject: subject_name(subject),
             is_held: left_ms > 0,
             left_ms,
         });
@@ -106,17 +92,17 @@
     }
 
     /// The stricter of the decisions on the request's parts and on the request itself.
-    fn gate(&self, ctx: &RequestContext) -> (HoldSubject, Gate) {
+    fn gate(&self, ctx: &RequestContext) -> (CrashSubject, Gate) {
         let now = self.now();
         let state = self.state.borrow();
         let by_part = state.crashes.gate(&ctx.job.shared_parts(), now);
         if matches!(by_part, Gate::Held { .. }) || state.request_crashes.is_quiet() {
-            return (HoldSubject::PromptPart, by_part);
+            return (CrashSubject::PromptPart, by_part);
         }
         let fingerprint = ctx.fingerprint.value();
         match state.request_crashes.gate(&[fingerprint], now) {
-            Gate::Open => (HoldSubject::PromptPart, by_part),
-            by_request => (HoldSubject::Request, by_request),
+            Gate::Open => (CrashSubject::PromptPart, by_part),
+            by_request => (CrashSubject::Request, by_request),
         }
     }
 }
--- a/crates/edge/src/crash/mod.rs
+++ b/crates/edge/src/crash/mod.rs
@@ -10,5 +10,5 @@
 mod send_watch;
 
 pub use fingerprint::Fingerprint;
-pub use gate::{HoldDecision, HoldSubject};
+pub use gate::{held_reason, suspected_reason, HoldDecision};
 pub use send_watch::SendWatch;
--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -14,7 +14,10 @@
     store::{self, Decoder, Replica, StoreEvent, StoreKeys, StoreOps, StoreSettings},
 };
 use anyhow::Context as _;
-use carobwheel_core::{crash::CrashDetector, time::Clock};
+use carobwheel_core::{
+    crash::{CrashDetector, CrashSubject},
+    time::Clock,
+};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -117,7 +120,7 @@
         decoder: deployment.decoder,
         state: RefCell::new(State {
             replica: Replica::new(prefixes(&deployment.keys)),
-            request_crashes: CrashDetector::of_requests(),
+            request_crashes: CrashDetector::new(CrashSubject::Request),
             ..State::default()
         }),
         settings,
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -48,8 +48,8 @@
 }
 
 impl Reply {
-    /// Whether it is the first response on its connection, so that it cannot be an earlier one that is
-    /// repeated.
+    /// Whether it is the first response on its connection. A later one may be an earlier response
+    /// that the upstream has written once more.
     pub fn is_first(&self) -> bool {
         self.is_first
     }
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -3,13 +3,15 @@
 use super::{limits::KeyedLimitReport, Node};
 use crate::hash::short_hash;
 use crate::{
-    crash::HoldSubject,
     log::Event,
     place::{JobKind, LatencyForecast},
     rollout::{RouteEvidence, Verdict},
     upstream::Load,
 };
-use carobwheel_core::{crash::CrashReport, time::Millis};
+use carobwheel_core::{
+    crash::{CrashReport, CrashSubject},
+    time::Millis,
+};
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc};
 
@@ -223,8 +225,8 @@
             state.apply_trial_reports(self, name, gossip.trials)
         };
         self.receive_limits(name, life, &additions.limits);
-        self.receive_crash_report(HoldSubject::PromptPart, &crashes);
-        self.receive_crash_report(HoldSubject::Request, &additions.request_crashes);
+        self.receive_crash_report(CrashSubject::PromptPart, &crashes);
+        self.receive_crash_report(CrashSubject::Request, &additions.request_crashes);
         for (service, target, verdict) in verdicts {
             self.apply_verdict(&service, &target, verdict, false);
         }
--- a/crates/edge/src/node/news.rs
+++ b/crates/edge/src/node/news.rs
@@ -72,30 +72,39 @@
     /// warm.
     pub fn due_health_checks(&self) -> Vec<HealthCheck> {
         let now = self.now();
-        let is_watcher = *self.is_watcher.borrow();
         let mut state = self.state.borrow_mut();
-        if state.config.is_none() {
+        let without_ms = self.time_without_news_ms(&mut state, now);
+        if without_ms < ASK_AFTER_MS {
             return Vec::new();
         }
-        if state.has_upstream_news(is_watcher, now) {
-            let since = state.news_lost_at.take();
+        let due = self.start_health_checks(&mut state, now);
+        if without_ms >= CONFIRM_AFTER_MS {
+            self.assume_unconfirmed_cold(&mut state, now);
+        }
+        due
+    }
+
+    /// Time for which the upstreams' entries could not be followed, in milliseconds; 0 if they can.
+    /// Logs when the upstreams begin or cease to be asked.
+    fn time_without_news_ms(&self, state: &mut State, now: Millis) -> u64 {
+        let is_watcher = *self.is_watcher.borrow();
+        if state.config.is_none() || state.has_upstream_news(is_watcher, now) {
+            let since = state.news_lost_at.take().unwrap_or(now);
             if std::mem::take(&mut state.is_asking) {
-                self.log_news(true, since.map_or(0, |since| now.since(since)));
+                self.log_news(true, now.since(since));
             }
-            return Vec::new();
+            return 0;
         }
-        let since = *state.news_lost_at.get_or_insert(now);
-        let without_ms = now.since(since);
-        if without_ms < ASK_AFTER_MS {
-            return Vec::new();
-        }
-        if !state.is_asking {
-            state.is_asking = true;
+        let without_ms = now.since(*state.news_lost_at.get_or_insert(now));
+        if without_ms >= ASK_AFTER_MS && !std::mem::replace(&mut state.is_asking, true) {
             self.log_news(false, without_ms);
         }
-        let checked = state.checked_upstreams(self);
+        without_ms
+    }
+
+    fn start_health_checks(&self, state: &mut State, now: Millis) -> Vec<HealthCheck> {
         let mut due = Vec::new();
-        for (id, path) in checked {
+        for (id, path) in state.checked_upstreams(self) {
             let Some(upstream) = state.upstreams.by_id.get_mut(&id) else {
                 continue;
             };
@@ -109,9 +118,6 @@
                 due.push(HealthCheck::new(&id, upstream.entry.address, &path));
             }
         }
-        if without_ms >= CONFIRM_AFTER_MS {
-            self.assume_unconfirmed_cold(&mut state, now);
-        }
         due
     }
 
--- a/crates/edge/src/peers/holds.rs
+++ b/crates/edge/src/peers/holds.rs
@@ -1,9 +1,9 @@
 //! Query of another instance's evidence on what crashes upstreams.
 
 use super::{exchange, HOLDS_HEADER, REFUSED_HEADER};
-use crate::{crash::HoldSubject, node::Node};
+use crate::node::Node;
 use bytes::Bytes;
-use carobwheel_core::crash::CrashReport;
+use carobwheel_core::crash::{CrashReport, CrashSubject};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{header::HeaderValue, Request};
 use std::time::Duration;
@@ -19,8 +19,8 @@
 pub(super) async fn fetch_holds(node: &Node, member: &str) {
     // Gossip brings the evidence if the query fails.
     if let Ok(Some((parts, requests))) = timeout(ANSWER_TIMEOUT, ask(node, member)).await {
-        node.receive_crash_report(HoldSubject::PromptPart, &parts);
-        node.receive_crash_report(HoldSubject::Request, &requests);
+        node.receive_crash_report(CrashSubject::PromptPart, &parts);
+        node.receive_crash_report(CrashSubject::Request, &requests);
     }
 }
 
--- a/crates/edge/src/pipeline/hold.rs
+++ b/crates/edge/src/pipeline/hold.rs
@@ -1,7 +1,10 @@
 //! Checks of a request against what is held and suspected after crashes.
 
 use super::{refusal::Refusal, RequestContext};
-use crate::{crash::HoldDecision, node::Node};
+use crate::{
+    crash::{held_reason, suspected_reason, HoldDecision},
+    node::Node,
+};
 use carobwheel_core::time::Millis;
 use std::time::Duration;
 
@@ -21,7 +24,7 @@
             retry_after_ms,
         } => {
             node.note_hold_refusal(ctx);
-            Err(Refusal::not_run(subject.held_reason(), retry_after_ms))
+            Err(Refusal::not_run(held_reason(subject), retry_after_ms))
         }
     }
 }
@@ -50,7 +53,7 @@
             .get_or_insert_with(|| now.plus(MAX_WAIT_MS.min(ctx.left_ms(node))));
         if now >= until {
             node.note_hold_refusal(ctx);
-            let reason = subject.suspected_reason();
+            let reason = suspected_reason(subject);
             return Err(Refusal::not_run(reason, SUSPECT_RETRY_AFTER_MS));
         }
         tokio::time::sleep(Duration::from_millis(RECHECK_PAUSE_MS)).await;
--- a/crates/edge/src/pipeline/mod.rs
+++ b/crates/edge/src/pipeline/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod context;
 mod forward;
+mod head_check;
 mod hold;
 mod identify;
 mod large;
--- a/crates/edge/src/pipeline/send_once.rs
+++ b/crates/edge/src/pipeline/send_once.rs
@@ -2,7 +2,7 @@
 
 use super::{
     attempts::{UpstreamAnswer, UpstreamBody},
-    identify::header_text,
+    head_check::{check_head, HeadCheck},
     large::{read_first, LargeBody},
     RequestContext,
 };
@@ -16,12 +16,8 @@
     upstream::Outcome,
 };
 use bytes::Bytes;
-use carobwheel_core::upstream_limit::{parse_rate, InvalidRate, News};
 use http_body_util::Full;
-use hyper::{
-    header::{HeaderMap, HeaderValue},
-    Request, StatusCode,
-};
+use hyper::{header::HeaderValue, Request, StatusCode};
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::timeout;
 
@@ -35,9 +31,6 @@
 /// Lower bound of that timeout, in milliseconds.
 const MIN_SILENCE_MS: u64 = 150;
 
-/// Largest part of an invalid limit that is logged, in bytes.
-const MAX_LOGGED_LIMIT_BYTES: usize = 32;
-
 /// Result of one attempt.
 pub(super) enum SendResult {
     /// A response for the caller.
@@ -141,102 +134,6 @@
     }
 }
 
-/// Classification of a response by its head.
-enum HeadCheck {
-    /// A response for the caller.
-    Pass,
-    /// The upstream ran the request and failed.
-    Failed,
-    /// The upstream has not run the request.
-    NotRun,
-    /// Not a valid response to this request.
-    Invalid(&'static str),
-}
-
-/// Classifies a response by its head and updates the health of the upstream.
-fn check_head(node: &Node, ctx: &RequestContext, sent: SendIds<'_>, reply: &Reply) -> HeadCheck {
-    let names = &node.names;
-    let (status, headers) = (reply.head().status(), reply.head().headers());
-    let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
-    let is_refusal = is_misdirected || headers.contains_key(&names.not_run);
-    if let Err(reason) = check_identity(node, ctx, reply, is_refusal) {
-        node.note_outcome(sent, Outcome::Failed);
-        return HeadCheck::Invalid(reason);
-    }
-    if is_misdirected {
-        let mut state = node.state.borrow_mut();
-        state
-            .upstreams
-            .entry_removed(sent.upstream, false, node.now());
-        return HeadCheck::NotRun;
-    }
-    if is_refusal {
-        record_limit(node, sent, headers);
-        node.note_outcome(sent, Outcome::Refused);
-        return HeadCheck::NotRun;
-    }
-    let is_sealed = headers.contains_key(&names.seal);
-    if !is_sealed && (status.is_success() || status.is_server_error()) {
-        node.note_outcome(sent, Outcome::Failed);
-        return HeadCheck::Invalid("the response has no seal header");
-    }
-    let cold_ms = header_text(headers, &names.cold_ms).and_then(|text| text.parse::<u64>().ok());
-    if let Some(cold_ms) = cold_ms.filter(|ms| is_sealed && *ms > 0) {
-        node.note_cold(sent.upstream, cold_ms);
-    }
-    if is_sealed {
-        record_limit(node, sent, headers);
-    }
-    if status.is_server_error() {
-        node.note_outcome(sent, Outcome::Failed);
-        return HeadCheck::Failed;
-    }
-    HeadCheck::Pass
-}
-
-/// Checks that a response belongs to the request. Without the request's id, a refusal on a kept
-/// connection may be an earlier one that the upstream has written once more.
-fn check_identity(
-    node: &Node,
-    ctx: &RequestContext,
-    reply: &Reply,
-    is_refusal: bool,
-) -> Result<(), &'static str> {
-    match header_text(reply.head().headers(), &node.names.request_id) {
-        Some(echoed) if echoed != ctx.meta.request => Err("the answer belongs to another request"),
-        None if is_refusal && !reply.is_first() => {
-            Err("a refusal without the request's id on a kept connection")
-        }
-        Some(_) | None => Ok(()),
-    }
-}
-
-/// Records the limit that a response of the upstream states. Only a sealed response without one
-/// removes it: a refusal need not repeat the limit.
-fn record_limit(node: &Node, sent: SendIds<'_>, headers: &HeaderMap) {
-    let names = &node.names;
-    let news = match headers.get(&names.rate_limit) {
-        Some(value) => {
-            let text = value.to_str().unwrap_or("not text");
-            match parse_rate(text) {
-                Ok(rate) => News::Limited(rate),
-                Err(InvalidRate) => {
-                    let (upstream, request) = (sent.upstream, sent.request);
-                    node.log.event(Event::UpstreamLimitIgnored {
-                        upstream,
-                        request,
-                        text: text.get(..MAX_LOGGED_LIMIT_BYTES).unwrap_or(text),
-                    });
-                    return;
-                }
-            }
-        }
-        None if headers.contains_key(&names.seal) => News::Unlimited,
-        None => return,
-    };
-    node.note_limit(sent.upstream, news);
-}
-
 /// Reads the body of a response unless it is a stream, up to the size that is buffered.
 async fn buffer_body(
     node: &Rc<Node>,
--- a/crates/gateway/tests/platform_cold.rs
+++ b/crates/gateway/tests/platform_cold.rs
@@ -4,7 +4,7 @@
 
 mod platform_support;
 
-use platform_support::{wait_until, ConfigBuilder, Engine, Instance, InstanceOptions, Store};
+use platform_support::{start_region, wait_until, ConfigBuilder, Engine, Instance, Store};
 use serde_json::json;
 use std::{
     thread,
@@ -25,25 +25,12 @@
 }
 
 /// Starts instances of one region that hear each other, and its only engine.
-fn start_region(names: &[&'static str]) -> Region {
+fn start(names: &[&'static str]) -> Region {
     let store = Store::start();
     store.publish(&ConfigBuilder::new(1));
     let engine = Engine::start("i-1");
     engine.register(&store, "model", "north-a", "ready");
-    let start = |name| {
-        Instance::start_ready(&InstanceOptions {
-            name,
-            region: "north",
-            store: store.address,
-        })
-    };
-    let instances: Vec<Instance> = names.iter().copied().map(start).collect();
-    for instance in &instances {
-        let heard = format!("carobwheel_instances_heard {}\n", names.len());
-        wait_until("the instances hear each other", || {
-            instance.metrics_text().contains(&heard)
-        });
-    }
+    let instances = start_region(store.address, names);
     Region {
         store,
         engine,
@@ -94,7 +81,7 @@
 /// Guards against the end of an evacuation that is read before the engines' entries.
 #[test]
 fn an_engine_whose_evacuation_ends_before_its_entry_is_read_is_not_flooded() {
-    let region = start_region(&["north-1", "north-2"]);
+    let region = start(&["north-1", "north-2"]);
     region.store.put("op/evacuate/north-a", &json!({}));
     region.wait_for_evacuation(true);
     region.store.hold_back(Some("servers/"));
@@ -115,7 +102,7 @@
 #[test_case(&["north-1"]; "one instance")]
 #[test_case(&["north-1", "north-2"]; "two instances")]
 fn an_engine_that_becomes_cold_while_the_store_is_away_is_not_flooded(names: &[&'static str]) {
-    let region = start_region(names);
+    let region = start(names);
     region.store.set_refusing(true);
     for instance in &region.instances {
         wait_until("the store is missed", || {
--- a/crates/gateway/tests/platform_limit.rs
+++ b/crates/gateway/tests/platform_limit.rs
@@ -4,9 +4,7 @@
 
 mod platform_support;
 
-use platform_support::{
-    wait_until, ConfigBuilder, Engine, Instance, InstanceOptions, Script, Store,
-};
+use platform_support::{start_region, wait_until, ConfigBuilder, Engine, Instance, Script, Store};
 use std::{
     thread,
     time::{Duration, Instant},
@@ -18,25 +16,6 @@
 /// Time after the first limit from which requests are counted.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
-/// Starts instances of one region that hear each other.
-fn start_region(store: &Store, names: &[&'static str]) -> Vec<Instance> {
-    let start = |name| {
-        Instance::start_ready(&InstanceOptions {
-            name,
-            region: "north",
-            store: store.address,
-        })
-    };
-    let instances: Vec<Instance> = names.iter().copied().map(start).collect();
-    for instance in &instances {
-        wait_until("the instances hear each other", || {
-            let heard = format!("carobwheel_instances_heard {}", names.len());
-            instance.metrics_text().contains(&heard)
-        });
-    }
-    instances
-}
-
 /// Sends requests to a path at an interval; returns the status, time and `Retry-After` of each.
 fn send_all(
     instance: &Instance,
@@ -88,7 +67,7 @@
         }
         engine.script(std::iter::repeat_n(script.clone(), 2_000));
     }
-    let instances = start_region(&store, &["north-1", "north-2"]);
+    let instances = start_region(store.address, &["north-1", "north-2"]);
     send_all(&instances[0], path, 10, Duration::ZERO);
     // Idle upstreams are used in a fixed order.
     let limited = if first.seen().len() > second.seen().len() {
@@ -135,7 +114,7 @@
     store.publish(&ConfigBuilder::new(1));
     let engine = Engine::start("i-1");
     engine.register(&store, "registry", "north-a", "ready");
-    let instances = start_region(&store, &["north-1", "north-2"]);
+    let instances = start_region(store.address, &["north-1", "north-2"]);
     engine.state_limit(Some("0.5"));
     let first = send_all(&instances[0], "/read/x", 1, Duration::ZERO);
     assert_eq!(first[0].0, 200);
@@ -168,7 +147,7 @@
     store.publish(&ConfigBuilder::new(1));
     let engine = Engine::start("i-1");
     engine.register(&store, "registry", "north-a", "ready");
-    let instances = start_region(&store, &["north-1", "north-2"]);
+    let instances = start_region(store.address, &["north-1", "north-2"]);
     for text in ["0", "-1", "NaN", "1e400", "soon"] {
         engine.state_limit(Some(text));
         let answers = send_all(&instances[0], "/read/x", 10, Duration::from_millis(5));
@@ -188,7 +167,7 @@
     let names = [
         "north-1", "north-2", "north-3", "north-4", "north-5", "north-6",
     ];
-    let instances = start_region(&store, &names);
+    let instances = start_region(store.address, &names);
     engine.state_limit(Some("20"));
     send_all(&instances[0], "/read/x", 1, Duration::ZERO);
     wait_until("all instances know the limit", || {
--- a/crates/gateway/tests/platform_support/instance.rs
+++ b/crates/gateway/tests/platform_support/instance.rs
@@ -156,6 +156,25 @@
     }
 }
 
+/// Starts instances of the region `north` that hear each other.
+pub(crate) fn start_region(store: SocketAddr, names: &[&'static str]) -> Vec<Instance> {
+    let start = |name| {
+        Instance::start_ready(&InstanceOptions {
+            name,
+            region: "north",
+            store,
+        })
+    };
+    let instances: Vec<Instance> = names.iter().copied().map(start).collect();
+    for instance in &instances {
+        let heard = format!("carobwheel_instances_heard {}\n", names.len());
+        wait_until("the instances hear each other", || {
+            instance.metrics_text().contains(&heard)
+        });
+    }
+    instances
+}
+
 fn get(address: SocketAddr, path: &str) -> super::Answer {
     let mut caller = Caller::connect(address);
     caller.write(&format!(
--- a/crates/gateway/tests/platform_support/mod.rs
+++ b/crates/gateway/tests/platform_support/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use config::{ConfigBuilder, HOST, KEY};
 pub(crate) use crash_engine::{CrashEngine, CrashOptions};
 pub(crate) use engine::{Engine, RawEnd, ReceivedRequest, Script};
-pub(crate) use instance::{Instance, InstanceOptions};
+pub(crate) use instance::{start_region, Instance, InstanceOptions};
 pub(crate) use store::{Store, StoreCopy};
 
 use std::{
