--- /dev/null
+++ b/review/tests/rig/cases.rs
@@ -0,0 +1,261 @@
+//! The cases.
+
+use crate::engine::{Engine, Work};
+use crate::fleet::{client, Folder, Instance, Plan, HOST, KEY};
+use crate::record::{describe, Record, Request};
+use crate::store::Store;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::{atomic::Ordering, Arc};
+use std::thread;
+use std::time::Duration;
+
+/// Zones and their regions, as in the deployment of Skledica.
+const ZONES: [(&str, &str); 3] = [("ljubljana-a", "ljubljana"), ("maribor-a", "maribor"), ("koper-a", "koper")];
+const CHAT: Work = Work { service: "bowl-model", first_ms: 60, events: 6, pause_ms: 10 };
+const LEDGER: Work = Work { service: "bowl-ledger", first_ms: 110, events: 0, pause_ms: 0 };
+/// `drainMs` of the deployment.
+const DRAIN_MS: u64 = 4_000;
+
+/// Plays a case. Returns whether the rule held.
+pub fn play(case: &str, folder: &Path, has_trouble: bool) -> Result<bool, String> {
+    let record = Arc::new(Record::new());
+    let verdict = match case {
+        "late-extra" => late_extra(&record, has_trouble),
+        "deaf-watch" => deaf_watch(&record, has_trouble),
+        "leaving-header" => leaving_header(&record, has_trouble),
+        _ => Err(format!("no case {case}")),
+    };
+    let text = match &verdict {
+        Ok(true) => "the rule held".to_owned(),
+        Ok(false) => "THE RULE WAS BROKEN".to_owned(),
+        Err(reason) => format!("the case could not run: {reason}"),
+    };
+    record.line(&text);
+    println!("{case}: {text}");
+    record.write(&folder.join("record.txt")).map_err(|err| err.to_string())?;
+    verdict
+}
+
+fn config(version: u64) -> String {
+    let route = |name: &str, prefix: &str, kind: &str, timeout: u64, aim: u64, priority: u64, service: &str, more: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\"routeType\":\"{kind}\",\"timeoutMs\":{timeout},\
+             \"targetLatencyMs\":{aim},\"priority\":{priority},\"service\":\"{service}\",\"maxAttempts\":1,\"noAuth\":false,{more}\"homeRegions\":[]}}"
+        )
+    };
+    let routes = [
+        route("donor-chat", "/chat/", "streaming", 12_000, 600, 0, "bowl-model", "\"affinity\":true,\"resumable\":false,\"gapAimMs\":300,"),
+        route("pledge-record", "/pledge/", "non_idempotent", 1_200, 400, 2, "bowl-ledger", ""),
+    ];
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"bowl-model\",\"healthCheck\":\"/health\",\"maxConnections\":360,\
+         \"protocol\":\"h1\",\"tls\":false,\"coldS\":3.0,\"coldPerS\":2.4,\"engine\":{{\"slots\":64,\"kvCapacity\":276278}}}},\
+         {{\"name\":\"bowl-ledger\",\"healthCheck\":\"/health\",\"maxConnections\":96,\"protocol\":\"h1\",\"tls\":false,\"coldS\":0.0,\"coldPerS\":0.0}}],\
+         \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\
+         \"tenants\":[{{\"name\":\"huka270\",\"apiKeys\":[\"{KEY}\"],\"priority\":1,\"unit\":\"token_count\",\"plainTokens\":200,\
+         \"ratePerS\":2943500,\"burst\":2943500,\"homeRegions\":[]}}]}}",
+        routes.join(",")
+    )
+}
+
+/// A small deployment: a store, engines in Ljubljana, and processes of the system.
+struct Deployment {
+    record: Arc<Record>,
+    store: Arc<Store>,
+    engines: Vec<Arc<Engine>>,
+    instances: Vec<Instance>,
+    stop: Arc<AtomicBool>,
+    next: Arc<AtomicU64>,
+    clients: Vec<thread::JoinHandle<()>>,
+    _folder: Folder,
+}
+
+impl Deployment {
+    fn start(record: &Arc<Record>, work: &Work, engines: usize, places: &[usize]) -> Result<Self, String> {
+        let folder = Folder::new();
+        let store = Store::start(record);
+        store.put("op/config", &config(7));
+        let (zone, _) = ZONES[0];
+        let engines: Vec<_> = (1..=engines).map(|number| Engine::start(&format!("i-{}{number}", work.service), zone, work.clone(), record)).collect();
+        for engine in &engines {
+            engine.register(&store, "ready", 0);
+        }
+        let start = |(number, place): (usize, &usize)| {
+            let (zone, region) = ZONES[*place];
+            Instance::start(&format!("edge-{zone}-{}", number + 1), zone, region, &ZONES, store.address, &folder.0)
+        };
+        let instances: Vec<Instance> = places.iter().enumerate().map(start).collect();
+        for instance in &instances {
+            if !instance.wait_ready() {
+                return Err(format!("{} did not become ready", instance.name));
+            }
+            record.line(format!("{} is ready", instance.name));
+        }
+        // The processes have run for stableMs.
+        thread::sleep(Duration::from_millis(6_000));
+        Ok(Self {
+            record: Arc::clone(record),
+            store,
+            engines,
+            instances,
+            stop: Arc::default(),
+            next: Arc::default(),
+            clients: Vec::new(),
+            _folder: folder,
+        })
+    }
+
+    fn add_clients(&mut self, count: usize, plan: &Plan) {
+        for number in 0..count {
+            let instance = &self.instances[number % self.instances.len()];
+            self.clients.push(client(&self.record, instance, plan.clone(), &self.stop, &self.next));
+        }
+    }
+
+    /// Ends the clients and returns all requests.
+    fn finish(&mut self) -> Vec<(String, Request)> {
+        self.stop.store(true, Ordering::SeqCst);
+        for client in self.clients.drain(..) {
+            let _ = client.join();
+        }
+        self.record.requests()
+    }
+}
+
+fn sleep_ms(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+/// Engines write additional bytes after complete answers; a request that runs is answered 408.
+fn late_extra(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    let mut deployment = Deployment::start(record, &CHAT, 5, &[0, 0])?;
+    let plan = Plan { method: "POST", path: "/chat/", deadline_ms: 12_000, pause_ms: 50, has_prompt: true };
+    deployment.add_clients(16, &plan);
+    sleep_ms(3_000);
+    if has_trouble {
+        record.line("three of five engines begin to write additional bytes after one answer in 34");
+        for engine in &deployment.engines[..3] {
+            engine.set_extra("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n", 34);
+        }
+    }
+    sleep_ms(5_000);
+    for engine in &deployment.engines {
+        engine.set_extra("", 0);
+    }
+    record.line("no engine writes additional bytes any more");
+    sleep_ms(2_000);
+    let requests = deployment.finish();
+    let served = requests.iter().filter(|(_, request)| request.status == 200 && request.is_complete).count();
+    if served < 100 {
+        return Err(format!("only {served} requests were served"));
+    }
+    let mut is_held = true;
+    for (id, request) in &requests {
+        let is_promise = matches!(request.status, 408 | 421 | 429 | 503);
+        if is_promise && !request.runs.is_empty() {
+            is_held = false;
+            record.line(format!("REFUSED: answered {} and has run: {}", request.status, describe(id, request)));
+        }
+    }
+    record.line(format!("{} requests sent, {served} served", requests.len()));
+    Ok(is_held)
+}
+
+/// Requests that a client sent and that reached `engine` later than `DRAIN_MS` after `since_ms`, and
+/// how many of them were lost.
+fn late_at_engine(record: &Record, requests: &[(String, Request)], engine: &str, since_ms: u64) -> (usize, usize) {
+    let (mut late, mut lost) = (0, 0);
+    for (id, request) in requests {
+        let is_late = request.sent_ms > since_ms + DRAIN_MS && request.arrivals.iter().any(|(name, at)| name == engine && *at > since_ms + DRAIN_MS);
+        if !is_late {
+            continue;
+        }
+        late += 1;
+        let is_lost = request.runs.iter().any(|(name, _)| name == engine) && !(request.status == 200 && request.is_complete);
+        lost += usize::from(is_lost);
+        if late <= 3 || is_lost {
+            record.line(format!("DRAIN: {}", describe(id, request)));
+        }
+    }
+    record.line(format!("{late} requests reached {engine} over {DRAIN_MS} ms after its leaving was known; {lost} of them were lost"));
+    (late, lost)
+}
+
+/// The store is down for a while, and an engine leaves long after it is back.
+fn deaf_watch(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    let mut deployment = Deployment::start(record, &LEDGER, 3, &[0, 1])?;
+    let plan = Plan { method: "POST", path: "/pledge/", deadline_ms: 2_500, pause_ms: 40, has_prompt: false };
+    deployment.add_clients(12, &plan);
+    sleep_ms(2_000);
+    // An ordinary change: one more engine of another service begins.
+    let other = Engine::start("i-bowl-model1", ZONES[0].0, CHAT, record);
+    other.register(&deployment.store, "ready", 0);
+    sleep_ms(300);
+    if has_trouble {
+        deployment.store.set_silent(true);
+    }
+    sleep_ms(4_500);
+    if has_trouble {
+        deployment.store.set_silent(false);
+    }
+    // stableMs, until the store is stable and the machines are in touch.
+    sleep_ms(6_500);
+    let leaving = Arc::clone(&deployment.engines[0]);
+    leaving.set_leaving();
+    leaving.register(&deployment.store, "draining", 0);
+    let acked_ms = record.now();
+    sleep_ms(DRAIN_MS + 1_500);
+    leaving.exit();
+    deployment.store.remove(&format!("servers/{}", leaving.id));
+    sleep_ms(3_000);
+    let requests = deployment.finish();
+    let served = requests.iter().filter(|(_, request)| request.status == 200 && request.is_complete).count();
+    if served < 200 {
+        return Err(format!("only {served} requests were served"));
+    }
+    record.line(format!("{} requests sent, {served} served", requests.len()));
+    let (late, _) = late_at_engine(record, &requests, &leaving.id, acked_ms);
+    Ok(late == 0)
+}
+
+/// A machine is partitioned from the store, and an engine that leaves says so in its answers.
+fn leaving_header(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    let mut deployment = Deployment::start(record, &LEDGER, 3, &[0])?;
+    let plan = Plan { method: "POST", path: "/pledge/", deadline_ms: 2_500, pause_ms: 40, has_prompt: false };
+    deployment.add_clients(12, &plan);
+    sleep_ms(2_000);
+    if has_trouble {
+        deployment.store.set_silent(true);
+    }
+    sleep_ms(300);
+    let leaving = Arc::clone(&deployment.engines[0]);
+    leaving.set_leaving();
+    leaving.register(&deployment.store, "draining", 0);
+    let since_ms = record.now() + 200;
+    sleep_ms(DRAIN_MS + 1_500);
+    leaving.exit();
+    deployment.store.remove(&format!("servers/{}", leaving.id));
+    sleep_ms(700);
+    if has_trouble {
+        deployment.store.set_silent(false);
+    }
+    sleep_ms(3_000);
+    let requests = deployment.finish();
+    let served = requests.iter().filter(|(_, request)| request.status == 200 && request.is_complete).count();
+    if served < 200 {
+        return Err(format!("only {served} requests were served"));
+    }
+    record.line(format!("{} requests sent, {served} served", requests.len()));
+    let first = requests
+        .iter()
+        .filter(|(_, request)| request.status == 200 && request.answered_ms >= since_ms && request.runs.iter().any(|(name, _)| *name == leaving.id))
+        .map(|(_, request)| request.answered_ms)
+        .min();
+    let Some(first_ms) = first else {
+        return Ok(true);
+    };
+    record.line(format!("the machine passed on an answer with Server-Leaving at {:.3} s", first_ms as f64 / 1000.0));
+    let (late, _) = late_at_engine(record, &requests, &leaving.id, first_ms);
+    Ok(late == 0)
+}
