--- a/review/tests/rig/cases.rs
+++ b/review/tests/rig/cases.rs
@@ -12,8 +12,8 @@
 
 /// Zones and their regions, as in the deployment of Skledica.
 const ZONES: [(&str, &str); 3] = [("ljubljana-a", "ljubljana"), ("maribor-a", "maribor"), ("koper-a", "koper")];
-const CHAT: Work = Work { service: "bowl-model", first_ms: 60, events: 6, pause_ms: 10 };
-const LEDGER: Work = Work { service: "bowl-ledger", first_ms: 110, events: 0, pause_ms: 0 };
+const CHAT: Work = Work { service: "bowl-model", first_ms: 60, events: 6, pause_ms: 10, version: "v1", fail_every: 0 };
+const LEDGER: Work = Work { service: "bowl-ledger", first_ms: 110, events: 0, pause_ms: 0, version: "v1", fail_every: 0 };
 /// `drainMs` of the deployment.
 const DRAIN_MS: u64 = 4_000;
 
@@ -24,6 +24,7 @@
         "late-extra" => late_extra(&record, has_trouble),
         "deaf-watch" => deaf_watch(&record, has_trouble),
         "leaving-header" => leaving_header(&record, has_trouble),
+        "bad-version" => bad_version(&record, has_trouble),
         "stale-entry" => stale_entry(&record, has_trouble),
         _ => Err(format!("no case {case}")),
     };
@@ -317,3 +318,69 @@
     }
     Ok(after.0 * 4 >= after.1)
 }
+
+/// A version of which one answer in eight is a failure is rolled out.
+fn bad_version(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    /// `rollbackMs` of the deployment.
+    const ROLLBACK_MS: u64 = 5_000;
+    const STATUS: &str = "status/rollout/bowl-ledger";
+    let mut deployment = Deployment::start(record, &LEDGER, 3, &[0, 0], "")?;
+    // About 15 requests a second, as on the sheet of pledge-record.
+    let plan = Plan { method: "POST", path: "/pledge/", deadline_ms: 2_500, pause_ms: 690, has_prompt: false };
+    deployment.add_clients(12, &plan);
+    sleep_ms(10_000);
+    let work = Work { version: "v2", fail_every: if has_trouble { 8 } else { 0 }, ..LEDGER };
+    let new: Vec<_> = (1..=3).map(|number| Engine::start(&format!("i-new{number}"), ZONES[0].0, work.clone(), record)).collect();
+    deployment.store.put("op/rollout/bowl-ledger", "{\"service\":\"bowl-ledger\",\"target\":\"v2\",\"durationS\":12}");
+    for engine in &new {
+        engine.register(&deployment.store, "ready", 0);
+    }
+    let ordered_ms = record.now();
+    let mut state = String::new();
+    let mut verdict_ms = u64::MAX;
+    while record.now() < ordered_ms + 70_000 {
+        sleep_ms(20);
+        let known = deployment.store.get(STATUS);
+        if known == state {
+            continue;
+        }
+        state = known;
+        record.line(format!("{STATUS} is {state}"));
+        if state.contains("complete") {
+            verdict_ms = record.now();
+            // "At `complete`, the old engines stop immediately, without draining."
+            for engine in &deployment.engines {
+                engine.exit();
+                deployment.store.remove(&format!("servers/{}", engine.id));
+            }
+        }
+    }
+    let requests = deployment.finish();
+    let is_new = |request: &Request| request.arrivals.iter().any(|(engine, _)| engine.starts_with("i-new"));
+    let before = requests.iter().filter(|(_, request)| request.sent_ms < ordered_ms).count();
+    record.line(format!("{before} requests in the 10 s before the order"));
+    let at_new = |until_ms: u64| {
+        let sent: Vec<_> = requests.iter().filter(|(_, request)| is_new(request) && request.sent_ms < until_ms).collect();
+        (sent.len(), sent.iter().filter(|(_, request)| request.has_failed).count())
+    };
+    let (all, failed) = at_new(verdict_ms);
+    record.line(format!("before the verdict {all} requests reached v2, {failed} of its answers were failures"));
+    let (all, failed) = at_new(u64::MAX);
+    record.line(format!("{all} requests reached v2, {failed} of its answers were failures"));
+    let mut bad: Vec<u64> = requests.iter().filter(|(_, request)| request.has_failed).flat_map(|(_, request)| request.ends.first().map(|(_, at, _)| *at)).collect();
+    bad.sort_unstable();
+    if !has_trouble {
+        return if state.contains("complete") { Ok(true) } else { Err("the good version was not completed".to_owned()) };
+    }
+    let Some(fiftieth_ms) = bad.get(49) else {
+        return Ok(true);
+    };
+    record.line(format!("the 50th bad answer of v2 was given at {:.3} s", *fiftieth_ms as f64 / 1000.0));
+    let late: Vec<_> = requests.iter().filter(|(_, request)| is_new(request) && request.sent_ms > fiftieth_ms + ROLLBACK_MS).collect();
+    for (id, request) in late.iter().take(3) {
+        record.line(format!("EXPOSURE: {}", describe(id, request)));
+    }
+    let lost = late.iter().filter(|(_, request)| request.status != 200).count();
+    record.line(format!("{} requests were sent to v2 over {ROLLBACK_MS} ms after that; {lost} of them failed", late.len()));
+    Ok(late.is_empty())
+}
--- a/review/tests/rig/engine.rs
+++ b/review/tests/rig/engine.rs
@@ -10,6 +10,9 @@
 use std::thread;
 use std::time::Duration;
 
+/// Runs of all engines that fail at times; the failures are spread evenly over them.
+static FALLIBLE_RUNS: AtomicU64 = AtomicU64::new(0);
+
 /// How an engine works.
 #[derive(Clone, Debug)]
 pub struct Work {
@@ -19,6 +22,9 @@
     /// Number of events of a stream; 0 for a plain answer.
     pub events: u64,
     pub pause_ms: u64,
+    pub version: &'static str,
+    /// One answer in so many is a failure; 0 for none.
+    pub fail_every: u64,
 }
 
 pub struct Engine {
@@ -70,9 +76,9 @@
 
     /// Writes the engine's entry.
     pub fn register(&self, store: &Store, state: &str, cold_ms: u64) {
-        let Work { service, .. } = self.work;
+        let Work { service, version, .. } = self.work;
         let entry = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,\
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{version}\",\"slots\":64,\
              \"state\":\"{state}\",\"coldRemainingMs\":{cold_ms},\"stage\":\"both\",\"models\":[],\"sequence\":1,\"born\":1}}",
             self.address, self.zone
         );
@@ -178,6 +184,11 @@
             self.record.request(id, |known, now| known.runs.push((self.id.clone(), now)));
         }
         let head = format!("HTTP/1.1 200 OK\r\nX-Carobwheel-Attempt-Id: {id}\r\nX-Carobwheel-Server-Seal: 3e1b.{id}\r\n{leaving}");
+        if self.work.fail_every > 0 && FALLIBLE_RUNS.fetch_add(1, Ordering::SeqCst) % self.work.fail_every == self.work.fail_every / 2 {
+            self.record.request(id, |known, _| known.has_failed = true);
+            let text = format!("HTTP/1.1 500 X\r\nX-Carobwheel-Attempt-Id: {id}\r\nX-Carobwheel-Server-Seal: 3e1b.{id}\r\nContent-Length: 5\r\n\r\nerror");
+            return stream.write_all(text.as_bytes()).ok();
+        }
         if self.work.events == 0 {
             let body = format!("answer to {id} by {}", self.id);
             let text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
--- a/review/tests/rig/fleet.rs
+++ b/review/tests/rig/fleet.rs
@@ -3,14 +3,17 @@
 use crate::http::{read_message, Message};
 use crate::record::Record;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Number of the next process.
+static NEXT: AtomicU8 = AtomicU8::new(0);
+
 pub const HOST: &str = "rounds.example";
 pub const KEY: &str = "i9n73hh2b9wu3fexd9dn";
 
@@ -44,7 +47,10 @@
 impl Instance {
     /// Starts `carobwheel edge` as the deploy file does, with settings as its template makes them.
     pub fn start(name: &str, zone: &str, region: &str, zones: &[(&str, &str)], store: SocketAddr, folder: &Path) -> Self {
-        let free = |_| TcpListener::bind("127.0.0.1:0").unwrap();
+        // A loopback address of its own for each process, so that no other one takes its ports.
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let free = |_| TcpListener::bind((Ipv4Addr::new(127, 100 + number, high, low.max(1)), 0)).unwrap();
         let listeners: Vec<TcpListener> = (0..5).map(free).collect();
         let addresses: Vec<SocketAddr> = listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
         drop(listeners);
--- a/review/tests/rig/json.rs
+++ b/review/tests/rig/json.rs
@@ -161,3 +161,18 @@
     }
     text
 }
+
+/// Bytes of a Base64 text.
+pub fn from_base64(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let (mut word, mut bits) = (0_u32, 0);
+    for digit in text.bytes().filter_map(|byte| DIGITS.iter().position(|digit| *digit == byte)) {
+        word = word << 6 | digit as u32;
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((word >> bits) as u8);
+        }
+    }
+    bytes
+}
--- a/review/tests/rig/record.rs
+++ b/review/tests/rig/record.rs
@@ -17,6 +17,8 @@
     pub runs: Vec<(String, u64)>,
     /// Ends of runs: engine, end, how.
     pub ends: Vec<(String, u64, String)>,
+    /// Whether the engine's answer was a failure.
+    pub has_failed: bool,
     pub answered_ms: u64,
     /// Status; 0 if the channel closed without an answer.
     pub status: u16,
--- a/review/tests/rig/store.rs
+++ b/review/tests/rig/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in of the platform's store.
 
 use crate::http::{read_message, Message};
-use crate::json::{base64, Json};
+use crate::json::{base64, from_base64, Json};
 use crate::record::Record;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{BufReader, Write};
@@ -78,6 +78,13 @@
         self.record.line(format!("store: {key} removed"));
     }
 
+    /// Value of a key as text; empty if there is none.
+    pub fn get(&self, key: &str) -> String {
+        let state = self.state.lock().unwrap();
+        let value = state.items.get(key).map_or("", |item| item.value.as_str());
+        String::from_utf8_lossy(&from_base64(value)).into_owned()
+    }
+
     pub fn has(&self, key: &str) -> bool {
         self.state.lock().unwrap().items.contains_key(key)
     }
