--- a/review/tests/rig/cases.rs
+++ b/review/tests/rig/cases.rs
@@ -24,6 +24,7 @@
         "late-extra" => late_extra(&record, has_trouble),
         "deaf-watch" => deaf_watch(&record, has_trouble),
         "leaving-header" => leaving_header(&record, has_trouble),
+        "two-stops" => two_stops(&record, has_trouble),
         "bad-version" => bad_version(&record, has_trouble),
         "stale-entry" => stale_entry(&record, has_trouble),
         _ => Err(format!("no case {case}")),
@@ -384,3 +385,58 @@
     record.line(format!("{} requests were sent to v2 over {ROLLBACK_MS} ms after that; {lost} of them failed", late.len()));
     Ok(late.is_empty())
 }
+
+/// Two machines are stopped in turn while long streams go from one through the other.
+fn two_stops(record: &Arc<Record>, has_trouble: bool) -> Result<bool, String> {
+    /// `graceS` of the deployment, and the part of it in which a cut is excused.
+    const GRACE_MS: u64 = 8_000;
+    /// A long chat; the sheet has up to 136 events.
+    const LONG_CHAT: Work = Work { service: "bowl-model", first_ms: 60, events: 134, pause_ms: 64, version: "v1", fail_every: 0 };
+    let mut deployment = Deployment::start(record, &LONG_CHAT, 5, &[0, 2], "")?;
+    let plan = Plan { method: "POST", path: "/chat/", deadline_ms: 12_000, pause_ms: 15_000, has_prompt: true };
+    let started_ms = record.now();
+    for _ in 0..8 {
+        deployment.clients.push(client(record, &deployment.instances[1], plan.clone(), &deployment.stop, &deployment.next));
+    }
+    sleep_ms(300);
+    let mut signals = vec![u64::MAX; 2];
+    if has_trouble {
+        for at in 0..2 {
+            signals[at] = record.now();
+            record.line(format!("{} gets SIGTERM", deployment.instances[at].name));
+            deployment.instances[at].terminate();
+            sleep_ms(2_000);
+        }
+    }
+    let mut is_back = vec![!has_trouble; 2];
+    while record.now() < started_ms + 13_000 {
+        sleep_ms(20);
+        for at in 0..2 {
+            if is_back[at] || !deployment.instances[at].has_ended() {
+                continue;
+            }
+            is_back[at] = true;
+            record.line(format!("{} has ended {} ms after its SIGTERM and is started again", deployment.instances[at].name, record.now() - signals[at]));
+            deployment.instances[at].kill();
+            deployment.instances[at].start_again();
+        }
+    }
+    let requests = deployment.finish();
+    let mut is_held = true;
+    for (id, request) in &requests {
+        record.line(describe(id, request));
+        let is_whole = request.status == 200 && request.is_complete;
+        let since_ms = request.answered_ms.saturating_sub(signals[1]);
+        // A cut counts from the SIGTERM of the machine that took the request; not in the last sixth of
+        // its grace, and not at the client's time limit.
+        let is_counted = request.answered_ms > signals[1] && since_ms < GRACE_MS - GRACE_MS / 6 && request.answered_ms < request.sent_ms + 11_500;
+        if !is_whole && !request.runs.is_empty() && is_counted {
+            is_held = false;
+            record.line(format!("LOST, {since_ms} ms after the SIGTERM of the machine that took it: {}", describe(id, request)));
+        }
+    }
+    if requests.len() < 8 || requests.iter().any(|(_, request)| request.runs.is_empty()) {
+        return Err("a request was not run".to_owned());
+    }
+    Ok(is_held)
+}
--- a/review/tests/rig/fleet.rs
+++ b/review/tests/rig/fleet.rs
@@ -74,6 +74,16 @@
         Self { name: name.to_owned(), callers: addresses[0], ready: addresses[1], settings: path, log, child }
     }
 
+    /// The process gets SIGTERM.
+    pub fn terminate(&self) {
+        let _ = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    }
+
+    /// Whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// The process is killed.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
