Store client as a future, so that a test can run it on its own clock

`store::client` returns the channels and a future that makes all calls; `store::start` runs it on a thread as before. The constructor of the operations may be a closure. No change of behaviour; the thread's unused handle is gone.

--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -94,7 +94,7 @@
     let stop_store = CancellationToken::new();
     let store_handle = store::start(
         StoreSettings {
-            connect: deployment.connect,
+            connect: Box::new(deployment.connect),
             address: settings.store,
             decoder: deployment.decoder,
             keys: deployment.keys.clone(),
--- a/crates/edge/src/store/task.rs
+++ b/crates/edge/src/store/task.rs
@@ -7,7 +7,9 @@
 };
 use crate::member::MemberEntry;
 use std::{
+    future::Future,
     io,
+    net::SocketAddr,
     sync::{atomic::AtomicBool, Arc},
     thread,
 };
@@ -57,13 +59,12 @@
     }
 }
 
-/// Settings of the store thread.
-#[derive(Debug)]
+/// Settings of the store's client.
 pub struct StoreSettings {
-    /// Constructor of the operations; called on the thread's own runtime.
-    pub connect: fn(std::net::SocketAddr) -> StoreOps,
+    /// Constructor of the operations; called on the client's runtime.
+    pub connect: Box<dyn FnOnce(SocketAddr) -> StoreOps + Send>,
     /// Address of the store.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     /// Decoder of the adapter.
     pub decoder: Decoder,
     /// Key prefixes.
@@ -72,7 +73,7 @@
     pub entry: MemberEntry,
 }
 
-/// Channels to and from the store thread.
+/// Channels to and from the store's client.
 #[derive(Debug)]
 pub struct StoreHandle {
     /// Events, in the order in which they occurred.
@@ -81,11 +82,9 @@
     pub record: Sender<VerdictRecord>,
     /// Whether this instance watches the store itself, or receives changes from other instances.
     pub is_watcher: watch::Sender<bool>,
-    /// Handle of the thread, which ends once this instance's entry was removed.
-    pub thread: thread::JoinHandle<()>,
 }
 
-/// State shared by the tasks of the store thread.
+/// State shared by the tasks of the store's client.
 #[derive(Clone)]
 pub(super) struct Context {
     pub(super) ops: Arc<StoreOps>,
@@ -94,27 +93,41 @@
     pub(super) is_lost: Arc<AtomicBool>,
 }
 
-/// Starts the store thread. `stop` makes it remove this instance's entry and end.
+/// Starts the store's client on a thread of its own. `stop` makes it remove this instance's entry
+/// and end.
 ///
 /// # Errors
 ///
 /// Fails if no thread or runtime can be started.
 pub fn start(settings: StoreSettings, stop: CancellationToken) -> io::Result<StoreHandle> {
-    let (events_in, events) = mpsc::channel(EVENTS_CAPACITY);
-    let (record, to_record) = mpsc::channel(RECORDS_CAPACITY);
-    let (is_watcher, watcher_rx) = watch::channel(true);
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let thread = thread::Builder::new()
+    let (handle, client) = client(settings, stop);
+    thread::Builder::new()
         .name("store".to_owned())
-        .spawn(move || runtime.block_on(run(settings, events_in, to_record, watcher_rx, stop)))?;
-    Ok(StoreHandle {
+        .spawn(move || runtime.block_on(client))?;
+    Ok(handle)
+}
+
+/// Creates the store's client as a future that makes all calls. It ends once this instance's entry
+/// was removed after `stop`.
+pub fn client(
+    settings: StoreSettings,
+    stop: CancellationToken,
+) -> (StoreHandle, impl Future<Output = ()> + Send) {
+    let (events_in, events) = mpsc::channel(EVENTS_CAPACITY);
+    let (record, to_record) = mpsc::channel(RECORDS_CAPACITY);
+    let (is_watcher, watcher_rx) = watch::channel(true);
+    let handle = StoreHandle {
         events,
         record,
         is_watcher,
-        thread,
-    })
+    };
+    (
+        handle,
+        run(settings, events_in, to_record, watcher_rx, stop),
+    )
 }
 
 async fn run(
