Watches of the store no longer wait 27 s for a lost answer

Cause: a watch waited 25 s at once. One that was made in the outage is never answered, and neither the keep-alive nor the renewals of the lease, which fail and then succeed, ended it. All instances make their calls right after the same change, so none was ahead.

Change: a watch waits 3.5 to 5 s, so a lost one is made again within 7.2 s; a lost answer of any call puts the waiting watches in doubt, and they are made again at the first answer after it. Until then the prefix counts as not followed.

--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -1,15 +1,19 @@
 //! Watching all changes below a prefix.
 
 use super::{
-    backoff::Backoff, ops::Freshness, task::Context, Position, StoreError, StoreEvent,
-    WatchedPrefix, RESTORE_SETTLE_MS,
+    backoff::Backoff, ops::Freshness, reach::LostAnswers, task::Context, Position, StoreError,
+    StoreEvent, WatchedPrefix, RESTORE_SETTLE_MS,
 };
-use std::{sync::atomic::Ordering, time::Duration};
+use std::time::Duration;
 use tokio::time::{sleep, Instant};
 
-/// Timeout of one watch call, in milliseconds.
-const WATCH_TIMEOUT_MS: u64 = 25_000;
-/// Timeout of the first watch after a failed call, in milliseconds.
+/// Timeout of one watch call, in milliseconds. Bounds the time for which a watch whose answer is
+/// lost goes unnoticed if no other call fails.
+const WATCH_TIMEOUT_MS: u64 = 5_000;
+/// Random share of the timeout, so that the instances do not make their calls at the same time and
+/// lose the answers together.
+const WATCH_TIMEOUT_JITTER: f64 = 0.3;
+/// Timeout of the first watch after a failed call or after lost answers, in milliseconds.
 const RECOVERY_WATCH_MS: u64 = 100;
 /// Pause after changes of urgent prefixes, so that one call returns several changes, in
 /// milliseconds. These are what operators write.
@@ -31,11 +35,20 @@
     era: Option<u64>,
     /// Time of another listing after a restore.
     list_again_at: Option<Instant>,
-    /// Whether the last call failed. The next watch is short, to tell soon that the prefix can be
-    /// read again.
+    /// Whether the prefix may be unreadable, since the last call failed or its answer may be lost.
+    /// The next watch is short, to tell soon that the prefix can be read again.
     is_lost: bool,
 }
 
+/// Result of one watch call.
+enum Watched {
+    /// The watch goes on from here; `None` if the store was restored, since revisions of two eras
+    /// do not continue each other.
+    At(Option<Position>),
+    /// Answers of the store were lost while the call waited; the call was given up.
+    InDoubt,
+}
+
 impl Progress {
     fn listed(&mut self, at: Position) {
         if self.era.is_some_and(|era| era < at.era) {
@@ -51,7 +64,7 @@
         let max_ms = if self.is_lost {
             RECOVERY_WATCH_MS
         } else {
-            WATCH_TIMEOUT_MS
+            jittered(WATCH_TIMEOUT_MS, rand::random())
         };
         let Some(at) = self.list_again_at else {
             return max_ms;
@@ -74,6 +87,7 @@
 ) {
     let mut backoff = Backoff::default();
     let mut progress = Progress::default();
+    let mut lost_answers = context.reach.lost_answers();
     // The first watch returns what changed since a stale listing.
     let mut freshness = if watched.is_urgent {
         Freshness::Latest
@@ -93,9 +107,19 @@
             None => list(&context, &watched.prefix, freshness)
                 .await
                 .map(|at| progress.listed(at)),
-            Some(after) => watch(&context, &watched, after, timeout_ms)
-                .await
-                .map(|at| progress.position = at),
+            Some(after) => {
+                match watch(&context, &watched, after, timeout_ms, &mut lost_answers).await {
+                    Ok(Watched::At(at)) => {
+                        progress.position = at;
+                        Ok(())
+                    }
+                    Ok(Watched::InDoubt) => {
+                        report_lost(&context, &watched, &mut progress).await;
+                        continue;
+                    }
+                    Err(err) => Err(err),
+                }
+            }
         };
         match result {
             Ok(()) => {
@@ -112,10 +136,7 @@
                     progress.position = None;
                 }
                 context.unreachable(&err).await;
-                if !std::mem::replace(&mut progress.is_lost, true) {
-                    let prefix = watched.prefix.clone();
-                    context.send(StoreEvent::PrefixLost(prefix)).await;
-                }
+                report_lost(&context, &watched, &mut progress).await;
                 let pause_ms = backoff.failed(rand::random());
                 sleep(Duration::from_millis(pause_ms)).await;
             }
@@ -136,18 +157,30 @@
     Ok(at)
 }
 
-/// Watches once. Returns the position to go on from; `None` if the store was restored, since
-/// revisions of two eras do not continue each other.
+/// Reports that the prefix may be unreadable, unless that was reported before.
+async fn report_lost(context: &Context, watched: &WatchedPrefix, progress: &mut Progress) {
+    if !std::mem::replace(&mut progress.is_lost, true) {
+        let prefix = watched.prefix.clone();
+        context.send(StoreEvent::PrefixLost(prefix)).await;
+    }
+}
+
+/// Watches once.
 async fn watch(
     context: &Context,
     watched: &WatchedPrefix,
     after: Position,
     timeout_ms: u64,
-) -> Result<Option<Position>, StoreError> {
+    lost_answers: &mut LostAnswers,
+) -> Result<Watched, StoreError> {
     let prefix = &watched.prefix;
-    let response = (context.ops.watch)(prefix, after.revision, timeout_ms).await?;
+    lost_answers.forget();
+    let response = tokio::select! {
+        response = (context.ops.watch)(prefix, after.revision, timeout_ms) => response?,
+        () = lost_answers.noticed() => return Ok(Watched::InDoubt),
+    };
     if response.at.era != after.era {
-        return Ok(None);
+        return Ok(Watched::At(None));
     }
     let at = response.at.max(after);
     let is_empty = response.changes.is_empty();
@@ -162,27 +195,15 @@
         };
         sleep(Duration::from_millis(pause_ms)).await;
     }
-    Ok(Some(at))
+    Ok(Watched::At(Some(at)))
 }
 
-impl Context {
-    /// Sends an event to the instance.
-    pub(super) async fn send(&self, event: StoreEvent) {
-        // The receiver is dropped only at shutdown.
-        let _ = self.events.send(event).await;
-    }
-
-    /// Records a successful call; reports the recovery after an outage.
-    pub(super) async fn reachable(&self) {
-        if self.is_lost.swap(false, Ordering::Relaxed) {
-            self.send(StoreEvent::Recovered).await;
-        }
-    }
-
-    /// Records a failed call; reports the start of an outage.
-    pub(super) async fn unreachable(&self, err: &StoreError) {
-        if !self.is_lost.swap(true, Ordering::Relaxed) {
-            self.send(StoreEvent::Lost(err.to_string())).await;
-        }
-    }
+/// Reduces a timeout by a random share; `jitter` is from 0 up to 1.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+fn jittered(timeout_ms: u64, jitter: f64) -> u64 {
+    (timeout_ms as f64 * (1.0 - WATCH_TIMEOUT_JITTER * jitter)) as u64
 }
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod ops;
 mod own_entry;
+mod reach;
 mod replica;
 mod task;
 mod update;
--- /dev/null
+++ b/crates/edge/src/store/reach.rs
@@ -0,0 +1,101 @@
+//! Whether the store answers, and which waiting calls may have lost their answers.
+//!
+//! A store that falls silent answers later calls, but never those that reached it meanwhile. A call
+//! of a few seconds notices that; a watch would wait until its own timeout. Therefore a lost answer
+//! of any call puts all waiting watches in doubt.
+
+use super::{task::Context, StoreError, StoreEvent};
+use std::sync::{
+    atomic::{AtomicBool, Ordering},
+    Mutex, PoisonError,
+};
+use tokio::{
+    sync::watch,
+    time::{Duration, Instant},
+};
+
+/// Minimum interval between two times at which all waiting watches are made again. Bounds the calls
+/// to a store that loses a few answers all the time.
+const MIN_DOUBT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reachability of the store as seen by the calls of this instance.
+#[derive(Default)]
+pub(super) struct Reach {
+    /// Whether the last call of any kind failed.
+    is_lost: AtomicBool,
+    /// Whether a call got no answer since the waiting watches were last put in doubt.
+    has_lost_answer: AtomicBool,
+    /// Time at which the waiting watches were last put in doubt.
+    doubted_at: Mutex<Option<Instant>>,
+    /// Signals that the store answers again after lost answers.
+    doubts: watch::Sender<()>,
+}
+
+/// Receiver of the news that answers were lost.
+pub(super) struct LostAnswers(watch::Receiver<()>);
+
+impl LostAnswers {
+    /// Ignores what was noticed before this call.
+    pub(super) fn forget(&mut self) {
+        self.0.mark_unchanged();
+    }
+
+    /// Waits until the store answers again after answers were lost.
+    pub(super) async fn noticed(&mut self) {
+        if self.0.changed().await.is_err() {
+            // The sender is dropped only at shutdown.
+            std::future::pending().await
+        }
+    }
+}
+
+impl Reach {
+    /// Subscribes to lost answers.
+    pub(super) fn lost_answers(&self) -> LostAnswers {
+        LostAnswers(self.doubts.subscribe())
+    }
+
+    /// Puts all waiting watches in doubt if answers were lost, since the store answers again.
+    fn end_lost_answers(&self) {
+        if !self.has_lost_answer.load(Ordering::Relaxed) {
+            return;
+        }
+        let now = Instant::now();
+        let mut doubted_at = self
+            .doubted_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if doubted_at.is_some_and(|at| now.duration_since(at) < MIN_DOUBT_INTERVAL) {
+            return;
+        }
+        *doubted_at = Some(now);
+        self.has_lost_answer.store(false, Ordering::Relaxed);
+        self.doubts.send_replace(());
+    }
+}
+
+impl Context {
+    /// Sends an event to the instance.
+    pub(super) async fn send(&self, event: StoreEvent) {
+        // The receiver is dropped only at shutdown.
+        let _ = self.events.send(event).await;
+    }
+
+    /// Records a successful call; reports the recovery after an outage.
+    pub(super) async fn reachable(&self) {
+        if self.reach.is_lost.swap(false, Ordering::Relaxed) {
+            self.send(StoreEvent::Recovered).await;
+        }
+        self.reach.end_lost_answers();
+    }
+
+    /// Records a failed call; reports the start of an outage.
+    pub(super) async fn unreachable(&self, err: &StoreError) {
+        if matches!(err, StoreError::NoAnswer(_)) {
+            self.reach.has_lost_answer.store(true, Ordering::Relaxed);
+        }
+        if !self.reach.is_lost.swap(true, Ordering::Relaxed) {
+            self.send(StoreEvent::Lost(err.to_string())).await;
+        }
+    }
+}
--- a/crates/edge/src/store/task.rs
+++ b/crates/edge/src/store/task.rs
@@ -2,17 +2,12 @@
 
 use super::{
     follow, own_entry,
+    reach::Reach,
     verdict::{self, VerdictRecord},
     Decoder, StoreEvent, StoreOps,
 };
 use crate::member::MemberEntry;
-use std::{
-    future::Future,
-    io,
-    net::SocketAddr,
-    sync::{atomic::AtomicBool, Arc},
-    thread,
-};
+use std::{future::Future, io, net::SocketAddr, sync::Arc, thread};
 use tokio::{
     runtime,
     sync::{
@@ -90,7 +85,7 @@
     pub(super) ops: Arc<StoreOps>,
     pub(super) decoder: Decoder,
     pub(super) events: Sender<StoreEvent>,
-    pub(super) is_lost: Arc<AtomicBool>,
+    pub(super) reach: Arc<Reach>,
 }
 
 /// Starts the store's client on a thread of its own. `stop` makes it remove this instance's entry
@@ -141,7 +136,7 @@
         ops: Arc::new((settings.connect)(settings.address)),
         decoder: settings.decoder,
         events,
-        is_lost: Arc::new(AtomicBool::new(false)),
+        reach: Arc::default(),
     };
     let watched = settings.keys.all_watched().into_iter();
     let mut tasks: Vec<_> = watched
