--- a/crates/edge/tests/store_silence.rs
+++ b/crates/edge/tests/store_silence.rs
@@ -18,6 +18,11 @@
 /// Seeds of random runs.
 const SEEDS: Range<u64> = 0..50;
 
+/// Span of silence from `start_ms` to `end_ms`.
+fn span(start_ms: u64, end_ms: u64) -> Range<u64> {
+    start_ms..end_ms
+}
+
 /// Latest time at which a change has to be known, in milliseconds: `APPLY_MS` after its
 /// confirmation by a store that is stable all the while.
 fn due_ms(written_ms: u64, silent_ms: &[Range<u64>]) -> u64 {
@@ -52,10 +57,10 @@
 }
 
 /// Watches made in a short outage waited 27 s for answers that were lost, unnoticed by other calls.
-#[test_case(&[12_000..16_500], 11_600; "one outage after a change")]
-#[test_case(&[12_000..14_000, 14_600..16_600], 11_900; "two outages in a row")]
-#[test_case(&[12_100..13_600], 12_000; "an outage between two renewals of the lease")]
-#[test_case(&[12_000..12_700], 11_500; "an outage shorter than any timeout")]
+#[test_case(&[span(12_000, 16_500)], 11_600; "one outage after a change")]
+#[test_case(&[span(12_000, 14_000), span(14_600, 16_600)], 11_900; "two outages in a row")]
+#[test_case(&[span(12_100, 13_600)], 12_000; "an outage between two renewals of the lease")]
+#[test_case(&[span(12_000, 12_700)], 11_500; "an outage shorter than any timeout")]
 #[tokio::test(start_paused = true)]
 async fn changes_after_a_silent_outage_are_known_in_time(silent_ms: &[Range<u64>], before_ms: u64) {
     let back = silent_ms.last().unwrap().end;
@@ -85,7 +90,7 @@
 /// The watches of all prefixes waited for lost answers after another call had shown the outage.
 #[tokio::test(start_paused = true)]
 async fn an_outage_that_one_call_has_noticed_ends_all_waiting_watches() {
-    let silent = [12_000..16_500];
+    let silent = [span(12_000, 16_500)];
     let store = SimulatedStore::new(&silent);
     let mut handle = store.connect();
     // The renewal that fails last ends 2.5 s after the outage at most, its back-off 2 s later.
