Requests that come late in a planned stop are refused, none is cut without an answer

Cause: the time limit for new requests was checked once, when the head had been read; at the end of the grace period the process exited under the rest.

Change: the limit is checked again after the body, while a request waits for a place and before it is first sent (503, not run). At the end of the grace period each request without an answer gets a 502, which promises nothing; forwarded ones too.

--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -115,6 +115,7 @@
         links,
         record: store_handle.record,
         is_watcher: store_handle.is_watcher,
+        grace_end: CancellationToken::new(),
         in_flight: Cell::new(0),
         peer_exchanges: Cell::new(0),
         decoder: deployment.decoder,
@@ -290,9 +291,10 @@
         }
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    // The last response may still be in transit on a link.
-    sleep(LINK_FLUSH_TIME).await;
     let in_flight = connections.count() + node.peer_exchanges.get();
+    // Requests without a response get an error response, which may still be in transit on a link.
+    node.grace_end.cancel();
+    sleep(LINK_FLUSH_TIME).await;
     node.log.event(Event::Stopped { in_flight });
     in_flight
 }
--- a/crates/edge/src/front/handler.rs
+++ b/crates/edge/src/front/handler.rs
@@ -9,10 +9,6 @@
 use hyper::{body::Incoming, http::request::Parts, Request, StatusCode};
 use std::rc::Rc;
 
-/// `Retry-After` while this instance is stopping, in milliseconds. Short, since another instance
-/// can take the request at once.
-const STOPPING_RETRY_AFTER_MS: u64 = 50;
-
 /// Guard that counts a request as in flight until it is dropped.
 struct InFlight(Rc<Node>);
 
@@ -98,10 +94,7 @@
 ) -> Result<Answer, Refusal> {
     let started_at = node.now();
     if node.is_refusing_requests() {
-        return Err(Refusal::not_run(
-            "the instance is stopping",
-            STOPPING_RETRY_AFTER_MS,
-        ));
+        return Err(Refusal::stopping());
     }
     let Identified {
         config,
@@ -113,11 +106,21 @@
         .as_ref()
         .map_or_else(String::new, |account| account.name.to_string());
     check_head(&head, config.limits.max_head_bytes)?;
-    let body = read_body(node, body, started_at.plus(route.timeout_ms)).await?;
+    let body = tokio::select! {
+        body = read_body(node, body, started_at.plus(route.timeout_ms)) => body?,
+        () = node.grace_end.cancelled() => return Err(Refusal::stopping()),
+    };
     activity.request_read(&labels.request);
+    // The body may have come late.
+    if node.is_refusing_requests() {
+        return Err(Refusal::stopping());
+    }
     let admission = Admission::admit(node, &head, route, account)?;
     let ctx = admission.context(node, &config, head, body, started_at)?;
-    let outcome = run_in_allowed_region(node, ctx, &admission).await;
+    let outcome = tokio::select! {
+        outcome = run_in_allowed_region(node, ctx, &admission) => outcome,
+        () = node.grace_end.cancelled() => Err(Refusal::grace_ended()),
+    };
     if outcome.as_ref().is_err_and(Refusal::is_not_run) {
         admission.refund(node);
     }
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -32,9 +32,13 @@
     sync::Arc,
 };
 use tokio::sync::mpsc::Sender;
+use tokio_util::sync::CancellationToken;
 
 /// Time after the signal to stop during which new requests are still accepted, in milliseconds.
 const ACCEPT_WHILE_LEAVING_MS: u64 = 2_700;
+/// Time after the signal to stop during which requests are sent to upstreams for the first time, in
+/// milliseconds. Leaves accepted requests a moment to find a place.
+const SEND_WHILE_LEAVING_MS: u64 = ACCEPT_WHILE_LEAVING_MS + 300;
 /// Number of other instances in the region below which each instance considers all upstreams.
 const SMALL_REGION_INSTANCES: usize = 6;
 /// Number of upstreams that an instance of a larger region samples at random.
@@ -72,6 +76,8 @@
     pub record: Sender<VerdictRecord>,
     /// Whether this instance watches the store on behalf of its region.
     pub is_watcher: tokio::sync::watch::Sender<bool>,
+    /// Cancelled at the end of the grace period of a stop.
+    pub grace_end: CancellationToken,
     /// Number of callers' requests whose response head has not been sent yet.
     pub in_flight: Cell<usize>,
     /// Number of exchanges with other instances that are in progress.
@@ -165,8 +171,18 @@
 
     /// Whether the signal to stop was so long ago that a new request might not complete.
     pub fn is_refusing_requests(&self) -> bool {
+        self.is_leaving_for(ACCEPT_WHILE_LEAVING_MS)
+    }
+
+    /// Whether the signal to stop was so long ago that a request which was sent to no upstream yet
+    /// might not complete.
+    pub fn is_refusing_sends(&self) -> bool {
+        self.is_leaving_for(SEND_WHILE_LEAVING_MS)
+    }
+
+    fn is_leaving_for(&self, min_ms: u64) -> bool {
         let leaving_at = self.state.borrow().leaving_at;
-        leaving_at.is_some_and(|at| self.now().since(at) >= ACCEPT_WHILE_LEAVING_MS)
+        leaving_at.is_some_and(|at| self.now().since(at) >= min_ms)
     }
 
     /// Configuration in force.
--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -157,7 +157,10 @@
         Err(Refusal::not_run(reason, STOPPING_RETRY_AFTER_MS))
     } else {
         match read_forwarded(node, request).await {
-            Ok(ctx) => pipeline::run_in_own_region(node, ctx).await,
+            Ok(ctx) => tokio::select! {
+                outcome = pipeline::run_in_own_region(node, ctx) => outcome,
+                () = node.grace_end.cancelled() => Err(Refusal::grace_ended()),
+            },
             Err(refusal) => Err(refusal),
         }
     };
--- a/crates/edge/src/pipeline/attempts.rs
+++ b/crates/edge/src/pipeline/attempts.rs
@@ -91,6 +91,7 @@
             Ok(false) => continue,
             Err(refusal) => break refusal_unless_run(attempts, refusal),
         }
+        refuse_late_send(node, attempts)?;
         if attempts.sends > 0 && !node.try_repeat(&ctx.meta.service) {
             break refusal_unless_run(
                 attempts,
@@ -141,6 +142,15 @@
     error_answer.ok_or(last_refusal)
 }
 
+/// Refuses a request that was sent to no upstream yet, if it might not complete before the instance
+/// stops.
+fn refuse_late_send(node: &Node, attempts: &Attempts) -> Result<(), Refusal> {
+    if attempts.sends == 0 && node.is_refusing_sends() {
+        return Err(Refusal::stopping());
+    }
+    Ok(())
+}
+
 /// Returns `refusal` if the request has certainly not run, and otherwise one that says it may have
 /// run.
 fn refusal_unless_run(attempts: &Attempts, refusal: Refusal) -> Refusal {
@@ -203,6 +213,7 @@
 ) -> Result<Placement, Refusal> {
     let wait_until = node.now().plus(NO_UPSTREAM_WAIT_MS.min(ctx.left_ms(node)));
     loop {
+        refuse_late_send(node, attempts)?;
         match node
             .place(&placement_request(ctx, &attempts.tried))
             .reject_long_queue(&ctx.job, ctx.meta.aim_ms)
--- a/crates/edge/src/pipeline/refusal.rs
+++ b/crates/edge/src/pipeline/refusal.rs
@@ -5,6 +5,9 @@
 use hyper::{header, HeaderMap, Response, StatusCode};
 use serde::Serialize;
 
+/// `Retry-After` while this instance is stopping, in milliseconds.
+const STOPPING_RETRY_AFTER_MS: u64 = 50;
+
 /// Rejection of a request by the gateway.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -47,6 +50,17 @@
         Self::new(StatusCode::BAD_GATEWAY, reason)
     }
 
+    /// A 503 for a request that comes too late while the instance is stopping. Another instance can
+    /// take it at once.
+    pub const fn stopping() -> Self {
+        Self::not_run("the instance is stopping", STOPPING_RETRY_AFTER_MS)
+    }
+
+    /// A 502 for a request without a response at the end of the grace period of a stop.
+    pub const fn grace_ended() -> Self {
+        Self::may_have_run("the grace period of the stop has ended")
+    }
+
     /// A 504 for a request whose deadline has passed and that may have run.
     pub const fn timed_out(reason: &'static str) -> Self {
         Self::new(StatusCode::GATEWAY_TIMEOUT, reason)
