--- a/crates/gateway/tests/promise_framing.rs
+++ b/crates/gateway/tests/promise_framing.rs
@@ -131,6 +131,35 @@
     .await;
 }
 
+/// An upstream that stopped within the head of its answer, or right after it, made callers get a 200
+/// with an empty or short body.
+#[test_case("HTTP/1.1 200"; "status line")]
+#[test_case("HTTP/1.1 200 X\r\n"; "after the status line")]
+#[test_case("HTTP/1.1 200 X\r\ncontent-type: appl"; "header line")]
+#[test_case("HTTP/1.1 200 X\r\ncontent-length: 2\r\n"; "before the blank line")]
+#[test_case("HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\n"; "announced length without a body")]
+#[test_case("HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n"; "chunks without a body")]
+#[test_case("HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n"; "chunks without their end")]
+#[tokio::test]
+async fn an_answer_that_breaks_off_in_its_head_is_never_a_success(start: &'static str) {
+    let upstream = RawUpstream::start(start, "", 0);
+    let fleet = fleet(&upstream).await;
+    let url = &fleet.instance("north").url;
+    let caller = Caller::of("north-office");
+    let before = upstream.requests.load(Ordering::SeqCst);
+    for number in 0..4 {
+        let reply = if number % 2 == 0 {
+            caller.confirm(url, &format!("cut-{number}")).await
+        } else {
+            caller.chat(url, "cut", false).await
+        };
+        let reply = reply.unwrap();
+        assert_ne!(reply.status, 200, "{reply:?}");
+        assert!(reply.body.is_ok(), "{reply:?}");
+    }
+    assert!(upstream.requests.load(Ordering::SeqCst) > before);
+}
+
 #[tokio::test]
 async fn an_answer_that_ends_with_its_connection_is_complete() {
     let body = "HTTP/1.1 200 X\r\ncontent-type: application/json\r\n\r\n{\"whole\":true}";
