--- a/crates/edge/src/pipeline/large.rs
+++ b/crates/edge/src/pipeline/large.rs
@@ -5,7 +5,7 @@
     dispatch::{ConnectionCheckout, LoadGuard},
     log::Event,
     node::{Node, SendIds},
-    relay::{AnswerBody, AnswerBroken},
+    relay::{body_queue, BodySender},
     upstream::Outcome,
 };
 use bytes::{Bytes, BytesMut};
@@ -16,13 +16,8 @@
     Response,
 };
 use std::{future::Future, rc::Rc, sync::Arc, time::Duration};
-use tokio::{
-    sync::mpsc::{self, Sender},
-    time::timeout,
-};
+use tokio::time::timeout;
 
-/// Maximum number of chunks that are queued for a slow caller.
-const MAX_QUEUED_CHUNKS: usize = 4;
 /// Largest body without a stated length that is relayed, in bytes. Such a body may never end.
 const MAX_UNSIZED_BYTES: u64 = 64 * 1024 * 1024;
 
@@ -77,8 +72,8 @@
     load_guard: LoadGuard,
     upstream: Arc<str>,
 ) -> Answer {
-    let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    let mut answer = Response::new(AnswerBody::Chunks(receiver));
+    let (caller, answer_body) = body_queue();
+    let mut answer = Response::new(answer_body);
     *answer.status_mut() = head.status;
     *answer.headers_mut() = caller_headers(&head.headers);
     let node = Rc::clone(node);
@@ -91,7 +86,7 @@
         };
         let first_byte_ms = node.now().since(ctx.started_at);
         let since_sent_ms = node.now().since(load_guard.sent_at());
-        let end = relay_until_end(&node, &ctx, body, &chunks).await;
+        let end = relay_until_end(&node, &ctx, body, &caller).await;
         drop(load_guard);
         match end {
             RelayEnd::Whole if status.is_server_error() => {}
@@ -116,12 +111,12 @@
             RelayEnd::Broken(reason) => {
                 node.note_outcome(sent, Outcome::Failed);
                 log_broken(&node, &ctx, sent, &reason);
-                let _ = chunks.send(Err(AnswerBroken(reason))).await;
+                caller.break_off(reason).await;
             }
             RelayEnd::CallerSlow => {
                 let reason = "the caller did not read the answer in time".to_owned();
                 log_broken(&node, &ctx, sent, &reason);
-                let _ = chunks.send(Err(AnswerBroken(reason))).await;
+                caller.break_off(reason).await;
             }
         }
     });
@@ -157,7 +152,7 @@
     node: &Node,
     ctx: &RequestContext,
     body: LargeBody,
-    chunks: &Sender<Result<Bytes, AnswerBroken>>,
+    caller: &BodySender,
 ) -> RelayEnd {
     let LargeBody {
         first,
@@ -175,14 +170,14 @@
         if relayed_bytes > max_bytes {
             return RelayEnd::Broken("a body without a length is too large".to_owned());
         }
-        match before_deadline(node, ctx, chunks.send(Ok(chunk))).await {
+        match before_deadline(node, ctx, caller.send(chunk)).await {
             None => return RelayEnd::CallerSlow,
             Some(Err(_)) => return RelayEnd::CallerLeft,
             Some(Ok(())) => {}
         }
         let next = tokio::select! {
             next = before_deadline(node, ctx, next_chunk(&mut rest)) => next,
-            () = chunks.closed() => return RelayEnd::CallerLeft,
+            () = caller.closed() => return RelayEnd::CallerLeft,
         };
         chunk = match next {
             None => return RelayEnd::Broken("the body was not complete in time".to_owned()),
--- a/crates/edge/src/pipeline/stream.rs
+++ b/crates/edge/src/pipeline/stream.rs
@@ -11,7 +11,7 @@
     dispatch::{is_closed_by_upstream, ConnectionCheckout, LoadGuard},
     log::Event,
     node::{Node, SendIds},
-    relay::{AnswerBody, AnswerBroken, EventSplitter, EventTooLong, StreamEvent},
+    relay::{body_queue, BodySender, EventSplitter, EventTooLong, StreamEvent},
     upstream::Outcome,
 };
 use bytes::Bytes;
@@ -23,13 +23,8 @@
     HeaderMap, Response,
 };
 use std::{rc::Rc, sync::Arc, time::Duration};
-use tokio::{
-    sync::mpsc::{self, Sender},
-    time::timeout,
-};
+use tokio::time::timeout;
 
-/// Maximum number of events that are queued for a slow caller.
-const MAX_QUEUED_EVENTS: usize = 8;
 /// Multiple of the target pause between events after which a silent stream is resumed on another
 /// upstream.
 const SILENCE_PAUSE_FACTOR: u64 = 4;
@@ -129,20 +124,19 @@
     head: &Parts,
     source: StreamSource,
 ) -> Answer {
-    let (chunks, receiver) = mpsc::channel(MAX_QUEUED_EVENTS);
-    let mut answer = Response::new(AnswerBody::Chunks(receiver));
+    let (caller, body) = body_queue();
+    let mut answer = Response::new(body);
     *answer.status_mut() = head.status;
     *answer.headers_mut() = caller_headers(&head.headers);
     answer.headers_mut().remove(CONTENT_LENGTH);
     let node = Rc::clone(node);
     tokio::task::spawn_local(async move {
-        let caller = chunks.clone();
         tokio::select! {
             () = caller.closed() => {
                 let after_ms = node.now().since(ctx.started_at);
                 node.log.event(Event::CallerLeft { request: &ctx.meta.request, after_ms });
             }
-            () = relay_all(&node, &ctx, attempts, source, chunks) => {}
+            () = relay_all(&node, &ctx, attempts, source, &caller) => {}
         }
     });
     answer
@@ -154,7 +148,7 @@
     ctx: &RequestContext,
     mut attempts: Attempts,
     mut source: StreamSource,
-    chunks: Sender<Result<Bytes, AnswerBroken>>,
+    caller: &BodySender,
 ) {
     let mut ctx = ctx.clone();
     let mut progress = RelayProgress {
@@ -163,7 +157,7 @@
     };
     loop {
         let may_resume = may_resume(&ctx, &attempts, &source);
-        let end = relay_one(node, &ctx, &mut source, &mut progress, &chunks, may_resume).await;
+        let end = relay_one(node, &ctx, &mut source, &mut progress, caller, may_resume).await;
         let (reason, is_silent) = match end {
             StreamEnd::Whole => {
                 node.log.event(Event::StreamEnded {
@@ -219,7 +213,7 @@
                 continue;
             }
             None => {
-                let _ = chunks.send(Err(AnswerBroken(reason))).await;
+                caller.break_off(reason).await;
                 return;
             }
         }
@@ -243,7 +237,7 @@
     ctx: &RequestContext,
     source: &mut StreamSource,
     progress: &mut RelayProgress,
-    chunks: &Sender<Result<Bytes, AnswerBroken>>,
+    caller: &BodySender,
     may_resume: bool,
 ) -> StreamEnd {
     let upstream = Arc::clone(&source.upstream);
@@ -295,7 +289,7 @@
                 source.send_watch.answered();
                 record_first_event(node, ctx, sent, node.now().since(sent_at));
             }
-            if !relay_event(event, progress, chunks).await {
+            if !relay_event(event, progress, caller).await {
                 return StreamEnd::CallerLeft;
             }
         }
@@ -326,7 +320,7 @@
 async fn relay_event(
     event: StreamEvent,
     progress: &mut RelayProgress,
-    chunks: &Sender<Result<Bytes, AnswerBroken>>,
+    caller: &BodySender,
 ) -> bool {
     let is_duplicate = event
         .id
@@ -337,7 +331,7 @@
     }
     progress.last_event = event.id.or(progress.last_event);
     progress.events += 1;
-    chunks.send(Ok(event.bytes)).await.is_ok()
+    caller.send(event.bytes).await.is_ok()
 }
 
 /// Next bytes of the stream; `None` at its end.
--- a/crates/gateway/tests/promise_framing.rs
+++ b/crates/gateway/tests/promise_framing.rs
@@ -91,6 +91,8 @@
 }
 
 #[test_case("HTTP/1.1 200 X\r\n", "x-more: y\r\n", 50; "header lines")]
+#[test_case("HTTP/1.1 200 X\r\n", "x-more: y\r\n", 0; "fast header lines")]
+#[test_case("HTTP/1.1 200 X\r\nx-more: ", "yyyyyyyy", 0; "one fast header line")]
 #[test_case("", "HTTP/1.1 100 X\r\n\r\n", 50; "interim answers")]
 #[test_case("HTTP/1.1 200 X\r\n\r\n", " ", 50; "ends with the connection")]
 #[test_case("HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n", "1\r\n \r\n", 50; "chunks")]
