--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -3,7 +3,6 @@
 use crate::{
     cold::{ColdRate, MAX_COLD_USERS},
     dispatch::Pools,
-    hash::short_hash,
     limit::{AccountLimit, Bucket},
     log::Log,
     member::Members,
@@ -11,15 +10,12 @@
     model::{Account, Config, Route, Service},
     names::HeaderNames,
     peers::Links,
-    place::{
-        choose, forecast_region, Choice, InferenceJob, JobKind, JobMix, LatencyForecast, Placement,
-        PlacementRules,
-    },
+    place::{InferenceJob, JobMix, Placement},
     retry::{RetryBounds, RetryBudget},
-    rollout::{Trial, TrialBounds, Verdict},
+    rollout::{Trial, Verdict},
     settings::Settings,
     store::{Decoder, Replica, VerdictRecord},
-    upstream::{Upstream, Upstreams},
+    upstream::Upstreams,
 };
 use carobwheel_core::{
     crash::CrashDetector,
@@ -39,15 +35,8 @@
 /// Time after the signal to stop during which requests are sent to upstreams for the first time, in
 /// milliseconds. Leaves accepted requests a moment to find a place.
 const SEND_WHILE_LEAVING_MS: u64 = ACCEPT_WHILE_LEAVING_MS + 300;
-/// Number of other instances in the region below which each instance considers all upstreams.
-const SMALL_REGION_INSTANCES: usize = 6;
-/// Number of upstreams that an instance of a larger region samples at random.
-const SAMPLED_UPSTREAMS: usize = 3;
 /// Share of the deployment's slack on limits that is used; the rest covers the delay of gossip.
 const LIMIT_SLACK_SHARE: f64 = 0.5;
-/// Time for which a version that no rollout order names is not used, in milliseconds.
-const UNORDERED_VERSION_HOLD_MS: u64 = 3_000;
-
 /// State and services of this instance, shared by all its tasks.
 pub struct Node {
     /// Settings.
@@ -137,18 +126,6 @@
     pub leaving_at: Option<Millis>,
 }
 
-/// Input of a placement decision.
-pub struct PlacementRequest<'a> {
-    /// Name of the service.
-    pub service: &'a Arc<str>,
-    /// Prompt and expected answer.
-    pub job: &'a InferenceJob,
-    /// Upstreams to exclude, since the request was already offered to them.
-    pub tried: &'a [Arc<str>],
-    /// Random number in `[0, 1)` that decides whether the request goes to the version on trial.
-    pub draw: f64,
-}
-
 impl Node {
     /// Current time.
     pub fn now(&self) -> Millis {
@@ -190,30 +167,6 @@
         self.state.borrow().config.clone()
     }
 
-    /// Chooses an upstream of the own region.
-    pub fn place(&self, placement_request: &PlacementRequest<'_>) -> Choice {
-        let now = self.now();
-        let state = self.state.borrow();
-        state.with_rules(self, placement_request, now, |rules| {
-            choose(&state.upstreams, placement_request.job, rules, now)
-        })
-    }
-
-    /// Expected latency of a job of the service in the own region.
-    pub fn region_forecast(&self, service: &Arc<str>, kind: JobKind) -> Option<LatencyForecast> {
-        let now = self.now();
-        let state = self.state.borrow();
-        let placement_request = PlacementRequest {
-            service,
-            job: &InferenceJob::default(),
-            tried: &[],
-            draw: 1.0,
-        };
-        state.with_rules(self, &placement_request, now, |rules| {
-            forecast_region(&state.upstreams, kind, rules, now)
-        })
-    }
-
     /// Charges tokens to an account's bucket.
     ///
     /// # Errors
@@ -315,15 +268,6 @@
             .and_then(|config| config.services.get(name).cloned())
     }
 
-    /// Kind of a job: the phase that takes most of an upstream's time for it.
-    pub fn kind_of(&self, service: &str, job: &InferenceJob) -> JobKind {
-        let service = self.service(service);
-        let engine = service.as_ref().and_then(|service| service.engine);
-        engine.map_or(JobKind::PrefillHeavy, |engine| {
-            JobKind::of(job, engine.slots)
-        })
-    }
-
     /// Number of instances of the region that share one cold upstream. There may be others that an
     /// instance without the store does not know.
     fn cold_users(&self, node: &Node, now: Millis) -> usize {
@@ -342,89 +286,6 @@
             .map(|member| &member.entry.name)
             .collect()
     }
-
-    /// Whether this instance is one of those that use the cold upstream `id`, by rendezvous
-    /// hashing.
-    fn is_cold_user(&self, node: &Node, id: &str, now: Millis) -> bool {
-        let weight = |name: &str| name_pair_hash(name, id);
-        let own = weight(&node.name);
-        let ahead = self.region_members(node, now);
-        ahead.iter().filter(|name| weight(name) > own).count() < MAX_COLD_USERS
-    }
-
-    /// Builds the placement rules for a request and passes them to `decide`.
-    fn with_rules<T>(
-        &self,
-        node: &Node,
-        placement_request: &PlacementRequest<'_>,
-        now: Millis,
-        decide: impl FnOnce(&PlacementRules<'_>) -> T,
-    ) -> T {
-        let is_version_allowed =
-            |version: &str| self.is_version_allowed(node, placement_request, version, now);
-        let is_cold_user = |id: &str| self.is_cold_user(node, id, now);
-        let limit_wait_ms = |upstream: &Upstream| self.limit_wait_ms(node, upstream, now);
-        let service = self.service(placement_request.service);
-        let engine = service.as_ref().and_then(|service| service.engine);
-        let rules = PlacementRules {
-            service: placement_request.service,
-            region: &node.region,
-            evacuated: &self.evacuated,
-            is_version_allowed: &is_version_allowed,
-            is_cold_user: &is_cold_user,
-            limit_wait_ms: &limit_wait_ms,
-            kv_cache_tokens: engine.map_or(0, |engine| engine.kv_cache_tokens),
-            tried: placement_request.tried,
-            decode_share: self
-                .mixes
-                .get(placement_request.service)
-                .and_then(JobMix::decode_share),
-            sample_size: if self.region_members(node, now).len() < SMALL_REGION_INSTANCES {
-                0
-            } else {
-                SAMPLED_UPSTREAMS
-            },
-        };
-        decide(&rules)
-    }
-
-    /// Whether the request may go to this version, by the rollout of the service.
-    fn is_version_allowed(
-        &self,
-        node: &Node,
-        placement_request: &PlacementRequest<'_>,
-        version: &str,
-        now: Millis,
-    ) -> bool {
-        if let Some(trial) = self.trials.get(placement_request.service) {
-            let bounds = TrialBounds {
-                share: node.settings.bounds.trial_share,
-            };
-            let is_new = placement_request.draw < trial.share(bounds);
-            return is_new == (*trial.order.target == *version);
-        }
-        let key = (Arc::clone(placement_request.service), Arc::from(version));
-        if self.verdicts.get(&key) == Some(&Verdict::Reverted) {
-            return false;
-        }
-        // Instances of a new version may register shortly before the rollout order is written.
-        let is_only = self
-            .versions
-            .keys()
-            .filter(|(service, _)| service == placement_request.service)
-            .count()
-            <= 1;
-        is_only
-            || self
-                .versions
-                .get(&key)
-                .is_none_or(|at| now.since(*at) >= UNORDERED_VERSION_HOLD_MS)
-    }
-}
-
-/// Hash of a pair of names, equal on all instances.
-fn name_pair_hash(a: &str, b: &str) -> u32 {
-    short_hash(&format!("{a}/{b}"))
 }
 
 /// Priority of a request for the upstream, from 0 (highest) to 9.
