--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -103,6 +103,12 @@
         waited_ms: u64,
         is_placed: bool,
     },
+    /// Whether the items below a prefix of the store can be read. They may be out of reach while
+    /// other calls to the store succeed.
+    PrefixFollowed {
+        prefix: &'a str,
+        is_followed: bool,
+    },
     /// An upstream has stated that it is leaving.
     UpstreamLeaving {
         upstream: &'a str,
--- a/crates/edge/src/node/apply.rs
+++ b/crates/edge/src/node/apply.rs
@@ -296,10 +296,26 @@
     fn prefix_lost(&self, prefix: &str) {
         let mut state = self.state.borrow_mut();
         if let Some(index) = state.replica.prefix(prefix) {
-            state.lost_prefixes.insert(index);
+            if state.lost_prefixes.insert(index) {
+                self.log_prefix(prefix, false);
+            }
+        }
+    }
+
+    /// Records that the items below a prefix could be read.
+    pub(super) fn prefix_read(&self, state: &mut State, prefix: &str, index: usize) {
+        if state.lost_prefixes.remove(&index) {
+            self.log_prefix(prefix, true);
         }
     }
 
+    fn log_prefix(&self, prefix: &str, is_followed: bool) {
+        self.log.event(Event::PrefixFollowed {
+            prefix,
+            is_followed,
+        });
+    }
+
     /// Records the start of an outage of the store.
     fn store_lost(&self, reason: &str) {
         self.state
--- a/crates/edge/src/node/restore.rs
+++ b/crates/edge/src/node/restore.rs
@@ -28,7 +28,7 @@
             let Some(index) = state.replica.prefix(prefix) else {
                 return;
             };
-            state.lost_prefixes.remove(&index);
+            self.prefix_read(&mut state, prefix, index);
             if state.is_settling(self.now()) {
                 let in_force = state.config_version();
                 let is_newer =
@@ -63,7 +63,7 @@
             let Some(index) = state.replica.prefix(prefix) else {
                 return;
             };
-            state.lost_prefixes.remove(&index);
+            self.prefix_read(&mut state, prefix, index);
             state.replica.changed(index, changed, changes.at)
         };
         self.apply_facts(&facts);
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -45,9 +45,9 @@
 /// Maximum size of a gossip message, in bytes.
 const MAX_GOSSIP_BYTES: usize = 256 * 1024;
 
-/// Encodes a message. Crash reports, additions, reports on whole requests and on leaving
-/// upstreams follow the other fields, each unless it and what follows are empty: builds that do not know them ignore trailing
-/// bytes.
+/// Encodes a message. Crash reports, additions, reports on whole requests and on leaving upstreams
+/// follow the other fields, each unless it and what follows are empty: builds that do not know them
+/// ignore trailing bytes.
 ///
 /// # Errors
 ///
