Store watches: one value for the time and the signal of a doubt, and a clearer name

The time at which waiting watches were last put in doubt is the value of the channel that signals it, so the lock beside it is gone. The outcome of a watch call is WatchOutcome; WatchedPrefix is another matter. Two comments of tests say what they mean.

--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -40,8 +40,8 @@
     is_lost: bool,
 }
 
-/// Result of one watch call.
-enum Watched {
+/// Outcome of one watch call.
+enum WatchOutcome {
     /// The watch goes on from here; `None` if the store was restored, since revisions of two eras
     /// do not continue each other.
     At(Option<Position>),
@@ -109,11 +109,11 @@
                 .map(|at| progress.listed(at)),
             Some(after) => {
                 match watch(&context, &watched, after, timeout_ms, &mut lost_answers).await {
-                    Ok(Watched::At(at)) => {
+                    Ok(WatchOutcome::At(at)) => {
                         progress.position = at;
                         Ok(())
                     }
-                    Ok(Watched::InDoubt) => {
+                    Ok(WatchOutcome::InDoubt) => {
                         report_lost(&context, &watched, &mut progress).await;
                         continue;
                     }
@@ -172,15 +172,15 @@
     after: Position,
     timeout_ms: u64,
     lost_answers: &mut LostAnswers,
-) -> Result<Watched, StoreError> {
+) -> Result<WatchOutcome, StoreError> {
     let prefix = &watched.prefix;
     lost_answers.forget();
     let response = tokio::select! {
         response = (context.ops.watch)(prefix, after.revision, timeout_ms) => response?,
-        () = lost_answers.noticed() => return Ok(Watched::InDoubt),
+        () = lost_answers.noticed() => return Ok(WatchOutcome::InDoubt),
     };
     if response.at.era != after.era {
-        return Ok(Watched::At(None));
+        return Ok(WatchOutcome::At(None));
     }
     let at = response.at.max(after);
     let is_empty = response.changes.is_empty();
@@ -195,7 +195,7 @@
         };
         sleep(Duration::from_millis(pause_ms)).await;
     }
-    Ok(Watched::At(Some(at)))
+    Ok(WatchOutcome::At(Some(at)))
 }
 
 /// Reduces a timeout by a random share; `jitter` is from 0 up to 1.
--- a/crates/edge/src/store/reach.rs
+++ b/crates/edge/src/store/reach.rs
@@ -5,10 +5,7 @@
 //! of any call puts all waiting watches in doubt.
 
 use super::{task::Context, StoreError, StoreEvent};
-use std::sync::{
-    atomic::{AtomicBool, Ordering},
-    Mutex, PoisonError,
-};
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::{
     sync::watch,
     time::{Duration, Instant},
@@ -25,14 +22,13 @@
     is_lost: AtomicBool,
     /// Whether a call got no answer since the waiting watches were last put in doubt.
     has_lost_answer: AtomicBool,
-    /// Time at which the waiting watches were last put in doubt.
-    doubted_at: Mutex<Option<Instant>>,
-    /// Signals that the store answers again after lost answers.
-    doubts: watch::Sender<()>,
+    /// Time at which the waiting watches were last put in doubt, since the store answered again after
+    /// lost answers.
+    doubted_at: watch::Sender<Option<Instant>>,
 }
 
 /// Receiver of the news that answers were lost.
-pub(super) struct LostAnswers(watch::Receiver<()>);
+pub(super) struct LostAnswers(watch::Receiver<Option<Instant>>);
 
 impl LostAnswers {
     /// Ignores what was noticed before this call.
@@ -52,7 +48,7 @@
 impl Reach {
     /// Subscribes to lost answers.
     pub(super) fn lost_answers(&self) -> LostAnswers {
-        LostAnswers(self.doubts.subscribe())
+        LostAnswers(self.doubted_at.subscribe())
     }
 
     /// Puts all waiting watches in doubt if answers were lost, since the store answers again.
@@ -61,16 +57,12 @@
             return;
         }
         let now = Instant::now();
-        let mut doubted_at = self
-            .doubted_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let doubted_at = *self.doubted_at.borrow();
         if doubted_at.is_some_and(|at| now.duration_since(at) < MIN_DOUBT_INTERVAL) {
             return;
         }
-        *doubted_at = Some(now);
         self.has_lost_answer.store(false, Ordering::Relaxed);
-        self.doubts.send_replace(());
+        self.doubted_at.send_replace(Some(now));
     }
 }
 
--- a/crates/edge/tests/store_support/mod.rs
+++ b/crates/edge/tests/store_support/mod.rs
@@ -38,7 +38,7 @@
     started_at: Instant,
     /// Spans in milliseconds in which calls are accepted and never answered.
     silent_ms: Vec<Range<u64>>,
-    /// Changes as time in milliseconds, prefix and key; the revision is the position.
+    /// Time in milliseconds and key of each change; its revision is its position, from 1 on.
     changes: Mutex<Vec<(u64, String)>>,
     changed: Notify,
     watches: Mutex<usize>,
--- a/crates/gateway/tests/platform_stop.rs
+++ b/crates/gateway/tests/platform_stop.rs
@@ -57,7 +57,7 @@
     }
 }
 
-/// Head of a request with a body of 8 bytes that leaves the answer 20 s.
+/// Head of a request that announces a body of 8 bytes and leaves the answer 20 s.
 fn head(path: &str, id: &str) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Carobwheel-Attempt-Id: {id}\r\n\
