--- a/crates/gateway/tests/platform_endless.rs
+++ b/crates/gateway/tests/platform_endless.rs
@@ -5,10 +5,8 @@
 mod platform_support;
 
 use platform_support::{
-    wait_until, Caller, ConfigBuilder, Engine, Instance, InstanceOptions, RawEnd, Script, Store,
-    HOST, KEY,
+    wait_until, ConfigBuilder, Engine, Instance, InstanceOptions, RawEnd, Script, Store,
 };
-use socket2::{Domain, Socket, Type};
 use std::{
     io::{Read as _, Write as _},
     net::TcpListener,
@@ -316,63 +314,3 @@
     let calls = calls.load(Ordering::SeqCst);
     assert!((1..200).contains(&calls), "{calls} calls in 4 s");
 }
-
-/// Streams whose callers do not read them; as many as one upstream of the fixture takes.
-const UNREAD_STREAMS: usize = 14;
-
-/// Caller whose side of the connection buffers little, so that what it does not read stays with the
-/// instance.
-fn slow_caller(instance: &Instance) -> Caller {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.set_recv_buffer_size(4_096).unwrap();
-    socket.connect(&instance.callers.into()).unwrap();
-    Caller {
-        stream: socket.into(),
-    }
-}
-
-/// An upstream that filled all its streams with large events to callers that did not read them took
-/// the memory of the machine: eight events were queued for each.
-#[test_case(250_000; "large events")]
-#[test_case(20_000; "events of medium size")]
-#[test_case(50; "small events")]
-fn streams_whose_callers_do_not_read_take_bounded_memory(event_bytes: usize) {
-    let store = Store::start();
-    let chat = serde_json::json!({"timeoutMs": 60_000});
-    store.publish(&ConfigBuilder::new(1).route("/chat/", "streaming", "model", 1, chat));
-    let event: &'static str = format!("data: {}\n\n", "x".repeat(event_bytes)).leak();
-    let start = format!("{HEAD}\r\n").into_bytes();
-    let script = Script::Raw(start, RawEnd::Endless(event.as_bytes()));
-    let engine = Engine::start("i-1");
-    engine.register(&store, "model", "north-a", "ready");
-    engine.script(std::iter::repeat_n(script, UNREAD_STREAMS));
-    let instance = Instance::start_ready(&InstanceOptions {
-        name: "north-1",
-        region: "north",
-        store: store.address,
-    });
-    let before = instance.resident_bytes();
-    let mut callers = Vec::new();
-    for n in 0..UNREAD_STREAMS {
-        let mut caller = slow_caller(&instance);
-        caller.write(&format!(
-            "POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\nX-Carobwheel-Attempt-Id: a-{n}\r\n\
-             X-Carobwheel-Deadline-Ms: 60000\r\nX-Carobwheel-Key: {KEY}\r\n\
-             Content-Length: 8\r\n\r\nquestion"
-        ));
-        callers.push(caller);
-    }
-    let until = Instant::now() + Duration::from_secs(4);
-    let mut largest = before;
-    while Instant::now() < until {
-        largest = largest.max(instance.resident_bytes());
-        thread::sleep(Duration::from_millis(20));
-    }
-    let grown = largest - before;
-    println!("grown by {grown} bytes");
-    assert_eq!(engine.seen().len(), UNREAD_STREAMS);
-    assert!(
-        grown < UNREAD_STREAMS * MAX_REQUEST_BYTES + MAX_OTHER_BYTES,
-        "grown by {grown} bytes"
-    );
-}
