Limits of upstreams: a report that arrives late takes no tokens

Cause: the count of an older report, subtracted from a newer one, wrapped around; the instance then owed four billion requests and refused for the longest wait. Datagrams may be reordered, and reports will go by several ways.

Change: a report whose count lies behind the known one is dropped.

--- a/crates/core/src/upstream_limit/gate.rs
+++ b/crates/core/src/upstream_limit/gate.rs
@@ -22,6 +22,9 @@
 /// Time after its last report for which the requests of an instance are estimated, in milliseconds.
 /// Later on a share of the rate is left for it.
 const MAX_REPORT_AGE_MS: u64 = 2_500;
+/// Largest number of requests between two reports; a report of more is older than the known one, whose
+/// count it falls behind.
+const MAX_SENT_BETWEEN_REPORTS: u32 = u32::MAX / 2;
 /// Time in which the largest debt is made up for, in seconds.
 const MAX_DEBT_S: f64 = 8.0;
 
@@ -142,7 +145,12 @@
         if let Some(before) = self.peers.get(peer) {
             let is_same_process = before.life == life;
             let known_sent = if is_same_process { before.sent } else { 0 };
-            let sent_since = f64::from(report.sent.wrapping_sub(known_sent));
+            let sent_since = report.sent.wrapping_sub(known_sent);
+            if sent_since > MAX_SENT_BETWEEN_REPORTS {
+                // An older report that has taken a longer way.
+                return;
+            }
+            let sent_since = f64::from(sent_since);
             self.tokens -= sent_since;
             let elapsed_s = seconds(now.since(before.at)).max(MIN_REPORT_S);
             let weight = (elapsed_s / PEER_RATE_S).min(1.0);
--- a/crates/core/tests/upstream_limit.rs
+++ b/crates/core/tests/upstream_limit.rs
@@ -310,3 +310,25 @@
         }
     }
 }
+
+/// Reports go by several ways, and an older one may arrive after a newer one.
+#[test]
+fn a_report_that_arrives_late_takes_no_tokens() {
+    let users = LimitUsers {
+        is_user: true,
+        all: 2,
+    };
+    let mut gate = RateGate::default();
+    gate.record_response(News::Limited(10.0), Millis(0));
+    let report = |sent| LimitReport {
+        rate_per_s: 10.0,
+        age_ms: Some(0),
+        sent,
+        is_user: true,
+    };
+    let peer: Arc<str> = "node-1".into();
+    gate.record_report(&peer, 1, &report(3), users, Millis(100));
+    let before_ms = gate.wait_ms(users, Millis(110));
+    gate.record_report(&peer, 1, &report(2), users, Millis(110));
+    assert_eq!(gate.wait_ms(users, Millis(110)), before_ms);
+}
