--- a/crates/core/src/crash/report.rs
+++ b/crates/core/src/crash/report.rs
@@ -45,3 +45,22 @@
     /// Parts that the sender holds.
     pub held: Vec<HeldPart>,
 }
+
+impl CrashReport {
+    /// The report as it is `ms` milliseconds later.
+    #[must_use]
+    pub fn aged(&self, ms: u32) -> Self {
+        let mut report = self.clone();
+        for crash in &mut report.crashes {
+            crash.age_ms = crash.age_ms.saturating_add(ms);
+        }
+        for answer in &mut report.answered {
+            answer.age_ms = answer.age_ms.saturating_add(ms);
+        }
+        for held in &mut report.held {
+            held.age_ms = held.age_ms.saturating_add(ms);
+            held.left_ms = held.left_ms.saturating_sub(ms);
+        }
+        report
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod crash;
 pub mod document;
 pub mod evidence;
+pub mod fleet;
 pub mod id;
 pub mod identity;
 pub mod limit;
--- a/crates/edge/src/front/aux_endpoint.rs
+++ b/crates/edge/src/front/aux_endpoint.rs
@@ -96,7 +96,7 @@
         .members
         .by_name
         .values()
-        .filter(|member| member.is_up(now));
+        .filter(|member| state.members.is_up(member, now));
     for member in reachable {
         let addresses = by_region
             .entry(member.entry.region.to_string())
@@ -147,7 +147,7 @@
 fn metrics(node: &Rc<Node>) -> String {
     let now = node.now();
     let state = node.state.borrow();
-    let fleet = state.members.fleet(&node.region, now);
+    let fleet = state.members.fleet(now);
     let usable = state
         .upstreams
         .by_id
@@ -167,7 +167,14 @@
         .filter(|upstream| upstream.leaving_at.is_some())
         .count();
     let lost_ms = state.store_lost_at.map_or(0, |at| now.since(at));
+    let (dialled, accepted) = node.links.counts();
     let gauges = [
+        ("carobwheel_links_dialled", dialled as u64),
+        ("carobwheel_links_accepted", accepted as u64),
+        (
+            "carobwheel_is_delegate",
+            u64::from(state.topology.is_delegate),
+        ),
         ("carobwheel_in_flight", node.in_flight.get() as u64),
         ("carobwheel_instances", fleet.instances as u64),
         ("carobwheel_instances_heard", fleet.reachable as u64),
--- a/crates/edge/src/limit/mod.rs
+++ b/crates/edge/src/limit/mod.rs
@@ -13,7 +13,9 @@
 /// requests are accepted at whichever instance they arrive.
 const IDLE_SHARES: f64 = 2.0;
 /// Time without a report after which an instance's demand counts as unknown, in milliseconds.
-const DEMAND_TIMEOUT_MS: u64 = 1_300;
+pub const DEMAND_TIMEOUT_MS: u64 = 1_300;
+/// Time that an instance's reports have to cover before they tell its demand, in milliseconds.
+pub const MIN_REPORTED_MS: u64 = 500;
 /// Time without a report after which an instance is ignored, in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 12_000;
 
@@ -45,15 +47,44 @@
     }
 }
 
-/// Demand reported by another instance.
+/// Demand reported by another instance, or by a delegate for several.
 #[derive(Clone, Debug)]
 struct PeerDemand {
     life: u64,
     requested_tokens: u64,
     demand: MeanRate,
+    /// Rate that a delegate has added up, in tokens a second; replaces `demand`.
+    summed_per_s: Option<f64>,
+    /// Number of instances that the report covers.
+    instances: usize,
+    /// Start of the reports without a gap.
+    since: Millis,
     received_at: Millis,
 }
 
+impl PeerDemand {
+    /// Demand at the time of the report, in tokens a second.
+    fn per_s(&self) -> f64 {
+        let reported_ms = self.received_at.since(self.since);
+        self.summed_per_s
+            .unwrap_or_else(|| self.demand.per_s_over(reported_ms, self.received_at))
+    }
+
+    /// Whether the reports cover enough time to tell the demand.
+    fn is_known(&self) -> bool {
+        self.summed_per_s.is_some() || self.received_at.since(self.since) >= MIN_REPORTED_MS
+    }
+}
+
+/// Demand for an account at several instances, added up by a delegate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SummedDemand {
+    /// Demand, in tokens a second.
+    pub per_s: f64,
+    /// Number of instances that it covers.
+    pub instances: usize,
+}
+
 /// One instance's token bucket for one account.
 #[derive(Clone, Debug)]
 pub struct Bucket {
@@ -62,6 +93,8 @@
     requested_tokens: u64,
     demand: MeanRate,
     peers: HashMap<Arc<str>, PeerDemand>,
+    /// Share at the time of the last request while all sums were recent.
+    share_by_recent_sums: f64,
 }
 
 impl Bucket {
@@ -73,6 +106,7 @@
             requested_tokens: 0,
             demand: MeanRate::default(),
             peers: HashMap::new(),
+            share_by_recent_sums: 1.0,
         }
     }
 
@@ -91,7 +125,7 @@
         let wanted = to_f64(tokens);
         self.requested_tokens += tokens;
         self.demand.add(wanted, now);
-        let share = self.share(limit, fleet, now);
+        let share = self.held_share(limit, fleet, now);
         self.refill(limit, share, now);
         // A request larger than the burst may run once the bucket is full.
         let slack = limit.slack_tokens / fleet.size();
@@ -132,25 +166,69 @@
                 life,
                 requested_tokens,
                 demand: MeanRate::default(),
+                summed_per_s: None,
+                instances: 1,
+                since: now,
                 received_at: now,
             });
-        let before = if report.life == life {
-            report.requested_tokens
+        let has_gap = now.since(report.received_at) > DEMAND_TIMEOUT_MS;
+        if has_gap || report.life != life {
+            // What was asked for meanwhile is unknown, so the average starts anew.
+            report.demand = MeanRate::default();
+            report.since = now;
         } else {
-            0
-        };
-        let age_ms = now.since(report.received_at);
-        if age_ms <= DEMAND_TIMEOUT_MS {
-            report
-                .demand
-                .add(to_f64(requested_tokens.saturating_sub(before)), now);
+            let asked = requested_tokens.saturating_sub(report.requested_tokens);
+            report.demand.add(to_f64(asked), now);
         }
         report.life = life;
         report.requested_tokens = requested_tokens;
         report.received_at = now;
     }
 
-    /// Share of the account's rate and burst that this instance may use.
+    /// Records the demand that a delegate has added up. `source` names the part of the fleet that the
+    /// sum covers.
+    pub fn update_summed_demand(&mut self, source: &Arc<str>, sum: SummedDemand, now: Millis) {
+        let report = PeerDemand {
+            life: 0,
+            requested_tokens: 0,
+            demand: MeanRate::default(),
+            summed_per_s: Some(sum.per_s),
+            instances: sum.instances,
+            since: now,
+            received_at: now,
+        };
+        self.peers.insert(Arc::clone(source), report);
+    }
+
+    /// Drops the reports of other instances, since another source replaces them.
+    pub fn forget_peers(&mut self) {
+        self.peers.clear();
+    }
+
+    /// Sum of the demand at this instance and at those sources of recent reports that `is_included`
+    /// accepts, in tokens a second.
+    pub fn summed_demand(&self, is_included: impl Fn(&str) -> bool, now: Millis) -> f64 {
+        let is_recent = |report: &PeerDemand| now.since(report.received_at) <= DEMAND_TIMEOUT_MS;
+        let peers = self.peers.iter();
+        let included = peers.filter(|(source, report)| is_recent(report) && is_included(source));
+        self.demand.per_s(now) + included.map(|(_, report)| report.per_s()).sum::<f64>()
+    }
+
+    /// Share of the account's rate and burst that this instance may use. It does not grow while sums of
+    /// others are overdue: all instances that miss the same sums would grow at the same time.
+    fn held_share(&mut self, limit: &AccountLimit, fleet: Fleet, now: Millis) -> f64 {
+        let share = self.share(limit, fleet, now);
+        let is_overdue = |report: &PeerDemand| {
+            report.summed_per_s.is_some() && now.since(report.received_at) > DEMAND_TIMEOUT_MS
+        };
+        if self.peers.values().any(is_overdue) {
+            return share.min(self.share_by_recent_sums);
+        }
+        self.share_by_recent_sums = share;
+        share
+    }
+
+    /// Share by the demand that is known.
     fn share(&self, limit: &AccountLimit, fleet: Fleet, now: Millis) -> f64 {
         let rate = limit.tokens_per_s.max(1.0);
         let own = self.demand.per_s(now) / rate;
@@ -171,12 +249,14 @@
         let mut reporting = 1;
         for report in self.peers.values() {
             let age_ms = now.since(report.received_at);
-            if age_ms > PEER_TIMEOUT_MS {
+            if age_ms > PEER_TIMEOUT_MS || !report.is_known() {
                 continue;
             }
-            reporting += 1;
-            let known = report.demand.per_s(report.received_at);
+            reporting += report.instances;
+            let known = report.per_s();
             let is_stale = age_ms > DEMAND_TIMEOUT_MS;
+            #[allow(clippy::cast_precision_loss)]
+            let even = even * report.instances as f64;
             demand += if is_stale { known.max(even) } else { known };
         }
         #[allow(clippy::cast_precision_loss)]
--- a/crates/edge/src/member/mod.rs
+++ b/crates/edge/src/member/mod.rs
@@ -1,36 +1,54 @@
 //! An instance's view of the other instances of the fleet.
 //!
 //! An entry in the store, under a lease, holds the addresses of an instance and the digest of its
-//! certificate. Whether it is alive and ready is known from its own messages.
+//! certificate. Whether it is alive and ready is known from its own messages, or from the heartbeats
+//! that a delegate of the region passes on.
 
 use crate::{
-    limit::Fleet,
+    hash::short_hash,
+    limit::{Fleet, DEMAND_TIMEOUT_MS, MIN_REPORTED_MS},
     place::{JobKind, LatencyForecast},
     store::Position,
 };
-use carobwheel_core::time::Millis;
+use carobwheel_core::{
+    fleet::{Peer, Topology},
+    time::Millis,
+};
 use serde::{Deserialize, Serialize};
 use serde_with::{hex::Hex, serde_as};
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
 
-/// Interval of messages to an instance of the same region in a small fleet, in milliseconds.
+/// Interval of messages to an instance of the same region in a small region, in milliseconds.
 const SAME_REGION_PERIOD_MS: u64 = 100;
 /// Interval of messages to an instance of another region in a small fleet, in milliseconds.
 const OTHER_REGION_PERIOD_MS: u64 = 250;
-/// Number of other instances up to which the intervals are constant; in a larger fleet they grow,
-/// so that an instance's message rate stays the same.
+/// Number of other instances up to which the intervals are constant; in a larger region they grow,
+/// so that the load on a delegate is bounded.
 const SMALL_FLEET_PEERS: u64 = 10;
 /// Instances of each region that watch the store; the others receive changes from them.
 const WATCHERS_PER_REGION: usize = 2;
 /// Upper bound on the interval of messages, in milliseconds.
-const MAX_PERIOD_MS: u64 = 1_000;
+const MAX_PERIOD_MS: u64 = 250;
 /// Time without a message after which an instance is no longer listed for callers, in milliseconds.
 const LISTED_TIMEOUT_MS: u64 = 2_200;
-/// Time without a message, in addition to one interval, after which an instance's use of accounts
-/// counts as unknown, in milliseconds.
-const REACHABLE_TIMEOUT_MS: u64 = 450;
 /// Time without a message after which an instance without an entry is removed, in milliseconds.
 const REMOVE_TIMEOUT_MS: u64 = 10_000;
+/// Time after its registration for which an instance may be a delegate unheard, in milliseconds.
+const NEW_ENTRY_MS: u64 = 3_000;
+/// Time after the last digest from a delegate from which the ages of heartbeats no longer grow, in
+/// milliseconds: an instance without a delegate cannot tell who is gone.
+const DIGEST_TIMEOUT_MS: u64 = 700;
+/// Time after the last sums from a delegate for which messages of single instances are ignored, in
+/// milliseconds.
+const SUMS_TIMEOUT_MS: u64 = 1_500;
+/// Longest time by which the loss of all delegates stretches the age of a heartbeat, in milliseconds.
+const MAX_AGE_STRETCH_MS: u64 = 5_000;
+/// Interval of a process's heartbeat numbers, in milliseconds.
+const BEAT_INTERVAL_MS: u64 = 50;
 
 /// Uptime until which an instance that knows others but has heard none is not ready, in
 /// milliseconds. The first message tells it which prompt parts are held.
@@ -57,18 +75,72 @@
     pub certificate_digest: [u8; 32],
 }
 
+impl MemberEntry {
+    /// Hash that identifies the process in heartbeats.
+    pub fn key(&self) -> u32 {
+        short_hash(&format!("{}/{}", self.name, self.life))
+    }
+}
+
+/// Heartbeat of an instance, as delegates pass it on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Identifies the process; see [`MemberEntry::key`].
+    pub key: u32,
+    /// Grows with the uptime of the process.
+    pub beat: u32,
+    /// Whether it takes requests.
+    pub is_ready: bool,
+    /// Whether it follows the store.
+    pub has_store: bool,
+}
+
+impl Heartbeat {
+    /// Number of the heartbeat at an uptime.
+    pub fn number(uptime: Millis) -> u32 {
+        u32::try_from(uptime.0 / BEAT_INTERVAL_MS).unwrap_or(u32::MAX)
+    }
+}
+
+/// What a message says about its sender and the link that it came on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinkReport {
+    /// Number of the sender's heartbeat; 0 if its build sends none.
+    pub beat: u32,
+    /// Whether it follows the store.
+    pub has_store: bool,
+    /// Whether it wants sums in return.
+    pub subscribes: bool,
+    /// Whether it has sent sums of what it has heard.
+    pub has_sums: bool,
+}
+
 /// State of one other instance.
 #[derive(Clone, Debug)]
 pub struct Member {
     /// Registration entry.
     pub entry: MemberEntry,
+    /// Hash that identifies its process in heartbeats.
+    pub key: u32,
+    /// Number of its latest heartbeat; 0 if its build sends none.
+    pub beat: u32,
+    /// Time of the last message that it sent to this instance itself.
+    pub last_direct_at: Option<Millis>,
+    /// Start of such messages without a gap.
+    pub direct_since: Option<Millis>,
+    /// Whether it sends messages without heartbeats, as builds do that keep links to all instances.
+    pub is_full_mesh: bool,
+    /// Whether it wants the sums of what this instance hears.
+    pub is_subscriber: bool,
+    /// Time since which this instance wants a gossip link to it; `None` if it doesn't.
+    pub contact_since: Option<Millis>,
     /// Whether its entry exists in the store.
     pub has_entry: bool,
     /// Whether it accepts requests.
     pub is_ready: bool,
     /// Whether it can reach the store.
     pub has_store: bool,
-    /// Time of its last message.
+    /// Time of its last message or new heartbeat.
     pub last_message_at: Option<Millis>,
     /// Time of the last update of its entry.
     pub entry_at: Millis,
@@ -83,12 +155,26 @@
 }
 
 impl Member {
-    /// Whether a message from it arrived within the last `silence_ms` milliseconds.
+    /// Whether a message or heartbeat from it arrived within the last `max_age_ms` milliseconds.
     pub fn has_message_within(&self, max_age_ms: u64, now: Millis) -> bool {
         self.last_message_at
             .is_some_and(|at| now.since(at) <= max_age_ms)
     }
 
+    /// Whether a message that it sent to this instance itself is at most `max_age_ms` old.
+    pub fn has_direct_within(&self, max_age_ms: u64, now: Millis) -> bool {
+        self.last_direct_at
+            .is_some_and(|at| now.since(at) <= max_age_ms)
+    }
+
+    /// Whether its messages have covered enough time to tell the demand at it.
+    pub fn has_known_demand(&self, now: Millis) -> bool {
+        let is_established = self
+            .direct_since
+            .is_some_and(|since| now.since(since) >= MIN_REPORTED_MS);
+        is_established && self.has_direct_within(DEMAND_TIMEOUT_MS, now)
+    }
+
     /// Position up to which it knows a prefix. A revision without an era counts as of `own_era`.
     pub fn position(&self, prefix: usize, own_era: u64) -> Option<Position> {
         let revision = *self.revisions.get(prefix)?;
@@ -96,9 +182,14 @@
         Some(Position { era, revision })
     }
 
-    /// Whether it is ready and its last message is recent enough for requests to be sent to it.
-    pub fn is_up(&self, now: Millis) -> bool {
-        self.is_ready && self.has_message_within(LISTED_TIMEOUT_MS, now)
+    /// Its latest heartbeat; `None` if its build sends none.
+    pub fn heartbeat(&self) -> Option<Heartbeat> {
+        (self.beat > 0).then_some(Heartbeat {
+            key: self.key,
+            beat: self.beat,
+            is_ready: self.is_ready,
+            has_store: self.has_store,
+        })
     }
 }
 
@@ -109,6 +200,14 @@
     pub by_name: HashMap<Arc<str>, Member>,
     /// Whether a message from any instance has arrived.
     has_heard: bool,
+    /// Names by the keys of heartbeats.
+    by_key: HashMap<u32, Arc<str>>,
+    /// Time of the last sums from a delegate; `None` if this instance is a delegate itself.
+    last_digest_at: Option<Millis>,
+    /// Time at which an instance last became ready or ceased to be.
+    readiness_changed_at: Option<Millis>,
+    /// Time at which an entry was last new or changed.
+    pub entries_changed_at: Millis,
 }
 
 impl Members {
@@ -121,7 +220,15 @@
                 return false;
             }
         }
+        let key = entry.key();
         let member = Member {
+            key,
+            beat: 0,
+            last_direct_at: None,
+            direct_since: None,
+            is_full_mesh: false,
+            is_subscriber: false,
+            contact_since: None,
             has_entry: true,
             is_ready: false,
             has_store: false,
@@ -133,7 +240,12 @@
             forecasts: HashMap::new(),
             entry,
         };
-        self.by_name.insert(Arc::clone(&member.entry.name), member);
+        let name = Arc::clone(&member.entry.name);
+        if let Some(earlier) = self.by_name.insert(Arc::clone(&name), member) {
+            self.by_key.remove(&earlier.key);
+        }
+        self.by_key.insert(key, name);
+        self.entries_changed_at = now;
         true
     }
 
@@ -154,11 +266,148 @@
             return false;
         };
         member.last_message_at = Some(now);
-        member.is_ready = is_ready;
+        if !member.has_direct_within(DEMAND_TIMEOUT_MS, now) {
+            member.direct_since = Some(now);
+        }
+        member.last_direct_at = Some(now);
+        if std::mem::replace(&mut member.is_ready, is_ready) != is_ready {
+            self.readiness_changed_at = Some(now);
+        }
         self.has_heard = true;
         true
     }
 
+    /// Records what the latest message of `name`, which was just recorded, says about itself and its
+    /// link.
+    pub fn record_link(&mut self, name: &str, link: LinkReport, now: Millis) {
+        if let Some(member) = self.by_name.get_mut(name) {
+            member.beat = member.beat.max(link.beat);
+            member.has_store = link.has_store;
+            member.is_full_mesh = link.beat == 0;
+            member.is_subscriber = link.subscribes;
+            if link.has_sums {
+                self.last_digest_at = self.last_digest_at.map(|_| now);
+            }
+        }
+    }
+
+    /// Records a heartbeat that a delegate has passed on. Returns whether the instance has become
+    /// ready or ceased to be.
+    pub fn record_heartbeat(&mut self, heartbeat: Heartbeat, now: Millis) -> bool {
+        let name = self.by_key.get(&heartbeat.key);
+        let known = name.and_then(|name| self.by_name.get_mut(name));
+        // Only a new heartbeat counts: delegates may repeat those of an instance that is gone.
+        let Some(member) = known.filter(|known| heartbeat.beat > known.beat) else {
+            return false;
+        };
+        member.beat = heartbeat.beat;
+        member.last_message_at = Some(now);
+        member.has_store = heartbeat.has_store;
+        self.has_heard = true;
+        if std::mem::replace(&mut member.is_ready, heartbeat.is_ready) == heartbeat.is_ready {
+            return false;
+        }
+        self.readiness_changed_at = Some(now);
+        true
+    }
+
+    /// Instance whose heartbeats have this key.
+    pub fn by_key(&self, key: u32) -> Option<&Member> {
+        self.by_name.get(self.by_key.get(&key)?)
+    }
+
+    /// Whether the instance is ready and its last message or heartbeat is recent enough for requests
+    /// to be sent to it.
+    pub fn is_up(&self, member: &Member, now: Millis) -> bool {
+        member.is_ready && member.has_message_within(LISTED_TIMEOUT_MS, self.judged_at(now))
+    }
+
+    /// Time at which the ages of heartbeats are judged: while no delegate is heard they stand still.
+    fn judged_at(&self, now: Millis) -> Millis {
+        let Some(last_digest_at) = self.last_digest_at else {
+            return now;
+        };
+        let overdue_ms = now.since(last_digest_at).saturating_sub(DIGEST_TIMEOUT_MS);
+        Millis(now.0 - overdue_ms.min(MAX_AGE_STRETCH_MS))
+    }
+
+    /// Links of the instance `own` and its role.
+    pub fn topology(&self, own: Peer<'_>, now: Millis) -> Topology {
+        let others: Vec<Peer<'_>> = self
+            .by_name
+            .values()
+            .map(|member| self.as_peer(member, now))
+            .collect();
+        let mut topology = Topology::of(own, &others);
+        let full_mesh = self.by_name.values().filter(|member| member.is_full_mesh);
+        let names: BTreeSet<String> = full_mesh
+            .map(|member| member.entry.name.to_string())
+            .collect();
+        topology.forward.retain(|name| !names.contains(name));
+        topology.gossip.extend(names);
+        topology
+    }
+
+    fn as_peer<'a>(&self, member: &'a Member, now: Millis) -> Peer<'a> {
+        let is_new = member.last_message_at.is_none()
+            && member.has_entry
+            && now.since(member.entry_at) <= NEW_ENTRY_MS;
+        let is_heard = match member.contact_since {
+            // Heartbeats by way of others do not make it a useful contact.
+            Some(since) => {
+                let last_at = member.last_direct_at.map_or(since, |at| at.max(since));
+                now.since(last_at) <= LISTED_TIMEOUT_MS
+            }
+            None => member.has_message_within(LISTED_TIMEOUT_MS, self.judged_at(now)),
+        };
+        Peer {
+            name: &member.entry.name,
+            region: &member.entry.region,
+            data_centre: &member.entry.data_centre,
+            is_heard: is_new || is_heard,
+        }
+    }
+
+    /// Records with which instances this one wants gossip links, and its role.
+    pub fn set_contacts(&mut self, topology: &Topology, now: Millis) {
+        for (name, member) in &mut self.by_name {
+            member.contact_since = topology
+                .gossip
+                .contains(&**name)
+                .then(|| member.contact_since.unwrap_or(now));
+        }
+        self.last_digest_at = if topology.is_delegate {
+            None
+        } else {
+            self.last_digest_at.or(Some(now))
+        };
+    }
+
+    /// Whether a delegate has sent sums lately. Without them, single messages count.
+    pub fn has_sums(&self, now: Millis) -> bool {
+        self.last_digest_at
+            .is_some_and(|at| now.since(at) <= SUMS_TIMEOUT_MS)
+    }
+
+    /// Whether any instance has become ready, or ceased to be, since `since`.
+    pub fn has_readiness_changed_since(&self, since: Millis) -> bool {
+        self.readiness_changed_at.is_some_and(|at| at >= since)
+    }
+
+    /// Heartbeats that have arrived at or after `since`, of instances that `is_included` accepts.
+    pub fn heartbeats_since(
+        &self,
+        since: Millis,
+        is_included: impl Fn(&Member) -> bool,
+    ) -> Vec<Heartbeat> {
+        let members = self.by_name.values();
+        let recent = members.filter(|member| member.last_message_at.is_some_and(|at| at >= since));
+        recent
+            .filter(|member| is_included(member))
+            .filter_map(Member::heartbeat)
+            .collect()
+    }
+
     /// Whether this instance has heard another one since its start, at the uptime `now`; also true
     /// if there is no other or none answers in time.
     pub fn has_joined(&self, now: Millis) -> bool {
@@ -180,18 +429,19 @@
             .map(|(name, _)| Arc::clone(name))
             .collect();
         for name in &removed {
-            self.by_name.remove(name);
+            if let Some(member) = self.by_name.remove(name) {
+                self.by_key.remove(&member.key);
+            }
         }
         removed
     }
 
     /// Number of instances, and how many of them are reachable, including this one.
-    pub fn fleet(&self, region: &str, now: Millis) -> Fleet {
-        let max_age_ms = REACHABLE_TIMEOUT_MS + self.period_ms(region, false);
+    pub fn fleet(&self, now: Millis) -> Fleet {
         let may_serve = |member: &&Member| {
             member.has_entry || member.has_message_within(REMOVE_TIMEOUT_MS, now)
         };
-        let is_reachable = |member: &&Member| member.has_message_within(max_age_ms, now);
+        let is_reachable = |member: &&Member| member.has_message_within(LISTED_TIMEOUT_MS, now);
         Fleet {
             instances: 1 + self.by_name.values().filter(may_serve).count(),
             reachable: 1 + self.by_name.values().filter(is_reachable).count(),
@@ -199,7 +449,7 @@
     }
 
     /// Interval of messages to an instance of the own region or of another one, in milliseconds. It
-    /// grows with the fleet, so that an instance's message rate stays about the same.
+    /// grows with the region, up to a bound.
     pub fn period_ms(&self, region: &str, is_same_region: bool) -> u64 {
         let same_region = self
             .by_name
@@ -209,10 +459,7 @@
         let (small_ms, others) = if is_same_region {
             (SAME_REGION_PERIOD_MS, same_region)
         } else {
-            (
-                OTHER_REGION_PERIOD_MS,
-                self.by_name.len() as u64 - same_region,
-            )
+            (OTHER_REGION_PERIOD_MS, SMALL_FLEET_PEERS)
         };
         let period_ms = small_ms * others.max(SMALL_FLEET_PEERS) / SMALL_FLEET_PEERS;
         period_ms.min(MAX_PERIOD_MS)
@@ -230,7 +477,7 @@
     /// Instances of `region` to which requests may be sent.
     pub fn up_in<'a>(&'a self, region: &'a str, now: Millis) -> impl Iterator<Item = &'a Member> {
         let is_available =
-            move |member: &&Member| &*member.entry.region == region && member.is_up(now);
+            move |member: &&Member| &*member.entry.region == region && self.is_up(member, now);
         self.by_name.values().filter(is_available)
     }
 }
--- a/crates/edge/src/node/apply.rs
+++ b/crates/edge/src/node/apply.rs
@@ -272,7 +272,7 @@
         });
     }
 
-    /// Adds or updates another instance, and dials it if its entry is new.
+    /// Adds or updates another instance. A link to an earlier process of it ends.
     fn apply_member(&self, entry: MemberEntry) {
         if entry.name == self.name {
             return;
@@ -282,13 +282,13 @@
             .state
             .borrow_mut()
             .members
-            .update_entry(entry.clone(), self.now());
+            .update_entry(entry, self.now());
         if is_new {
             self.log.event(Event::MemberSeen {
                 member: &name,
                 life,
             });
-            self.links.dial(entry);
+            self.links.forget(&name);
         }
     }
 
--- a/crates/edge/src/node/gossip.rs
+++ b/crates/edge/src/node/gossip.rs
@@ -1,19 +1,15 @@
-//! Gossip between instances: construction of messages and handling of received ones.
+//! Gossip between instances: the messages, and what an instance tells of itself.
 
-use super::{limits::KeyedLimitReport, Node};
+use super::{digest::FleetReport, limits::KeyedLimitReport, Node};
 use crate::hash::short_hash;
 use crate::{
-    log::Event,
     place::{JobKind, LatencyForecast},
     rollout::{RouteEvidence, Verdict},
     upstream::Load,
 };
-use carobwheel_core::{
-    crash::{CrashReport, CrashSubject},
-    time::Millis,
-};
+use carobwheel_core::crash::CrashReport;
 use serde::{Deserialize, Serialize};
-use std::{collections::HashMap, sync::Arc};
+use std::sync::Arc;
 
 /// Upper bound of the values in a [`ForecastReport`].
 const MAX_FORECAST_VALUE: f64 = 1_000_000.0;
@@ -58,7 +54,7 @@
         }
     }
 
-    fn forecast(self) -> LatencyForecast {
+    pub(super) fn forecast(self) -> LatencyForecast {
         LatencyForecast {
             wait_ms: f64::from(self.wait_ms),
             time_per_token_ms: f64::from(self.pace_us) / 1_000.0,
@@ -110,6 +106,10 @@
     /// regions. Appended to the encoded message.
     #[serde(skip)]
     pub leaving: Vec<u32>,
+    /// Heartbeat of the sender and, from a delegate, what it has heard; appended to the encoded
+    /// message. `None` from builds that keep links to all instances.
+    #[serde(skip)]
+    pub fleet: Option<FleetReport>,
 }
 
 impl Node {
@@ -119,8 +119,8 @@
         state.members.period_ms(&self.region, is_same_region)
     }
 
-    /// Builds the message for instances of the own region, or of other regions.
-    pub fn gossip(&self, is_same_region: bool) -> Gossip {
+    /// Builds what this instance tells of itself to instances of the own region, or of other regions.
+    pub(super) fn own_gossip(&self, is_same_region: bool) -> Gossip {
         let is_ready = self.is_ready();
         let services: Vec<Arc<str>> = {
             let state = self.state.borrow();
@@ -196,108 +196,8 @@
                 } else {
                     Vec::new()
                 },
+                fleet: None,
             },
         }
     }
-
-    /// Applies a message from the instance `name`. Messages of an earlier lifetime are ignored.
-    pub fn receive_gossip(&self, name: &Arc<str>, gossip: Gossip) {
-        let now = self.now();
-        let life = gossip.life;
-        let (crashes, additions) = (gossip.crashes.clone(), gossip.additions.clone());
-        let verdicts = {
-            let mut state = self.state.borrow_mut();
-            if !state
-                .members
-                .record_message(name, gossip.life, gossip.is_ready, now)
-            {
-                return;
-            }
-            state.apply_loads(name, &gossip, now);
-            if let Some(member) = state.members.by_name.get_mut(name) {
-                let reports = gossip.forecasts.iter();
-                member.forecasts = reports
-                    .map(|report| ((report.service, report.kind), report.forecast()))
-                    .collect();
-                member.revisions.clone_from(&gossip.revisions);
-                member.eras.clone_from(&gossip.additions.eras);
-                member.config_version = gossip.additions.config_version;
-                member.has_store = gossip.has_store;
-            }
-            for (account, bucket) in &mut state.buckets {
-                let hash = short_hash(account);
-                if let Some((_, asked)) = gossip.asked.iter().find(|(account, _)| *account == hash)
-                {
-                    bucket.update_peer_demand(name, gossip.life, *asked, now);
-                }
-            }
-            state.apply_trial_reports(self, name, gossip.trials)
-        };
-        self.receive_limits(name, life, &additions.limits);
-        self.receive_leaving(name, &additions.leaving);
-        self.receive_crash_report(CrashSubject::PromptPart, &crashes);
-        self.receive_crash_report(CrashSubject::Request, &additions.request_crashes);
-        for (service, target, verdict) in verdicts {
-            self.apply_verdict(&service, &target, verdict, false);
-        }
-    }
-}
-
-impl super::State {
-    /// Replaces the sender's load on each upstream.
-    fn apply_loads(&mut self, name: &Arc<str>, gossip: &Gossip, now: Millis) {
-        let loads: HashMap<u32, Load> = gossip.loads.iter().copied().collect();
-        for upstream in self.upstreams.by_id.values_mut() {
-            match loads.get(&upstream.hash) {
-                Some(load) => {
-                    upstream.peer_loads.insert(Arc::clone(name), (*load, now));
-                }
-                None => {
-                    upstream.peer_loads.remove(name);
-                }
-            }
-        }
-    }
-
-    /// Merges the sender's evidence and suspicions. Returns the verdicts that it reports.
-    fn apply_trial_reports(
-        &mut self,
-        node: &Node,
-        name: &Arc<str>,
-        reports: Vec<TrialReport>,
-    ) -> Vec<(Arc<str>, Arc<str>, Verdict)> {
-        let mut verdicts = Vec::new();
-        for report in reports {
-            let is_it = |trial: &&mut crate::rollout::Trial| {
-                short_hash(&trial.order.service) == report.service
-                    && short_hash(&trial.order.target) == report.target
-            };
-            let Some(trial) = self.trials.values_mut().find(is_it) else {
-                continue;
-            };
-            trial
-                .evidence
-                .update_peer(name, report.routes.into_iter().collect());
-            let (service, target) = (&trial.order.service, &trial.order.target);
-            if report.is_suspect && !trial.is_suspect() {
-                let ended = trial.evidence.new_ended();
-                node.log.event(Event::TrialSuspected {
-                    service,
-                    target,
-                    ended,
-                });
-                trial.mark_suspect();
-            }
-            if let Some(is_complete) = report.verdict {
-                let verdict = if is_complete {
-                    Verdict::Complete
-                } else {
-                    Verdict::Reverted
-                };
-                let (service, target) = (&trial.order.service, &trial.order.target);
-                verdicts.push((Arc::clone(service), Arc::clone(target), verdict));
-            }
-        }
-        verdicts
-    }
 }
--- a/crates/edge/src/node/limits.rs
+++ b/crates/edge/src/node/limits.rs
@@ -116,6 +116,19 @@
         LimitUsers::choose(&node.name, others, upstream)
     }
 
+    /// Names of the instances of the region that use the upstream while it is limited. Also counts those
+    /// that are silent, as each user does when it decides that it is one.
+    pub(super) fn limit_user_names(
+        &self,
+        node: &Node,
+        upstream: &str,
+        now: Millis,
+    ) -> Vec<Arc<str>> {
+        let others = self.region_members(node, now).into_iter().map(Arc::clone);
+        let names = others.chain([Arc::clone(&node.name)]).collect();
+        limit_users_among(names, upstream)
+    }
+
     /// Time until this instance may send a request to the upstream by its limit, in milliseconds;
     /// [`NOT_A_USER`] if it may not use it.
     pub(super) fn limit_wait_ms(&self, node: &Node, upstream: &Upstream, now: Millis) -> u64 {
@@ -143,15 +156,14 @@
                 && *upstream.region == *node.region
                 && upstream.limit.rate(now).is_some()
         });
-        let mut users: Vec<Arc<str>> = Vec::new();
-        for upstream in upstreams {
-            let members = self.members.up_in(&node.region, now);
-            let names: Vec<Arc<str>> = members
-                .map(|member| Arc::clone(&member.entry.name))
-                .collect();
-            users.extend(limit_users_among(names, &upstream.entry.id));
-        }
-        users.retain(|name| node.links.connection(name).is_some());
+        let mut users: Vec<Arc<str>> = upstreams
+            .flat_map(|upstream| self.limit_user_names(node, &upstream.entry.id, now))
+            .collect();
+        let is_up = |name: &Arc<str>| {
+            let member = self.members.by_name.get(name);
+            member.is_some_and(|member| self.members.is_up(member, now))
+        };
+        users.retain(|name| is_up(name) && node.links.connection(name).is_some());
         if users.is_empty() {
             return None;
         }
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -1,21 +1,27 @@
 //! State of the instance, and the operations that read and change it.
 
 mod apply;
+mod digest;
 mod evidence;
 mod gossip;
 mod leaving;
 mod limits;
+mod links;
 mod news;
 mod placement;
+mod receive;
+mod relay;
 mod restore;
 mod state;
 mod tick;
 
+pub use digest::{Digest, DigestScope, FleetReport, TrialSum};
 pub use evidence::SendIds;
-pub use gossip::{Additions, Gossip};
+pub use gossip::{Additions, ForecastReport, Gossip, TrialReport};
 pub use limits::KeyedLimitReport;
 pub(crate) use limits::LimitWait;
 pub use news::HealthChecks;
 pub use placement::PlacementRequest;
+pub use relay::{KeptReport, RelayedReport};
 pub use state::{urgency, Node, State};
 pub use tick::Pull;
--- a/crates/edge/src/node/news.rs
+++ b/crates/edge/src/node/news.rs
@@ -59,7 +59,7 @@
             .members
             .by_name
             .values()
-            .filter(|member| member.has_message_within(MAX_MESSAGE_AGE_MS, now));
+            .filter(|member| member.has_direct_within(MAX_MESSAGE_AGE_MS, now));
         recent.any(|member| {
             let position = member.position(UPSTREAM_PREFIX, own.era);
             member.has_store && position.is_some_and(|position| position <= own)
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -1,5 +1,6 @@
 //! State of an instance, and the decisions that are based on it.
 
+use super::{ForecastReport, KeptReport};
 use crate::{
     cold::{ColdRate, MAX_COLD_USERS},
     dispatch::Pools,
@@ -19,6 +20,7 @@
 };
 use carobwheel_core::{
     crash::CrashDetector,
+    fleet::Topology,
     time::{Clock, Millis},
 };
 use std::{
@@ -84,6 +86,16 @@
     pub upstreams: Upstreams,
     /// Other instances.
     pub members: Members,
+    /// Links that this instance wants, and its role in its region.
+    pub topology: Topology,
+    /// Delegate whose sums this instance subscribes to.
+    pub sums_from: Option<Arc<str>>,
+    /// Reports of other instances that are passed on, by the key of the sender's process.
+    pub relayed: HashMap<u32, KeptReport>,
+    /// Number of instances that the latest sums of each other region cover, and their arrival.
+    pub region_instances: HashMap<Arc<str>, (Millis, u32)>,
+    /// Forecasts of other regions as delegates have passed them on, with the time of their arrival.
+    pub region_forecasts: HashMap<Arc<str>, (Millis, Vec<ForecastReport>)>,
     /// Token buckets by account.
     pub buckets: HashMap<Arc<str>, Bucket>,
     /// Recent mix of requested work, by service.
@@ -178,17 +190,8 @@
         }
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let fleet = state.members.fleet(&self.region, now);
-        let limit = AccountLimit {
-            tokens_per_s: account.tokens_per_s,
-            burst_tokens: account.burst_tokens,
-            slack_tokens: LIMIT_SLACK_SHARE
-                * self
-                    .settings
-                    .bounds
-                    .limit_extra_tokens
-                    .min(account.burst_tokens),
-        };
+        let fleet = state.members.fleet(now);
+        let limit = self.account_limit(account);
         let bucket = state
             .buckets
             .entry(Arc::clone(&account.name))
@@ -196,6 +199,16 @@
         bucket.take(tokens, &limit, fleet, now)
     }
 
+    /// Limit of an account over all instances.
+    pub(super) fn account_limit(&self, account: &Account) -> AccountLimit {
+        let slack_tokens = self.settings.bounds.limit_extra_tokens;
+        AccountLimit {
+            tokens_per_s: account.tokens_per_s,
+            burst_tokens: account.burst_tokens,
+            slack_tokens: LIMIT_SLACK_SHARE * slack_tokens.min(account.burst_tokens),
+        }
+    }
+
     /// Refunds the tokens of a request that has not run.
     pub fn refund(&self, account: &Account, tokens: u64) {
         if let Some(bucket) = self.state.borrow_mut().buckets.get_mut(&account.name) {
@@ -232,7 +245,7 @@
     pub fn try_repeat(&self, service: &Arc<str>) -> bool {
         let (bounds, now) = (self.retry_bounds(), self.now());
         let mut state = self.state.borrow_mut();
-        let instances = state.members.fleet(&self.region, now).instances;
+        let instances = state.members.fleet(now).instances;
         let budget = state.budgets.entry(Arc::clone(service)).or_default();
         budget.try_take(&bounds, instances, now)
     }
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -54,6 +54,7 @@
         };
         self.is_watcher
             .send_if_modified(|known| std::mem::replace(known, is_watcher) != is_watcher);
+        self.update_links();
         self.advance_trials();
         self.expire_crashes();
     }
@@ -70,7 +71,7 @@
                 .members
                 .by_name
                 .values()
-                .filter(|member| member.has_message_within(PULL_DELAY_MS, now));
+                .filter(|member| member.has_direct_within(PULL_DELAY_MS, now));
             let ahead = reachable.filter_map(|member| {
                 let position = member.position(prefix, after.era)?;
                 let has_newer_config =
@@ -157,7 +158,7 @@
             .members
             .by_name
             .values()
-            .filter(|member| member.is_up(now));
+            .filter(|member| state.members.is_up(member, now));
         reachable
             .filter(|member| member.entry.name < self.name)
             .count() as u64
--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -1,8 +1,8 @@
 //! Serving of links that other instances have dialled.
 
 use super::{
-    decode, exchange::READ_BYTES, holds, pull, tls::peer_digest, Links, HOLDS_HEADER,
-    MAX_GOSSIP_BYTES, PULL_HEADER, REFUSED_HEADER, TICKET_HEADER,
+    decode, exchange::READ_BYTES, gossip::send_gossip, holds, pull, tls::peer_digest, Links,
+    HOLDS_HEADER, MAX_GOSSIP_BYTES, PULL_HEADER, REFUSED_HEADER, TICKET_HEADER,
 };
 use crate::{
     front::read_body,
@@ -22,6 +22,10 @@
 const ENTRY_LOOKUPS: u32 = 20;
 /// Pause between two such lookups.
 const ENTRY_LOOKUP_PAUSE: Duration = Duration::from_millis(100);
+/// Longest age of gossip that is answered on the link, in milliseconds.
+const ANSWERED_GOSSIP_MS: u64 = 1_000;
+/// Interval of checks whether gossip has arrived.
+const ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// `Retry-After` of forwarded requests while this instance is stopping, in milliseconds.
 const STOPPING_RETRY_AFTER_MS: u64 = 100;
 
@@ -36,7 +40,7 @@
                     return;
                 };
                 match name_by_certificate(&node, &connection).await {
-                    Some(name) => serve(node, name, connection).await,
+                    Some(name) => serve_accepted(node, name, connection).await,
                     None => connection.close(1u8.into(), b"unknown certificate"),
                 }
             });
@@ -63,9 +67,43 @@
     None
 }
 
+/// Serves a link that another instance has dialled. Its gossip is answered by gossip on the same link.
+async fn serve_accepted(node: Rc<Node>, name: Arc<str>, connection: quinn::Connection) {
+    node.links.add_accepted(&name, &connection);
+    let answered = answer_gossip(&node, &name, &connection);
+    let served = serve(Rc::clone(&node), Arc::clone(&name), connection.clone());
+    tokio::join!(answered, served);
+    node.links.remove_accepted(&name, &connection);
+}
+
+/// Waits for gossip of the instance, and sends own gossip from then on unless it goes by another link.
+async fn answer_gossip(node: &Node, name: &Arc<str>, connection: &quinn::Connection) {
+    loop {
+        let heard = {
+            let state = node.state.borrow();
+            let member = state.members.by_name.get(name);
+            let heard = member.filter(|member| {
+                // Builds that keep links to all instances do not read what comes back.
+                let is_heard = member.has_direct_within(ANSWERED_GOSSIP_MS, node.now());
+                is_heard && !member.is_full_mesh
+            });
+            heard.map(|member| member.entry.clone())
+        };
+        let dialled = node.links.has_dialled_gossip(name);
+        if let Some(entry) = heard.filter(|_| !dialled) {
+            send_gossip(node, &entry, connection).await;
+            return;
+        }
+        tokio::select! {
+            () = sleep(ANSWER_CHECK_INTERVAL) => {}
+            _ = connection.closed() => return,
+        }
+    }
+}
+
 /// Serves a link: gossip in datagrams or unidirectional streams, and exchanges in bidirectional
 /// ones.
-async fn serve(node: Rc<Node>, name: Arc<str>, connection: quinn::Connection) {
+pub(super) async fn serve(node: Rc<Node>, name: Arc<str>, connection: quinn::Connection) {
     loop {
         tokio::select! {
             datagram = connection.read_datagram() => match datagram {
--- /dev/null
+++ b/crates/edge/src/peers/gossip.rs
@@ -0,0 +1,70 @@
+//! Sending of gossip on a link.
+
+use super::{encode, PeerError};
+use crate::{member::MemberEntry, node::Node};
+use bytes::Bytes;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Minimum interval of messages on a link, also while there are urgent news.
+const MIN_GOSSIP_PERIOD: Duration = Duration::from_millis(50);
+
+/// Sends gossip until the link is lost.
+pub(super) async fn send_gossip(
+    node: &Node,
+    entry: &MemberEntry,
+    connection: &quinn::Connection,
+) -> PeerError {
+    let is_same_region = entry.region == node.region;
+    let mut announced = node.links.announced.subscribe();
+    let mut heartbeats_at = None;
+    loop {
+        announced.mark_unchanged();
+        let message = match encode(&node.gossip_for(entry, &mut heartbeats_at)) {
+            Ok(message) => Bytes::from(message),
+            Err(err) => return err,
+        };
+        let period = Duration::from_millis(node.gossip_period_ms(is_same_region));
+        let is_small = connection
+            .max_datagram_size()
+            .is_some_and(|max_bytes| message.len() <= max_bytes);
+        let sent = if is_small {
+            connection
+                .send_datagram(message)
+                .map_err(|err| PeerError(err.to_string()))
+        } else {
+            send_stream(connection, &message).await
+        };
+        if let Err(err) = sent {
+            return err;
+        }
+        let next_message = async {
+            sleep(period.min(MIN_GOSSIP_PERIOD)).await;
+            // The sender of the channel lives as long as the links.
+            drop(
+                timeout(
+                    period.saturating_sub(MIN_GOSSIP_PERIOD),
+                    announced.changed(),
+                )
+                .await,
+            );
+        };
+        tokio::select! {
+            () = next_message => {}
+            reason = connection.closed() => return PeerError(reason.to_string()),
+        }
+    }
+}
+
+/// Sends a message that is too large for a datagram.
+async fn send_stream(connection: &quinn::Connection, message: &[u8]) -> Result<(), PeerError> {
+    let mut stream = connection
+        .open_uni()
+        .await
+        .map_err(|err| PeerError(err.to_string()))?;
+    stream
+        .write_all(message)
+        .await
+        .map_err(|err| PeerError(err.to_string()))?;
+    stream.finish().map_err(|err| PeerError(err.to_string()))
+}
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -1,7 +1,8 @@
 //! Links between instances over QUIC.
 //!
-//! Each instance dials every other one. The link carries gossip, as datagrams where they fit, and
-//! the requests that the instance forwards, each as an HTTP exchange on a stream of its own.
+//! An instance keeps links to the delegates of its region and to a few instances of other regions; see
+//! [`carobwheel_core::fleet`]. A link carries gossip in both directions, as datagrams where they fit,
+//! and forwarded requests, each as an HTTP exchange on a stream of its own.
 //! Certificates are generated at start-up and pinned by the digest in the instance's entry in the
 //! store.
 
@@ -9,13 +10,15 @@
 mod congestion;
 mod dial;
 mod exchange;
+mod gossip;
 mod holds;
+mod links;
 mod pull;
 mod tls;
 mod verify;
 
-pub use dial::Links;
 pub(crate) use exchange::{exchange, ExchangeError};
+pub use links::{LinkUse, Links, WantedLink};
 pub use pull::{decode_facts, encode_facts, pull};
 pub use tls::{Identity, PeerError};
 
@@ -45,8 +48,8 @@
 /// Maximum size of a gossip message, in bytes.
 const MAX_GOSSIP_BYTES: usize = 256 * 1024;
 
-/// Encodes a message. Crash reports, additions, reports on whole requests and on leaving upstreams
-/// follow the other fields, each unless it and what follows are empty: builds that do not know them
+/// Encodes a message. Crash reports, additions, reports on whole requests and on leaving upstreams,
+/// and the part of the fleet follow the other fields, each unless it and what follows are empty: builds that do not know them
 /// ignore trailing bytes.
 ///
 /// # Errors
@@ -68,17 +71,26 @@
     let Additions {
         request_crashes,
         leaving,
+        fleet,
         ..
     } = &gossip.additions;
-    if *request_crashes == CrashReport::default() && leaving.is_empty() {
+    let has_fleet = fleet.is_some();
+    if *request_crashes == CrashReport::default() && leaving.is_empty() && !has_fleet {
         return Ok(bytes);
     }
-    let bytes = postcard::to_extend(request_crashes, bytes);
-    let bytes = bytes.map_err(|err| PeerError(err.to_string()))?;
-    if leaving.is_empty() {
+    let bytes = extend(bytes, request_crashes)?;
+    if leaving.is_empty() && !has_fleet {
         return Ok(bytes);
     }
-    postcard::to_extend(leaving, bytes).map_err(|err| PeerError(err.to_string()))
+    let bytes = extend(bytes, leaving)?;
+    match fleet {
+        Some(fleet) => extend(bytes, fleet),
+        None => Ok(bytes),
+    }
+}
+
+fn extend<T: serde::Serialize>(bytes: Vec<u8>, part: &T) -> Result<Vec<u8>, PeerError> {
+    postcard::to_extend(part, bytes).map_err(|err| PeerError(err.to_string()))
 }
 
 /// Decodes a message, with or without crash reports and additions.
@@ -96,7 +108,10 @@
             gossip.additions = additions;
             if let Ok((requests, rest)) = postcard::take_from_bytes(rest) {
                 gossip.additions.request_crashes = requests;
-                gossip.additions.leaving = postcard::from_bytes(rest).unwrap_or_default();
+                if let Ok((leaving, rest)) = postcard::take_from_bytes(rest) {
+                    gossip.additions.leaving = leaving;
+                    gossip.additions.fleet = postcard::from_bytes(rest).ok();
+                }
             }
         }
     }
--- a/crates/edge/src/peers/tls.rs
+++ b/crates/edge/src/peers/tls.rs
@@ -17,6 +17,8 @@
 const CERTIFICATE_NAME: &str = "carobwheel";
 /// Maximum number of open requests per link.
 const MAX_REQUESTS_PER_LINK: u32 = 1_024;
+/// Interval of packets on a link that carries nothing else.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Round-trip time that is assumed until one is measured.
 const INITIAL_RTT: Duration = Duration::from_millis(170);
 
@@ -98,7 +100,9 @@
         config.resumption = rustls::client::Resumption::disabled();
         let crypto = QuicClientConfig::try_from(config).map_err(peer_error)?;
         let mut client = quinn::ClientConfig::new(Arc::new(crypto));
-        client.transport_config(Arc::new(transport()));
+        let mut transport = transport();
+        transport.keep_alive_interval(Some(KEEP_ALIVE_INTERVAL));
+        client.transport_config(Arc::new(transport));
         Ok(client)
     }
 }
--- a/crates/edge/src/pipeline/forward.rs
+++ b/crates/edge/src/pipeline/forward.rs
@@ -70,7 +70,7 @@
     let mut best: Option<(f64, RemoteCandidate)> = None;
     for region in regions.iter().filter(|region| ***region != *node.region) {
         for member in state.members.up_in(region, now) {
-            let Some(forecast) = member.forecasts.get(&(service, kind)) else {
+            let Some(forecast) = state.forecast_of(member, service, kind, now) else {
                 continue;
             };
             let is_linked = node.links.connection(&member.entry.name).is_some();
--- a/crates/edge/src/rate/mod.rs
+++ b/crates/edge/src/rate/mod.rs
@@ -24,6 +24,13 @@
         self.decayed(now) * 1_000.0 / AVERAGING_MS
     }
 
+    /// Rate, in tokens a second, if tokens were added for the last `observed_ms` milliseconds only.
+    pub fn per_s_over(&self, observed_ms: u64, now: Millis) -> f64 {
+        #[allow(clippy::cast_precision_loss)]
+        let weight = 1.0 - (-(observed_ms.max(1) as f64) / AVERAGING_MS).exp();
+        self.per_s(now) / weight
+    }
+
     fn decayed(&self, now: Millis) -> f64 {
         #[allow(clippy::cast_precision_loss)]
         let elapsed_ms = now.since(self.updated_at) as f64;
--- a/crates/edge/src/rollout/evidence.rs
+++ b/crates/edge/src/rollout/evidence.rs
@@ -125,10 +125,21 @@
         self.peers.insert(Arc::clone(instance), routes);
     }
 
+    /// Drops the evidence of other instances, since another source replaces it.
+    pub fn forget_peers(&mut self) {
+        self.peers.clear();
+    }
+
     /// Counts of all instances, by route.
     fn by_route(&self) -> HashMap<u32, RouteEvidence> {
+        self.summed(|_| true)
+    }
+
+    /// Counts of this instance and of those sources that `is_included` accepts, by route.
+    pub fn summed(&self, is_included: impl Fn(&str) -> bool) -> HashMap<u32, RouteEvidence> {
         let mut by_route: HashMap<u32, RouteEvidence> = self.own.clone();
-        for (route, evidence) in self.peers.values().flatten() {
+        let included = self.peers.iter().filter(|(source, _)| is_included(source));
+        for (route, evidence) in included.flat_map(|(_, routes)| routes) {
             let sum = by_route.entry(*route).or_default();
             sum.old += evidence.old;
             sum.new += evidence.new;
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -87,7 +87,8 @@
     pub own: Load,
     /// Rate of prompt tokens that this instance sends for prefill.
     pub prefill_rate: MeanRate,
-    /// Load by requests of other instances and the time of its report, by instance name.
+    /// Load by requests of other instances and the time of its report, by the name of the instance or,
+    /// for a sum, of the delegate that reports it.
     pub peer_loads: HashMap<Arc<str>, (Load, Millis)>,
     /// Health as observed by this instance.
     pub health: Health,
@@ -127,9 +128,14 @@
 
     /// Load by requests of all instances with a current report.
     pub fn load(&self, now: Millis) -> Load {
+        self.load_without("", now)
+    }
+
+    /// Load by requests of all instances with a current report, except those of `excluded`.
+    pub fn load_without(&self, excluded: &str, now: Millis) -> Load {
         let mut load = self.own_load(now);
-        for (other, reported_at) in self.peer_loads.values() {
-            if now.since(*reported_at) <= MAX_REPORT_AGE_MS {
+        for (name, (other, reported_at)) in &self.peer_loads {
+            if now.since(*reported_at) <= MAX_REPORT_AGE_MS && **name != *excluded {
                 load += *other;
             }
         }
--- a/crates/edge/tests/limit_fleet.rs
+++ b/crates/edge/tests/limit_fleet.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use carobwheel_core::time::Millis;
-use carobwheel_edge::limit::{AccountLimit, Bucket, Fleet};
+use carobwheel_edge::limit::{AccountLimit, Bucket, Fleet, SummedDemand};
 use rand::{rngs::StdRng, Rng as _, SeedableRng as _};
 use std::sync::Arc;
 use test_case::test_case;
@@ -129,3 +129,76 @@
     assert_eq!(wait_ms, 100);
     assert!(bucket.take(18_000, &limit, fleet, Millis(wait_ms)).is_ok());
 }
+
+/// Instances of a large region whose reports go by way of a delegate, which adds them up.
+const REGION: usize = 24;
+/// Interval of reports and of sums, in milliseconds.
+const PERIOD_MS: u64 = 250;
+
+/// Maximum number of tokens granted within one window, with the reports of `REGION` instances added up by
+/// the first one. The delegate is silent from 6 s to 9 s if `is_lost`.
+fn max_in_window_with_delegate(seed: u64, load: f64, is_lost: bool) -> f64 {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let fleet = Fleet {
+        instances: REGION,
+        reachable: REGION,
+    };
+    let mut buckets: Vec<Bucket> = (0..REGION)
+        .map(|_| Bucket::new(&LIMIT, fleet, Millis(0)))
+        .collect();
+    let names: Vec<Arc<str>> = (0..REGION)
+        .map(|n| format!("i{n}").as_str().into())
+        .collect();
+    let mut granted: Vec<(u64, f64)> = Vec::new();
+    for now in (0..20_000).step_by(10) {
+        for bucket in &mut buckets {
+            let tokens = rng.random_range(100..3_000);
+            let per_step = load * LIMIT.tokens_per_s / 100.0 / REGION as f64;
+            let is_request = rng.random::<f64>() < per_step / 1_550.0;
+            if is_request && bucket.take(tokens, &LIMIT, fleet, Millis(now)).is_ok() {
+                granted.push((now, tokens as f64));
+            }
+        }
+        let is_silent = is_lost && (6_000..9_000).contains(&now);
+        if now % PERIOD_MS != 0 || is_silent {
+            continue;
+        }
+        let (delegate, others) = buckets.split_first_mut().unwrap();
+        for (bucket, name) in others.iter_mut().zip(&names[1..]) {
+            let requested = bucket.requested_tokens();
+            let per_s = delegate.summed_demand(|source| *source != **name, Millis(now));
+            let sum = SummedDemand {
+                per_s,
+                instances: REGION - 1,
+            };
+            delegate.update_peer_demand(name, 1, requested, Millis(now));
+            bucket.update_summed_demand(&names[0], sum, Millis(now));
+        }
+    }
+    let in_window = |first: u64| -> f64 {
+        let window = granted
+            .iter()
+            .filter(|(at, _)| (first..first + WINDOW_MS).contains(at));
+        window.map(|(_, tokens)| tokens).sum()
+    };
+    granted
+        .iter()
+        .map(|(first, _)| in_window(*first))
+        .fold(0.0, f64::max)
+}
+
+#[test_case(1.5, false; "above the rate")]
+#[test_case(5.0, false; "far above the rate")]
+#[test_case(5.0, true; "while the delegate is silent")]
+fn fleet_stays_within_the_rate_limit_with_sums(load: f64, is_lost: bool) {
+    let window_s = WINDOW_MS as f64 / 1_000.0;
+    let rated = LIMIT.tokens_per_s * window_s + LIMIT.burst_tokens;
+    let allowed = rated * (1.0 + OVER_SHARE) + EXTRA_TOKENS;
+    for seed in 0..10 {
+        let max_granted = max_in_window_with_delegate(seed, load, is_lost);
+        assert!(
+            max_granted <= allowed,
+            "seed {seed}: {max_granted} of {allowed}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/edge/tests/member_heartbeats.rs
@@ -0,0 +1,143 @@
+//! Tests of what heartbeats that delegates pass on say about an instance.
+
+#![allow(clippy::unwrap_used)]
+
+use carobwheel_core::{
+    fleet::{Peer, Topology},
+    time::Millis,
+};
+use carobwheel_edge::member::{Heartbeat, LinkReport, MemberEntry, Members};
+
+/// Entry of an instance of the region `north`.
+fn entry(name: &str) -> MemberEntry {
+    MemberEntry {
+        name: name.into(),
+        life: 1,
+        region: "north".into(),
+        data_centre: "north-a".into(),
+        callers: "127.0.0.1:1".parse().unwrap(),
+        peers: "127.0.0.1:2".parse().unwrap(),
+        certificate_digest: [0; 32],
+    }
+}
+
+fn heartbeat(name: &str, beat: u32, is_ready: bool) -> Heartbeat {
+    Heartbeat {
+        key: entry(name).key(),
+        beat,
+        is_ready,
+        has_store: true,
+    }
+}
+
+/// Table of the instance `c`, which knows the delegates `a` and `b` and the instance `d`.
+fn members() -> Members {
+    let mut members = Members::default();
+    for name in ["a", "b", "d"] {
+        members.update_entry(entry(name), Millis(0));
+    }
+    choose(&mut members, 0);
+    members
+}
+
+/// Chooses the links of `c`.
+fn choose(members: &mut Members, now: u64) -> Topology {
+    let own = Peer {
+        name: "c",
+        region: "north",
+        data_centre: "north-a",
+        is_heard: true,
+    };
+    let topology = members.topology(own, Millis(now));
+    members.set_contacts(&topology, Millis(now));
+    topology
+}
+
+/// Records a message with sums of `name`.
+fn hear(members: &mut Members, name: &str, now: u64) {
+    let at = Millis(now);
+    assert!(members.record_message(name, 1, true, at));
+    let link = LinkReport {
+        beat: Heartbeat::number(at).max(1),
+        has_store: true,
+        subscribes: false,
+        has_sums: true,
+    };
+    members.record_link(name, link, at);
+}
+
+fn listed(members: &Members, now: u64) -> Vec<String> {
+    let mut names: Vec<String> = members
+        .up_in("north", Millis(now))
+        .map(|member| member.entry.name.to_string())
+        .collect();
+    names.sort_unstable();
+    names
+}
+
+#[test]
+fn a_repeated_heartbeat_is_no_sign_of_life() {
+    let mut members = members();
+    for now in (100..=4_000).step_by(100) {
+        hear(&mut members, "a", now);
+        members.record_heartbeat(heartbeat("d", 5, true), Millis(now));
+    }
+    assert_eq!(listed(&members, 2_000), ["a", "d"]);
+    assert_eq!(listed(&members, 4_000), ["a"]);
+    members.record_heartbeat(heartbeat("d", 6, true), Millis(4_000));
+    assert_eq!(listed(&members, 4_000), ["a", "d"]);
+}
+
+#[test]
+fn an_instance_that_has_ceased_to_be_ready_is_not_listed() {
+    let mut members = members();
+    assert!(members.record_heartbeat(heartbeat("d", 5, true), Millis(100)));
+    assert!(members.record_heartbeat(heartbeat("d", 6, false), Millis(200)));
+    assert!(members.has_readiness_changed_since(Millis(200)));
+    assert!(!members.record_heartbeat(heartbeat("d", 5, true), Millis(300)));
+    assert!(listed(&members, 300).is_empty());
+}
+
+#[test]
+fn heartbeats_of_an_earlier_process_do_not_count() {
+    let mut members = members();
+    let restarted = MemberEntry {
+        life: 2,
+        ..entry("d")
+    };
+    members.update_entry(restarted.clone(), Millis(100));
+    assert!(!members.record_heartbeat(heartbeat("d", 50, true), Millis(200)));
+    let of_new = Heartbeat {
+        key: restarted.key(),
+        ..heartbeat("d", 1, true)
+    };
+    assert!(members.record_heartbeat(of_new, Millis(200)));
+}
+
+/// Without a delegate nobody can be told from the dead, so nobody is taken off the list at once.
+#[test]
+fn ages_stand_still_while_no_delegate_is_heard() {
+    let mut members = members();
+    hear(&mut members, "a", 1_000);
+    members.record_heartbeat(heartbeat("d", 5, true), Millis(1_000));
+    assert_eq!(listed(&members, 4_000), ["a", "d"]);
+    assert!(listed(&members, 12_000).is_empty());
+}
+
+#[test]
+fn delegates_that_fall_silent_are_replaced_by_those_with_heartbeats() {
+    let mut members = members();
+    for now in (100..=1_000).step_by(100) {
+        hear(&mut members, "a", now);
+        hear(&mut members, "b", now);
+        members.record_heartbeat(
+            heartbeat("d", Heartbeat::number(Millis(now)), true),
+            Millis(now),
+        );
+    }
+    let before = choose(&mut members, 1_000);
+    assert_eq!(Vec::from_iter(before.gossip), ["a", "b"]);
+    assert!(!before.is_delegate);
+    let after = choose(&mut members, 3_500);
+    assert!(after.is_delegate && after.gossip.contains("d"));
+}
