A late write of a killed process no longer replaces its successor's entry

Change: the entry is written on condition of the revision that stands there; after a conflict it is read again.

Measured: store_register, the late write after the successor's, failed before.

--- a/crates/edge/src/store/own_entry.rs
+++ b/crates/edge/src/store/own_entry.rs
@@ -1,6 +1,6 @@
 //! Registration of this instance in the store, under a lease.
 
-use super::{backoff::Backoff, task::Context, Commit, StoreError, StoreEvent, Write};
+use super::{backoff::Backoff, task::Context, Commit, Expected, StoreError, StoreEvent, Write};
 use crate::member::MemberEntry;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -72,6 +72,10 @@
                     .send(StoreEvent::LeaseLost("lease expired".to_owned()))
                     .await;
             }
+            // Another write came first: that of an earlier process, or an own one whose answer was lost.
+            Err(StoreError::Conflict) => {
+                sleep(Duration::from_millis(backoff.failed(rand::random()))).await;
+            }
             Err(err) => {
                 context.unreachable(&err).await;
                 sleep(Duration::from_millis(backoff.failed(rand::random()))).await;
@@ -80,17 +84,29 @@
     }
 }
 
+/// Writes the entry in place of the one that is there now. Without this condition a write of an earlier
+/// process that the network has held up could replace the entry of its successor.
 async fn write(context: &Context, key: &str, entry: &MemberEntry) -> Result<Lease, StoreError> {
     let id = (context.ops.grant)(LEASE_MS).await?;
     let era = (context.ops.era)();
+    let revision = match (context.ops.get)(key).await {
+        Ok(present) => present.revision,
+        Err(StoreError::NotFound) => 0,
+        Err(err) => return Err(err),
+    };
     let value = serde_json::to_vec(entry).map_err(|err| StoreError::Malformed(err.to_string()))?;
     let write = Write {
         key: key.to_owned(),
         value,
         lease: id,
     };
+    let expected = Expected {
+        key: key.to_owned(),
+        revision,
+    };
     // A retry after a lost response writes the same entry under a newer lease.
     let commit = Commit {
+        expected: vec![expected],
         writes: vec![write],
         ..Commit::default()
     };
