Only an answer with the request's id or a seal counts on a kept connection

Change: without an id or a seal nothing ties such an answer to its request: the connection is closed and the request may have run.

Measured: three cases of platform_stale_answers failed before (408, 400, 302 instead of 502).

--- a/crates/edge/src/pipeline/head_check.rs
+++ b/crates/edge/src/pipeline/head_check.rs
@@ -36,7 +36,8 @@
     let (status, headers) = (reply.head().status(), reply.head().headers());
     let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     let is_refusal = is_misdirected || headers.contains_key(&names.not_run);
-    if let Err(reason) = check_identity(node, ctx, reply, is_refusal) {
+    let is_sealed = headers.contains_key(&names.seal);
+    if let Err(reason) = check_identity(node, ctx, reply, is_sealed) {
         node.note_outcome(sent, Outcome::Failed);
         return HeadCheck::Invalid(reason);
     }
@@ -53,7 +54,6 @@
         node.note_outcome(sent, Outcome::Refused);
         return HeadCheck::NotRun;
     }
-    let is_sealed = headers.contains_key(&names.seal);
     if !is_sealed && (status.is_success() || status.is_server_error()) {
         node.note_outcome(sent, Outcome::Failed);
         return HeadCheck::Invalid("the response has no seal header");
@@ -73,18 +73,19 @@
     HeadCheck::Pass
 }
 
-/// Checks that a response belongs to the request. Without the request's id, a refusal on a kept
-/// connection may be an earlier one that the upstream has written once more.
+/// Checks that a response belongs to the request. With neither the request's id nor a seal, one on a
+/// kept connection may be an earlier one that the upstream has written once more, or a statement about
+/// the idle connection.
 fn check_identity(
     node: &Node,
     ctx: &RequestContext,
     reply: &Reply,
-    is_refusal: bool,
+    is_sealed: bool,
 ) -> Result<(), &'static str> {
     match header_text(reply.head().headers(), &node.names.request_id) {
         Some(echoed) if echoed != ctx.meta.request => Err("the answer belongs to another request"),
-        None if is_refusal && !reply.is_first() => {
-            Err("a refusal without the request's id on a kept connection")
+        None if !is_sealed && !reply.is_first() => {
+            Err("neither the request's id nor a seal on a kept connection")
         }
         Some(_) | None => Ok(()),
     }
--- a/crates/gateway/tests/platform_stale_answers.rs
+++ b/crates/gateway/tests/platform_stale_answers.rs
@@ -30,6 +30,9 @@
 #[test_case(421, OTHER_ID; "a misdirected request")]
 #[test_case(503, NOT_RUN; "a refusal without an id")]
 #[test_case(421, ""; "a misdirected request without an id")]
+#[test_case(408, ""; "a timeout of the connection without an id or a seal")]
+#[test_case(400, ""; "a complaint about the request without an id or a seal")]
+#[test_case(302, ""; "a redirect without an id or a seal")]
 fn a_stale_refusal_on_a_kept_connection_says_nothing_of_the_request(status: u16, headers: &str) {
     let store = Store::start();
     store.publish(&ConfigBuilder::new(1));
