Limits of accounts: long requests that are rare at each of many instances

Cause: with hundreds of instances a part of the burst is smaller than one long request. Each instance granted one on a full part, and counted itself as busy at the moment of its own request.

Change: such requests are granted while the fleet's known demand is within the rate, and owed; above it each full part buys a chance. The bucket earns by the demand since its last refill. Smaller requests as before.

--- a/crates/edge/src/limit/mod.rs
+++ b/crates/edge/src/limit/mod.rs
@@ -16,6 +16,16 @@
 pub const DEMAND_TIMEOUT_MS: u64 = 1_300;
 /// Time that an instance's reports have to cover before they tell its demand, in milliseconds.
 pub const MIN_REPORTED_MS: u64 = 500;
+/// Time over which the demand is averaged that bounds what a bucket holds, in milliseconds.
+const LONG_DEMAND_MS: u64 = 8_000;
+/// Share of an account's rate up to which requests larger than a part are granted at once.
+const FREE_RATE_SHARE: f64 = 1.0;
+/// Such requests that an instance grants before it has earned the first one.
+const MAX_OWED_REQUESTS: f64 = 2.0;
+/// Fraction of a grant that a new bucket starts with.
+const FIRST_CHANCE: f64 = 0.5;
+/// `Retry-After` of a request larger than a part that was not granted, in milliseconds.
+const PART_WAIT_MS: u64 = 1_000;
 /// Time without a report after which an instance is ignored, in milliseconds.
 const PEER_TIMEOUT_MS: u64 = 12_000;
 
@@ -92,6 +102,10 @@
     refilled_at: Millis,
     requested_tokens: u64,
     demand: MeanRate,
+    /// Demand over `LONG_DEMAND_MS`.
+    long_demand: MeanRate,
+    /// Fraction of a grant that parts have paid for.
+    chance: f64,
     peers: HashMap<Arc<str>, PeerDemand>,
     /// Share at the time of the last request while all sums were recent.
     share_by_recent_sums: f64,
@@ -105,6 +119,8 @@
             refilled_at: now,
             requested_tokens: 0,
             demand: MeanRate::default(),
+            long_demand: MeanRate::over(LONG_DEMAND_MS),
+            chance: FIRST_CHANCE,
             peers: HashMap::new(),
             share_by_recent_sums: 1.0,
         }
@@ -124,22 +140,111 @@
     ) -> Result<(), u64> {
         let wanted = to_f64(tokens);
         self.requested_tokens += tokens;
+        let idle_part = limit.burst_tokens * (IDLE_SHARES / fleet.size()).min(1.0);
+        let result = if wanted <= idle_part {
+            self.take_small(wanted, limit, fleet, now)
+        } else {
+            self.take_large(wanted, limit, fleet, now)
+        };
+        self.long_demand.add(wanted, now);
+        result
+    }
+
+    /// Takes a request that fits into an idle instance's part of the burst.
+    fn take_small(
+        &mut self,
+        wanted: f64,
+        limit: &AccountLimit,
+        fleet: Fleet,
+        now: Millis,
+    ) -> Result<(), u64> {
         self.demand.add(wanted, now);
-        let share = self.held_share(limit, fleet, now);
-        self.refill(limit, share, now);
-        // A request larger than the burst may run once the bucket is full.
+        let share = self.share(limit, fleet, now);
+        let share = self.held_share(share, now);
+        let elapsed_s = to_f64(now.since(self.refilled_at)) / 1_000.0;
+        let earned = elapsed_s * limit.tokens_per_s * share;
+        self.refill(earned, limit.burst_tokens * share, now);
+        let needed = wanted.min(limit.burst_tokens * share) - limit.slack_tokens / fleet.size();
+        if self.level_tokens < needed {
+            return Err(self.wait_ms(needed, limit, share));
+        }
+        self.level_tokens -= wanted;
+        Ok(())
+    }
+
+    /// Takes a request that is larger than an idle instance's part of the burst, as in a large fleet.
+    /// While the known demand is within the rate it is granted, and the bucket owes it.
+    fn take_large(
+        &mut self,
+        wanted: f64,
+        limit: &AccountLimit,
+        fleet: Fleet,
+        now: Millis,
+    ) -> Result<(), u64> {
+        // The request itself is left out of the demand: at the moment of a rare request an instance
+        // would always count itself as a busy one.
+        let share = self.share(limit, fleet, now);
+        let share = share.max(self.long_share(limit, fleet, now));
+        let share = self.held_share(share, now);
         let slack = limit.slack_tokens / fleet.size();
-        let needed = wanted.min(limit.burst_tokens * share) - slack;
+        let part = limit.burst_tokens * share + slack;
+        let earned = self.earned_by_demand(limit, fleet, now);
+        self.refill(earned, limit.burst_tokens * share, now);
+        let is_rate_free = self.is_rate_free(limit, fleet, now);
+        self.demand.add(wanted, now);
+        if is_rate_free && self.level_tokens >= -MAX_OWED_REQUESTS * wanted {
+            self.level_tokens -= wanted;
+            return Ok(());
+        }
+        let needed = wanted.min(part) - slack;
         if self.level_tokens < needed {
-            let rate = (limit.tokens_per_s * share).max(1.0);
-            #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            let wait_ms = ((needed - self.level_tokens) / rate * 1_000.0).ceil() as u64;
-            return Err(wait_ms);
+            return Err(self.wait_ms(needed, limit, share));
+        }
+        if wanted > part {
+            return self.take_in_parts(wanted, part, limit);
         }
         self.level_tokens -= wanted;
         Ok(())
     }
 
+    /// Time until the bucket holds `needed` tokens, in milliseconds.
+    fn wait_ms(&self, needed: f64, limit: &AccountLimit, share: f64) -> u64 {
+        let rate = (limit.tokens_per_s * share).max(1.0);
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let wait_ms = ((needed - self.level_tokens) / rate * 1_000.0).ceil() as u64;
+        wait_ms
+    }
+
+    /// Takes a request that is larger than this instance's part of the burst. Each full part buys a
+    /// chance, so that all instances together grant no more than the sum of their parts.
+    fn take_in_parts(&mut self, wanted: f64, part: f64, limit: &AccountLimit) -> Result<(), u64> {
+        self.level_tokens -= part;
+        self.chance += part / wanted.min(limit.burst_tokens).max(1.0);
+        if self.chance >= 1.0 {
+            self.chance -= 1.0;
+            return Ok(());
+        }
+        Err(PART_WAIT_MS)
+    }
+
+    /// Whether the account is known to use so little of its rate that a request may be granted before
+    /// this instance's part is full.
+    fn is_rate_free(&self, limit: &AccountLimit, fleet: Fleet, now: Millis) -> bool {
+        let is_overdue = |report: &PeerDemand| now.since(report.received_at) > DEMAND_TIMEOUT_MS;
+        let all = self.demand.per_s(now) + self.peer_demand(limit, fleet, now);
+        let is_heard = fleet.instances <= 1 || !self.peers.is_empty();
+        is_heard
+            && !self.peers.values().any(is_overdue)
+            && all <= limit.tokens_per_s * FREE_RATE_SHARE
+    }
+
+    /// Share by the demand of a longer time: requests may be rare at each of many instances.
+    fn long_share(&self, limit: &AccountLimit, fleet: Fleet, now: Millis) -> f64 {
+        let own = self.long_demand.per_s(now);
+        let all = own + self.peer_demand(limit, fleet, now);
+        own / all.max(limit.tokens_per_s).max(1.0)
+    }
+
     /// Refunds the tokens of a request that did not run.
     pub fn refund(&mut self, tokens: u64) {
         self.level_tokens += to_f64(tokens);
@@ -214,10 +319,9 @@
         self.demand.per_s(now) + included.map(|(_, report)| report.per_s()).sum::<f64>()
     }
 
-    /// Share of the account's rate and burst that this instance may use. It does not grow while sums of
-    /// others are overdue: all instances that miss the same sums would grow at the same time.
-    fn held_share(&mut self, limit: &AccountLimit, fleet: Fleet, now: Millis) -> f64 {
-        let share = self.share(limit, fleet, now);
+    /// The share, which does not grow while sums of others are overdue: all instances that miss the same
+    /// sums would grow at the same time.
+    fn held_share(&mut self, share: f64, now: Millis) -> f64 {
         let is_overdue = |report: &PeerDemand| {
             report.summed_per_s.is_some() && now.since(report.received_at) > DEMAND_TIMEOUT_MS
         };
@@ -264,11 +368,23 @@
         demand + unreported * even
     }
 
-    fn refill(&mut self, limit: &AccountLimit, share: f64, now: Millis) {
+    /// Tokens that were earned since the last refill: the rate by the share of the demand during that
+    /// time, and a part of what nobody asks for.
+    fn earned_by_demand(&self, limit: &AccountLimit, fleet: Fleet, now: Millis) -> f64 {
         let elapsed_s = to_f64(now.since(self.refilled_at)) / 1_000.0;
+        let own_tokens = self.demand.tokens_between(self.refilled_at, now);
+        let own = own_tokens / elapsed_s.max(0.001);
+        let all = own + self.peer_demand(limit, fleet, now);
+        let rate = limit.tokens_per_s.max(1.0);
+        if all >= rate {
+            return own_tokens * rate / all;
+        }
+        own_tokens + elapsed_s * (rate - all) * (IDLE_SHARES / fleet.size()).min(1.0)
+    }
+
+    fn refill(&mut self, earned: f64, part_tokens: f64, now: Millis) {
         self.refilled_at = now;
-        let refilled = self.level_tokens + elapsed_s * limit.tokens_per_s * share;
-        self.level_tokens = refilled.min(limit.burst_tokens * share);
+        self.level_tokens = (self.level_tokens + earned).min(part_tokens);
     }
 }
 
--- a/crates/edge/tests/limit_fleet.rs
+++ b/crates/edge/tests/limit_fleet.rs
@@ -202,3 +202,100 @@
         );
     }
 }
+
+/// Instances of a fleet in which requests of one account are rare at each of them.
+const LARGE_FLEET: usize = 195;
+/// Tokens of a request with a long prompt.
+const LONG_REQUEST_TOKENS: u64 = 9_190;
+/// Age of the sums that the instances know, in milliseconds.
+const SUM_AGE_MS: u64 = 750;
+/// Time at which the demand jumps, in milliseconds.
+const JUMP_MS: u64 = 10_000;
+
+/// Share of the requests that are refused before the demand jumps from `before` to `after` times the
+/// rate, and the maximum number of tokens granted within one window.
+fn play_long_requests(seed: u64, limit: &AccountLimit, before: f64, after: f64) -> (f64, f64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let fleet = Fleet {
+        instances: LARGE_FLEET,
+        reachable: LARGE_FLEET,
+    };
+    let source: Arc<str> = "delegate".into();
+    let mut buckets: Vec<Bucket> = (0..LARGE_FLEET)
+        .map(|_| Bucket::new(limit, fleet, Millis(0)))
+        .collect();
+    let mut asked: Vec<(u64, usize)> = Vec::new();
+    let mut granted: Vec<u64> = Vec::new();
+    let (mut offered, mut refused) = (0.0, 0.0);
+    for now in (0..2 * JUMP_MS).step_by(10) {
+        if now % PERIOD_MS == 0 {
+            // Demand of the last second, as it was when the sums were made.
+            let seen = asked.iter().filter(|(at, _)| {
+                let age_ms = now - at;
+                (SUM_AGE_MS..SUM_AGE_MS + 1_000).contains(&age_ms)
+            });
+            let per_s = seen.count() as f64 * LONG_REQUEST_TOKENS as f64;
+            let sum = SummedDemand {
+                per_s,
+                instances: LARGE_FLEET - 1,
+            };
+            for bucket in &mut buckets {
+                bucket.update_summed_demand(&source, sum, Millis(now));
+            }
+        }
+        let load = if now < JUMP_MS { before } else { after };
+        let requests = load * limit.tokens_per_s / 100.0 / LONG_REQUEST_TOKENS as f64;
+        if rng.random::<f64>() >= requests {
+            continue;
+        }
+        let at = rng.random_range(0..LARGE_FLEET);
+        asked.push((now, at));
+        let is_granted = buckets[at]
+            .take(LONG_REQUEST_TOKENS, limit, fleet, Millis(now))
+            .is_ok();
+        if is_granted {
+            granted.push(now);
+        }
+        if now < JUMP_MS {
+            offered += 1.0;
+            refused += f64::from(u8::from(!is_granted));
+        }
+    }
+    let in_window = |first: &u64| {
+        let window = granted
+            .iter()
+            .filter(|at| (*first..first + WINDOW_MS).contains(at));
+        window.count() as f64 * LONG_REQUEST_TOKENS as f64
+    };
+    let most = granted.iter().map(in_window).fold(0.0, f64::max);
+    (refused / offered, most)
+}
+
+/// The parts of a bucket that hundreds of instances have are smaller than one long request. While the
+/// account uses little of its rate, its requests are not refused for that.
+#[test_case(0.1; "a tenth of the rate")]
+#[test_case(0.4; "four tenths of the rate")]
+fn long_requests_of_an_account_below_its_rate_are_served_by_a_large_fleet(load: f64) {
+    for seed in 0..10 {
+        let (refused, _) = play_long_requests(seed, &LIMIT, load, load);
+        assert!(refused <= 0.01, "seed {seed}: {refused} refused");
+    }
+}
+
+#[test_case(180_000.0, 180_000.0, 2.5; "some times the rate")]
+#[test_case(180_000.0, 180_000.0, 5.0; "many times the rate")]
+#[test_case(60_000.0, 120_000.0, 5.0; "many times a low rate")]
+#[test_case(900_000.0, 900_000.0, 0.9; "a high rate, which is not exceeded")]
+fn a_jump_of_long_requests_stays_within_the_limit(rate: f64, burst: f64, after: f64) {
+    let limit = AccountLimit {
+        tokens_per_s: rate,
+        burst_tokens: burst,
+        slack_tokens: EXTRA_TOKENS / 2.0,
+    };
+    let rated = rate * WINDOW_MS as f64 / 1_000.0 + burst;
+    let allowed = rated * (1.0 + OVER_SHARE) + EXTRA_TOKENS;
+    for seed in 0..10 {
+        let (_, most) = play_long_requests(seed, &limit, 0.3, after);
+        assert!(most <= allowed, "seed {seed}: {most} of {allowed}");
+    }
+}
