An instance that starts in a rollout never completes it

Cause: an order found in the first listing began a trial with a clock of its own and no evidence; with few requests a bad version was completed after its time.

Change: such a trial keeps to the first share, follows others' verdicts, and reverts after a whole duration.

--- a/crates/edge/src/node/apply.rs
+++ b/crates/edge/src/node/apply.rs
@@ -67,6 +67,11 @@
 
     /// Decodes new facts and applies them.
     pub(super) fn apply_facts(&self, facts: &[Fact]) {
+        self.apply_each_fact(facts);
+        self.state.borrow_mut().is_first_content = false;
+    }
+
+    fn apply_each_fact(&self, facts: &[Fact]) {
         for fact in facts {
             let news = match &fact.value {
                 Some(value) => Some((self.decoder.written)(&fact.key, value)),
@@ -163,7 +168,12 @@
             duration_ms: order.duration_ms,
         });
         let key = (Arc::clone(&order.service), Arc::clone(&order.target));
-        let mut trial = Trial::new(order, self.now());
+        // What the first listing holds may be old: its trial began at a time that is not known here.
+        let mut trial = if state.is_first_content {
+            Trial::joined(order, self.now())
+        } else {
+            Trial::new(order, self.now())
+        };
         if let Some(verdict) = state.verdicts.get(&key) {
             trial.verdict = *verdict;
         }
--- a/crates/edge/src/node/restore.rs
+++ b/crates/edge/src/node/restore.rs
@@ -28,6 +28,7 @@
             let Some(index) = state.replica.prefix(prefix) else {
                 return;
             };
+            state.note_first_content(index);
             self.prefix_read(&mut state, prefix, index);
             if state.is_settling(self.now()) {
                 let in_force = state.config_version();
@@ -87,6 +88,7 @@
             .collect();
         let mut new_facts = {
             let mut state = self.state.borrow_mut();
+            state.note_first_content(prefix);
             for config in &newer_configs {
                 state.replica.replace(prefix, config.clone());
             }
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -15,7 +15,7 @@
     retry::{RetryBounds, RetryBudget},
     rollout::{Trial, Verdict},
     settings::Settings,
-    store::{Decoder, Replica, VerdictRecord},
+    store::{Decoder, Position, Replica, VerdictRecord},
     upstream::Upstreams,
 };
 use carobwheel_core::{
@@ -118,6 +118,8 @@
     pub request_crashes: CrashDetector,
     /// Replica of the followed prefixes of the store.
     pub replica: Replica,
+    /// Whether the facts that are being applied are the first ones below their prefix.
+    pub is_first_content: bool,
     /// Time since which another instance has been ahead, by index of the prefix.
     pub behind: HashMap<usize, Millis>,
     /// Era of the store; `None` until it has answered.
@@ -274,6 +276,12 @@
 }
 
 impl State {
+    /// Records whether the next facts below a prefix are the first ones.
+    pub(super) fn note_first_content(&mut self, prefix: usize) {
+        let positions = self.replica.positions();
+        self.is_first_content = positions.get(prefix) == Some(&Position::default());
+    }
+
     /// Service with this name.
     pub fn service(&self, name: &str) -> Option<Rc<Service>> {
         self.config
--- a/crates/edge/src/rollout/trial.rs
+++ b/crates/edge/src/rollout/trial.rs
@@ -68,6 +68,8 @@
     wanted: Option<(Verdict, Millis)>,
     /// Whether the store may have lost the final verdict.
     is_verdict_lost: bool,
+    /// Whether this instance joined when the trial may have been running.
+    is_joined: bool,
 }
 
 impl Trial {
@@ -82,6 +84,16 @@
             shifted_at: None,
             wanted: None,
             is_verdict_lost: false,
+            is_joined: false,
+        }
+    }
+
+    /// Creates a trial that may have been running before this instance started. The time that is left
+    /// of it and its earlier evidence are not known, so this instance never completes it.
+    pub fn joined(order: RolloutOrder, now: Millis) -> Self {
+        Self {
+            is_joined: true,
+            ..Self::new(order, now)
         }
     }
 
@@ -122,6 +134,9 @@
             |fraction: f64| to_f64(elapsed_ms) >= fraction * to_f64(self.order.duration_ms);
         let has_evidence = self.evidence.new_ended() >= MIN_ENDED_REQUESTS
             && self.evidence.has_timings_for_new(MIN_TIMED_RESPONSES);
+        if self.is_joined {
+            return;
+        }
         let has_little_evidence = self.evidence.has_timings_for_new(MIN_TIMED_RESPONSES_LATE);
         if (is_due(SHIFT_AFTER_FRACTION) && has_evidence)
             || (is_due(LATEST_SHIFT_FRACTION) && has_little_evidence)
@@ -169,7 +184,9 @@
         if self.verdict != Verdict::Active {
             return None;
         }
-        if self.is_suspect {
+        // All instances may have joined late: then nobody completes the trial before its end.
+        let is_over = now.since(self.started_at) >= self.order.duration_ms;
+        if self.is_suspect || (self.is_joined && is_over) {
             return Some(Verdict::Reverted);
         }
         let is_shift_over = self
--- a/crates/edge/tests/rollout_trial.rs
+++ b/crates/edge/tests/rollout_trial.rs
@@ -155,3 +155,30 @@
         assert_eq!(verdict, Verdict::Complete, "seed {seed}");
     }
 }
+
+/// An instance that restarts in a trial has neither the earlier evidence nor the time that is left. With
+/// few requests of its own it took a bad version for a good one, after the trial had ended.
+#[test]
+fn an_instance_that_joined_late_never_completes_a_trial() {
+    let order = RolloutOrder {
+        service: "s".into(),
+        target: "v2".into(),
+        duration_ms: DURATION_MS,
+    };
+    let mut trial = Trial::joined(order, Millis(0));
+    for now in (0..DURATION_MS).step_by(100) {
+        let evidence = trial.evidence.own.entry(1).or_default();
+        for counts in [&mut evidence.old, &mut evidence.new] {
+            counts.sent += 1;
+            counts.answered += 1;
+            counts.time_sum_ms += 20;
+        }
+        trial.advance(Millis(now));
+        assert_eq!(trial.due_verdict(Millis(now)), None);
+        assert!(trial.share(BOUNDS) <= BOUNDS.share);
+    }
+    assert_eq!(
+        trial.due_verdict(Millis(DURATION_MS)),
+        Some(Verdict::Reverted)
+    );
+}
--- a/crates/gateway/tests/platform_fleet.rs
+++ b/crates/gateway/tests/platform_fleet.rs
@@ -251,3 +251,29 @@
     }
     assert_eq!(new.seen().len(), at_new);
 }
+
+#[test]
+fn an_instance_that_starts_in_a_rollout_does_not_complete_it() {
+    let store = Store::start();
+    store.publish(&ConfigBuilder::new(1));
+    let (old, new) = (Engine::start("i-old"), Engine::start("i-new"));
+    old.register(&store, "registry", "north-a", "ready");
+    let order = json!({"service": "registry", "target": "v2", "durationS": 3});
+    store.put("op/rollout/registry", &order);
+    let entry = json!({"service": "registry", "address": new.address, "zone": "north-a",
+        "version": "v2", "slots": 6, "state": "ready", "coldRemainingMs": 0, "sequence": 1});
+    store.put("servers/i-new", &entry);
+    let instance = Instance::start_ready(&options("north-1", "north", &store));
+    let mut caller = instance.caller();
+    let mut sent = 0;
+    let mut state = String::new();
+    wait_until("there is a verdict", || {
+        sent += 1;
+        caller.send("POST", "/write/x", &format!("a-{sent}"), "", "");
+        caller.answer();
+        let recorded = store.get("status/rollout/registry");
+        state = recorded.map_or_else(String::new, |value| value["state"].to_string());
+        !matches!(state.as_str(), "" | "\"active\"")
+    });
+    assert_eq!(state, "\"reverted\"");
+}
