--- a/crates/edge/src/cold/mod.rs
+++ b/crates/edge/src/cold/mod.rs
@@ -21,6 +21,16 @@
     pub per_s: f64,
 }
 
+/// An instance's share of the rate of a cold upstream. It counts on another user also if it knows none:
+/// instances that start together do not know each other at first.
+pub fn own_cold_rate(cold_per_s: f64) -> ColdRate {
+    #[allow(clippy::cast_precision_loss)]
+    let users = MAX_COLD_USERS as f64;
+    ColdRate {
+        per_s: cold_per_s / users,
+    }
+}
+
 /// Limiter of one instance's requests to one upstream while that is cold.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ColdGate {
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -2,7 +2,7 @@
 
 use super::{ForecastReport, KeptReport};
 use crate::{
-    cold::{ColdRate, MAX_COLD_USERS},
+    cold::own_cold_rate,
     dispatch::Pools,
     limit::{AccountLimit, Bucket},
     log::Log,
@@ -256,12 +256,9 @@
     pub fn note_sent(&self, placed: &Placement, job: &InferenceJob, cold_per_s: f64) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let users = state.cold_users(self, now);
         let limit_users = state.limit_users(self, &placed.id, now);
         if let Some(upstream) = state.upstreams.by_id.get_mut(&placed.id) {
-            #[allow(clippy::cast_precision_loss)]
-            let per_s = cold_per_s / users as f64;
-            upstream.cold.record_sent(ColdRate { per_s }, now);
+            upstream.cold.record_sent(own_cold_rate(cold_per_s), now);
             upstream.limit.record_sent(limit_users, now);
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
             let expected_ms = placed.wait_ms.max(0.0) as u64;
@@ -289,16 +286,6 @@
             .and_then(|config| config.services.get(name).cloned())
     }
 
-    /// Number of instances of the region that share one cold upstream. There may be others that an
-    /// instance without the store does not know.
-    fn cold_users(&self, node: &Node, now: Millis) -> usize {
-        let others = self.region_members(node, now).len();
-        if self.store_lost_at.is_some() || !self.replica.is_complete() {
-            return MAX_COLD_USERS;
-        }
-        (others + 1).min(MAX_COLD_USERS)
-    }
-
     /// Other instances of the region that may be running, whether or not their gossip arrives.
     pub(super) fn region_members(&self, node: &Node, _: Millis) -> Vec<&Arc<str>> {
         let members = self.members.by_name.values();
--- a/crates/edge/tests/cold_gate.rs
+++ b/crates/edge/tests/cold_gate.rs
@@ -4,7 +4,7 @@
 
 use carobwheel_core::time::Millis;
 use carobwheel_edge::{
-    cold::{ColdGate, ColdRate},
+    cold::{own_cold_rate, ColdGate, ColdRate},
     upstream::{Stage, UpstreamEntry, Upstreams},
 };
 use std::sync::Arc;
@@ -90,3 +90,33 @@
     assert!(!gate.is_open(Millis(1_499)));
     assert!(gate.is_open(Millis(1_500)));
 }
+
+/// Requests a second that a cold upstream takes.
+const COLD_PER_S: f64 = 2.0;
+/// Requests that it bears in any second: one and a half times as many, and three.
+const BEARS_IN_A_SECOND: usize = 6;
+
+/// Instances that start together, or whose entries have run out in a cut, do not know each other at first.
+#[test]
+fn instances_that_know_nobody_do_not_flood_a_cold_upstream_together() {
+    let rate = own_cold_rate(COLD_PER_S);
+    let mut gates = [ColdGate::default(); 3];
+    let mut sent = Vec::new();
+    for now in (0..3_000).step_by(10) {
+        for gate in &mut gates {
+            if gate.is_open(Millis(now)) {
+                gate.record_sent(rate, Millis(now));
+                sent.push(now);
+            }
+        }
+    }
+    let most = sent
+        .iter()
+        .map(|from| {
+            let second = sent.iter().filter(|at| (*from..from + 1_010).contains(at));
+            second.count()
+        })
+        .max()
+        .unwrap();
+    assert!(most <= BEARS_IN_A_SECOND, "{most} in a second");
+}
