--- a/crates/edge/src/limit/mod.rs
+++ b/crates/edge/src/limit/mod.rs
@@ -5,8 +5,13 @@
 //! unused capacity is distributed as well. Since an instance spends only its own share, delayed
 //! reports or a network partition have little effect on the total.
 
+mod peer;
+
+pub use peer::SummedDemand;
+
 use crate::rate::MeanRate;
 use carobwheel_core::time::Millis;
+use peer::PeerDemand;
 use std::{collections::HashMap, sync::Arc};
 
 /// Sum over all instances of the shares of an idle account: more than one, so that the first
@@ -57,44 +62,6 @@
     }
 }
 
-/// Demand reported by another instance, or by a delegate for several.
-#[derive(Clone, Debug)]
-struct PeerDemand {
-    life: u64,
-    requested_tokens: u64,
-    demand: MeanRate,
-    /// Rate that a delegate has added up, in tokens a second; replaces `demand`.
-    summed_per_s: Option<f64>,
-    /// Number of instances that the report covers.
-    instances: usize,
-    /// Start of the reports without a gap.
-    since: Millis,
-    received_at: Millis,
-}
-
-impl PeerDemand {
-    /// Demand at the time of the report, in tokens a second.
-    fn per_s(&self) -> f64 {
-        let reported_ms = self.received_at.since(self.since);
-        self.summed_per_s
-            .unwrap_or_else(|| self.demand.per_s_over(reported_ms, self.received_at))
-    }
-
-    /// Whether the reports cover enough time to tell the demand.
-    fn is_known(&self) -> bool {
-        self.summed_per_s.is_some() || self.received_at.since(self.since) >= MIN_REPORTED_MS
-    }
-}
-
-/// Demand for an account at several instances, added up by a delegate.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct SummedDemand {
-    /// Demand, in tokens a second.
-    pub per_s: f64,
-    /// Number of instances that it covers.
-    pub instances: usize,
-}
-
 /// One instance's token bucket for one account.
 #[derive(Clone, Debug)]
 pub struct Bucket {
@@ -230,11 +197,10 @@
     /// Whether the account is known to use so little of its rate that a request may be granted before
     /// this instance's part is full.
     fn is_rate_free(&self, limit: &AccountLimit, fleet: Fleet, now: Millis) -> bool {
-        let is_overdue = |report: &PeerDemand| now.since(report.received_at) > DEMAND_TIMEOUT_MS;
         let all = self.demand.per_s(now) + self.peer_demand(limit, fleet, now);
         let is_heard = fleet.instances <= 1 || !self.peers.is_empty();
         is_heard
-            && !self.peers.values().any(is_overdue)
+            && !self.peers.values().any(|report| report.is_overdue(now))
             && all <= limit.tokens_per_s * FREE_RATE_SHARE
     }
 
@@ -276,7 +242,7 @@
                 since: now,
                 received_at: now,
             });
-        let has_gap = now.since(report.received_at) > DEMAND_TIMEOUT_MS;
+        let has_gap = report.is_overdue(now);
         if has_gap || report.life != life {
             // What was asked for meanwhile is unknown, so the average starts anew.
             report.demand = MeanRate::default();
@@ -322,9 +288,8 @@
     /// The share, which does not grow while sums of others are overdue: all instances that miss the same
     /// sums would grow at the same time.
     fn held_share(&mut self, share: f64, now: Millis) -> f64 {
-        let is_overdue = |report: &PeerDemand| {
-            report.summed_per_s.is_some() && now.since(report.received_at) > DEMAND_TIMEOUT_MS
-        };
+        let is_overdue =
+            |report: &PeerDemand| report.summed_per_s.is_some() && report.is_overdue(now);
         if self.peers.values().any(is_overdue) {
             return share.min(self.share_by_recent_sums);
         }
