Accepted links wait for gossip without polling

Each link that another instance keeps for forwarded requests asked every 20 ms whether gossip had come; it waits for the first message of its own now. platform_links, platform_fleet, platform_limit pass.

--- a/crates/edge/src/node/receive.rs
+++ b/crates/edge/src/node/receive.rs
@@ -32,18 +32,18 @@
     pub fn receive_gossip(&self, name: &Arc<str>, mut gossip: Gossip) {
         let now = self.now();
         let fleet = gossip.additions.fleet.take().unwrap_or_default();
-        let (digest, link) = (fleet.digest, fleet.beat);
+        let digest = fleet.digest;
         let scope = digest
             .as_ref()
             .map(|digest| digest.scope)
             .unwrap_or_default();
         let link = LinkReport {
-            beat: link,
+            beat: fleet.beat,
             has_store: gossip.has_store,
             subscribes: fleet.subscribes,
             has_sums: scope == DigestScope::AllOthers,
         };
-        let (is_announced, verdicts) = {
+        let (has_news, verdicts) = {
             let mut state = self.state.borrow_mut();
             let was_ready = state.is_member_ready(name);
             if !state
@@ -57,13 +57,13 @@
             if scope == DigestScope::Nothing && state.counts_single_messages(now) {
                 state.apply_own_part(self, name, &gossip, now);
             }
-            let mut is_announced = was_ready != gossip.is_ready;
+            let mut has_news = was_ready != gossip.is_ready;
             if let Some(digest) = &digest {
-                is_announced |= state.apply_digest(self, name, digest, now);
+                has_news |= state.apply_digest(self, name, digest, now);
             }
             let news = state.apply_trial_reports(self, &gossip.trials);
-            is_announced |= news.is_suspect || !news.verdicts.is_empty();
-            (is_announced, news.verdicts)
+            has_news |= news.is_suspect || !news.verdicts.is_empty();
+            (has_news, news.verdicts)
         };
         self.receive_urgent(name, &gossip);
         if let Some(digest) = digest {
@@ -72,7 +72,7 @@
         for (service, target, verdict) in verdicts {
             self.apply_verdict(&service, &target, verdict, false);
         }
-        if is_announced && self.state.borrow().topology.is_delegate {
+        if has_news && self.state.borrow().topology.is_delegate {
             self.links.announce();
         }
     }
--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -17,15 +17,12 @@
 use hyper_util::rt::TokioIo;
 use std::{convert::Infallible, rc::Rc, sync::Arc, time::Duration};
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 /// Number of lookups of the entry of an instance that dials.
 const ENTRY_LOOKUPS: u32 = 20;
 /// Pause between two such lookups.
 const ENTRY_LOOKUP_PAUSE: Duration = Duration::from_millis(100);
-/// Longest age of gossip that is answered on the link, in milliseconds.
-const ANSWERED_GOSSIP_MS: u64 = 1_000;
-/// Interval of checks whether gossip has arrived.
-const ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// `Retry-After` of forwarded requests while this instance is stopping, in milliseconds.
 const STOPPING_RETRY_AFTER_MS: u64 = 100;
 
@@ -70,54 +67,64 @@
 /// Serves a link that another instance has dialled. Its gossip is answered by gossip on the same link.
 async fn serve_accepted(node: Rc<Node>, name: Arc<str>, connection: quinn::Connection) {
     node.links.add_accepted(&name, &connection);
-    let answered = answer_gossip(&node, &name, &connection);
-    let served = serve(Rc::clone(&node), Arc::clone(&name), connection.clone());
+    let has_gossip = CancellationToken::new();
+    let answered = answer_gossip(&node, &name, &connection, &has_gossip);
+    let served = serve(&node, &name, &connection, &has_gossip);
     tokio::join!(answered, served);
     node.links.remove_accepted(&name, &connection);
 }
 
-/// Waits for gossip of the instance, and sends own gossip from then on unless it goes by another link.
-async fn answer_gossip(node: &Node, name: &Arc<str>, connection: &quinn::Connection) {
-    loop {
-        let heard = {
-            let state = node.state.borrow();
-            let member = state.members.by_name.get(name);
-            let heard = member.filter(|member| {
-                // Builds that keep links to all instances do not read what comes back.
-                let is_heard = member.has_direct_within(ANSWERED_GOSSIP_MS, node.now());
-                is_heard && !member.is_full_mesh
-            });
-            heard.map(|member| member.entry.clone())
-        };
-        let dialled = node.links.has_dialled_gossip(name);
-        if let Some(entry) = heard.filter(|_| !dialled) {
-            send_gossip(node, &entry, connection).await;
-            return;
-        }
-        tokio::select! {
-            () = sleep(ANSWER_CHECK_INTERVAL) => {}
-            _ = connection.closed() => return,
-        }
+/// Waits for the first gossip on the link, and sends own gossip from then on unless it goes by another
+/// link.
+async fn answer_gossip(
+    node: &Node,
+    name: &Arc<str>,
+    connection: &quinn::Connection,
+    has_gossip: &CancellationToken,
+) {
+    tokio::select! {
+        () = has_gossip.cancelled() => {}
+        _ = connection.closed() => return,
+    }
+    let entry = {
+        let state = node.state.borrow();
+        let member = state.members.by_name.get(name);
+        // Builds that keep links to all instances do not read what comes back.
+        let member = member.filter(|member| !member.is_full_mesh);
+        member.map(|member| member.entry.clone())
+    };
+    if let Some(entry) = entry.filter(|_| !node.links.has_dialled_gossip(name)) {
+        send_gossip(node, &entry, connection).await;
     }
 }
 
 /// Serves a link: gossip in datagrams or unidirectional streams, and exchanges in bidirectional
-/// ones.
-pub(super) async fn serve(node: Rc<Node>, name: Arc<str>, connection: quinn::Connection) {
+/// ones. `has_gossip` is cancelled when the first gossip has been applied.
+pub(super) async fn serve(
+    node: &Rc<Node>,
+    name: &Arc<str>,
+    connection: &quinn::Connection,
+    has_gossip: &CancellationToken,
+) {
     loop {
         tokio::select! {
             datagram = connection.read_datagram() => match datagram {
-                Ok(bytes) => receive_gossip(&node, &name, &bytes),
+                Ok(bytes) => {
+                    receive_gossip(node, name, &bytes);
+                    has_gossip.cancel();
+                }
                 Err(_) => return,
             },
             stream = connection.accept_uni() => {
                 let Ok(mut stream) = stream else {
                     return;
                 };
-                let (node, name) = (Rc::clone(&node), Arc::clone(&name));
+                let (node, name) = (Rc::clone(node), Arc::clone(name));
+                let has_gossip = has_gossip.clone();
                 tokio::task::spawn_local(async move {
                     if let Ok(bytes) = stream.read_to_end(MAX_GOSSIP_BYTES).await {
                         receive_gossip(&node, &name, &bytes);
+                        has_gossip.cancel();
                     }
                 });
             }
@@ -125,7 +132,7 @@
                 let Ok((send, receive)) = stream else {
                     return;
                 };
-                let node = Rc::clone(&node);
+                let node = Rc::clone(node);
                 tokio::task::spawn_local(serve_stream(node, send, receive));
             }
         }
--- a/crates/edge/src/peers/dial.rs
+++ b/crates/edge/src/peers/dial.rs
@@ -8,8 +8,9 @@
     PeerError, LINK_IDLE_TIMEOUT,
 };
 use crate::{log::Event, member::MemberEntry, node::Node};
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 /// First and longest pause between attempts to dial.
 const REDIAL_PAUSES: [Duration; 2] = [Duration::from_millis(200), Duration::from_millis(1_500)];
@@ -59,7 +60,8 @@
     connection: &quinn::Connection,
 ) -> PeerError {
     let name = &wanted.entry.name;
-    let served = serve(Rc::clone(node), Arc::clone(name), connection.clone());
+    let has_gossip = CancellationToken::new();
+    let served = serve(node, name, connection, &has_gossip);
     if wanted.link_use == LinkUse::Forward {
         served.await;
         return closed(connection).await;
