--- a/crates/edge/tests/gossip_encoding.rs
+++ b/crates/edge/tests/gossip_encoding.rs
@@ -7,9 +7,11 @@
     upstream_limit::LimitReport,
 };
 use carobwheel_edge::{
-    node::{Additions, Gossip},
+    member::Heartbeat,
+    node::{Additions, Digest, DigestScope, FleetReport, Gossip},
     peers::{decode, encode},
 };
+use rand::{rngs::StdRng, Rng as _, SeedableRng as _};
 
 /// Message with these crash reports.
 fn gossip(crashes: CrashReport) -> Gossip {
@@ -134,3 +136,64 @@
     let crashes: CrashReport = postcard::from_bytes(rest).unwrap();
     assert_eq!((old.life, crashes), (7, report()));
 }
+
+/// Message of a delegate.
+fn with_fleet() -> Gossip {
+    let mut message = gossip(report());
+    message.additions = additions();
+    let heartbeat = Heartbeat {
+        key: 5,
+        beat: 6,
+        is_ready: true,
+        has_store: false,
+    };
+    message.additions.fleet = Some(FleetReport {
+        beat: 9,
+        subscribes: true,
+        digest: Some(Digest {
+            scope: DigestScope::Region,
+            instances: 3,
+            heartbeats: vec![heartbeat],
+            ..Digest::default()
+        }),
+    });
+    message
+}
+
+#[test]
+fn the_part_of_the_fleet_survives_the_encoding_with_and_without_other_parts() {
+    let mut alone = gossip(CrashReport::default());
+    alone.additions.fleet = with_fleet().additions.fleet;
+    for message in [with_fleet(), alone] {
+        let decoded = decode(&encode(&message).unwrap()).unwrap();
+        assert_eq!(decoded.additions, message.additions);
+    }
+}
+
+#[test]
+fn a_build_without_delegates_understands_a_message_with_a_digest() {
+    let bytes = encode(&with_fleet()).unwrap();
+    let (old, rest): (Gossip, &[u8]) = postcard::take_from_bytes(&bytes).unwrap();
+    let (crashes, rest): (CrashReport, &[u8]) = postcard::take_from_bytes(rest).unwrap();
+    let (known, _): (Additions, &[u8]) = postcard::take_from_bytes(rest).unwrap();
+    assert_eq!((old.life, crashes), (7, report()));
+    assert_eq!(known.limits, additions().limits);
+}
+
+/// Cut and altered messages are refused or understood in part; none may end the process.
+#[test]
+fn odd_messages_do_no_harm() {
+    let whole = encode(&with_fleet()).unwrap();
+    for end in 0..whole.len() {
+        drop(decode(&whole[..end]));
+    }
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..20_000 {
+        let mut bytes = whole.clone();
+        for _ in 0..rng.random_range(1..4) {
+            let at = rng.random_range(0..bytes.len());
+            bytes[at] = rng.random();
+        }
+        drop(decode(&bytes));
+    }
+}
