Edge: log what links carry and how late the event loop is

The log could not tell whether the delegate's processor or its network link was the cause: it had neither the delay of the event loop nor the volume of gossip.

No decision changes.

--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -1,5 +1,7 @@
 //! Lifecycle of an instance: start-up, checks of the settings file on request, and graceful stop.
 
+mod load_report;
+
 use crate::{
     dispatch::Pools,
     front::{bind, serve_aux, serve_callers, AuxEndpoint, AuxInterface, Connections},
@@ -18,6 +20,7 @@
     crash::{CrashDetector, CrashSubject},
     time::Clock,
 };
+use load_report::LoadReport;
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -30,7 +33,7 @@
     signal::unix::{signal, SignalKind},
     sync::mpsc::Receiver,
     task::LocalSet,
-    time::{interval, sleep, MissedTickBehavior},
+    time::{interval, sleep, Instant, MissedTickBehavior},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -213,8 +216,14 @@
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut count: u64 = 0;
+    let mut load_report = LoadReport::default();
+    let mut last_tick = Instant::now();
     loop {
         ticks.tick().await;
+        let passed = last_tick.elapsed();
+        last_tick = Instant::now();
+        let late = passed.saturating_sub(TICK_INTERVAL).as_millis();
+        load_report.tick(&node, u64::try_from(late).unwrap_or(u64::MAX));
         node.tick();
         for check in node.due_health_checks() {
             tokio::task::spawn_local(health_check::run(Rc::clone(&node), check));
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -158,6 +158,28 @@
         member: &'a str,
         reason: &'a str,
     },
+    /// Packets of a link that was up, up to its loss.
+    LinkPackets {
+        member: &'a str,
+        up_ms: u64,
+        round_trip_ms: u64,
+        sent_packets: u64,
+        lost_packets: u64,
+        sent_bytes: u64,
+        received_bytes: u64,
+    },
+    /// Work since the last such line. `max_late_ms` is the longest delay of the event loop.
+    Load {
+        is_delegate: bool,
+        max_late_ms: u64,
+        in_flight: usize,
+        peer_exchanges: usize,
+        gossip_sent: u64,
+        gossip_sent_bytes: u64,
+        gossip_received: u64,
+        gossip_received_bytes: u64,
+        gossip_announced: u64,
+    },
     TrialSeen {
         service: &'a str,
         target: &'a str,
--- a/crates/edge/src/metrics/mod.rs
+++ b/crates/edge/src/metrics/mod.rs
@@ -27,6 +27,23 @@
     }
 }
 
+/// Number of messages, and their size.
+#[derive(Debug, Default)]
+pub struct MessageCounter {
+    /// Messages.
+    pub messages: MetricValue,
+    /// Sum of their sizes, in bytes.
+    pub bytes: MetricValue,
+}
+
+impl MessageCounter {
+    /// Counts a message of `bytes` bytes.
+    pub fn add(&self, bytes: usize) {
+        self.messages.add(1);
+        self.bytes.add(bytes as u64);
+    }
+}
+
 /// Upper bounds of the histogram buckets, in milliseconds.
 const BOUNDS_MS: [u64; 12] = [
     5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800,
@@ -50,6 +67,12 @@
     pub connections_opened: MetricValue,
     /// Requests forwarded to other regions.
     pub forwarded: MetricValue,
+    /// Gossip sent on all links.
+    pub gossip_sent: MessageCounter,
+    /// Gossip received on all links.
+    pub gossip_received: MessageCounter,
+    /// Wake-ups of the senders of gossip before their next message was due.
+    pub gossip_announced: MetricValue,
     /// Requests that waited for their first output when their engine's connection broke.
     pub crashes_seen: MetricValue,
     /// Requests refused because of a held or suspected prompt part.
@@ -94,6 +117,26 @@
                 self.connections_opened.get(),
             ),
             ("carobwheel_forwarded_total", self.forwarded.get()),
+            (
+                "carobwheel_gossip_sent_total",
+                self.gossip_sent.messages.get(),
+            ),
+            (
+                "carobwheel_gossip_sent_bytes_total",
+                self.gossip_sent.bytes.get(),
+            ),
+            (
+                "carobwheel_gossip_received_total",
+                self.gossip_received.messages.get(),
+            ),
+            (
+                "carobwheel_gossip_received_bytes_total",
+                self.gossip_received.bytes.get(),
+            ),
+            (
+                "carobwheel_gossip_announced_total",
+                self.gossip_announced.get(),
+            ),
             ("carobwheel_engine_crashes_total", self.crashes_seen.get()),
             ("carobwheel_hold_refusals_total", self.hold_refusals.get()),
         ];
--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -141,6 +141,7 @@
 
 /// Decodes and applies a gossip message.
 fn receive_gossip(node: &Node, name: &Arc<str>, bytes: &[u8]) {
+    node.metrics.gossip_received.add(bytes.len());
     match decode(bytes) {
         Ok(gossip) => node.receive_gossip(name, gossip),
         Err(err) => {
--- a/crates/edge/src/peers/dial.rs
+++ b/crates/edge/src/peers/dial.rs
@@ -8,6 +8,7 @@
     PeerError, LINK_IDLE_TIMEOUT,
 };
 use crate::{log::Event, member::MemberEntry, node::Node};
+use carobwheel_core::time::Millis;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -31,7 +32,9 @@
                 });
                 node.links
                     .set_connection(&entry.name, Some(connection.clone()));
+                let up_at = node.now();
                 let reason = run_link(node, wanted, &connection).await;
+                log_packets(node, &entry.name, &connection, up_at);
                 node.links.set_connection(&entry.name, None);
                 node.log.event(Event::LinkLost {
                     member: &entry.name,
@@ -74,6 +77,21 @@
     reason
 }
 
+/// Logs what a link has carried that was up since `up_at`.
+fn log_packets(node: &Node, member: &str, connection: &quinn::Connection, up_at: Millis) {
+    let stats = connection.stats();
+    let round_trip_ms = u64::try_from(stats.path.rtt.as_millis()).unwrap_or(u64::MAX);
+    node.log.event(Event::LinkPackets {
+        member,
+        up_ms: node.now().since(up_at),
+        round_trip_ms,
+        sent_packets: stats.path.sent_packets,
+        lost_packets: stats.path.lost_packets,
+        sent_bytes: stats.udp_tx.bytes,
+        received_bytes: stats.udp_rx.bytes,
+    });
+}
+
 async fn closed(connection: &quinn::Connection) -> PeerError {
     PeerError(connection.closed().await.to_string())
 }
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -24,6 +24,7 @@
             Ok(message) => Bytes::from(message),
             Err(err) => return err,
         };
+        node.metrics.gossip_sent.add(message.len());
         let period = Duration::from_millis(node.gossip_period_ms(is_same_region));
         let is_small = connection
             .max_datagram_size()
@@ -40,14 +41,11 @@
         }
         let next_message = async {
             sleep(period.min(MIN_GOSSIP_PERIOD)).await;
+            let left = period.saturating_sub(MIN_GOSSIP_PERIOD);
             // The sender of the channel lives as long as the links.
-            drop(
-                timeout(
-                    period.saturating_sub(MIN_GOSSIP_PERIOD),
-                    announced.changed(),
-                )
-                .await,
-            );
+            if timeout(left, announced.changed()).await.is_ok() {
+                node.metrics.gossip_announced.add(1);
+            }
         };
         tokio::select! {
             () = next_message => {}
