A delegate announces a fact once, and passes reports to its listeners only

Callers saw answers cut in the middle: the link between the instance that holds the caller and the one that relays the answer was lost after 2.5 s without packets, while the engine ended the answer soundly.

Cause: a delegate sent its next message on all links at once, at most every 50 ms, whenever any instance's crash report named another part or answer. With some engines failing, each report does so each time. Class: urgent news whose rate grows with the number of reporters, not with the number of facts.

Now a fact (an engine's crash, a held part or request, a stated rate, an upstream that leaves) is announced once in ten seconds, whoever reports it; everything else waits for the next message, 0.25 s at most. A report goes out again when it has changed, else twice a second, and only to delegates and to instances that subscribe here: those get it from one delegate, not from four.

--- a/crates/edge/src/node/digest.rs
+++ b/crates/edge/src/node/digest.rs
@@ -13,6 +13,33 @@
 
 /// Interval at which heartbeats and forecasts are passed on, in milliseconds.
 const HEARTBEATS_PERIOD_MS: u64 = 500;
+/// Interval at which reports are passed on that have not changed, in milliseconds: a datagram may be
+/// lost.
+const REPORTS_PERIOD_MS: u64 = 500;
+
+/// What was sent on a link, and when.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LinkCursor {
+    /// Last heartbeats.
+    heartbeats_at: Option<Millis>,
+    /// Last message with changed reports.
+    changed_reports_at: Millis,
+    /// Last message with all reports.
+    all_reports_at: Option<Millis>,
+}
+
+impl LinkCursor {
+    /// Time since which reports have to have changed to be in the next message; `None` for all reports.
+    pub fn next_reports_since(&mut self, now: Millis) -> Option<Millis> {
+        let changed_since = std::mem::replace(&mut self.changed_reports_at, now);
+        let is_due = |at: Millis| now.since(at) >= REPORTS_PERIOD_MS;
+        if self.all_reports_at.is_none_or(is_due) {
+            self.all_reports_at = Some(now);
+            return None;
+        }
+        Some(changed_since)
+    }
+}
 
 /// Part of a message that only builds with delegates send.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -79,15 +106,14 @@
 }
 
 impl Node {
-    /// Builds the message for one instance. `heartbeats_at` is the time of the last heartbeats sent on
-    /// the same link, and is updated.
-    pub fn gossip_for(&self, target: &MemberEntry, heartbeats_at: &mut Option<Millis>) -> Gossip {
+    /// Builds the next message on the link to an instance.
+    pub fn gossip_for(&self, target: &MemberEntry, cursor: &mut LinkCursor) -> Gossip {
         let is_same_region = target.region == self.region;
         let mut message = self.own_gossip(is_same_region);
         let now = self.now();
         let state = self.state.borrow();
         let digest = if state.topology.is_delegate {
-            state.digest_for(self, target, heartbeats_at, now)
+            state.digest_for(self, target, cursor, now)
         } else {
             None
         };
@@ -106,22 +132,27 @@
         &self,
         node: &Node,
         target: &MemberEntry,
-        heartbeats_at: &mut Option<Millis>,
+        cursor: &mut LinkCursor,
         now: Millis,
     ) -> Option<Digest> {
         let scope = self.scope_for(node, target);
         let is_same_region = target.region == node.region;
         let mut digest = Digest {
             scope,
-            relayed: self.relayed_reports(node, target, now),
             ..Digest::default()
         };
-        let is_due = heartbeats_at.is_none_or(|at| {
+        let is_due = cursor.heartbeats_at.is_none_or(|at| {
             now.since(at) >= HEARTBEATS_PERIOD_MS || self.members.has_readiness_changed_since(at)
         });
         let is_delegate = self.topology.region_delegates.contains(&*target.name);
-        if is_due && (scope != DigestScope::Nothing || is_delegate) {
-            let since = heartbeats_at.replace(now).unwrap_or_default();
+        // An instance hears of others from the one delegate that it subscribes to.
+        let is_listener = scope != DigestScope::Nothing || is_delegate;
+        if is_listener {
+            let since = cursor.next_reports_since(now);
+            digest.relayed = self.relayed_reports(node, target, since, now);
+        }
+        if is_due && is_listener {
+            let since = cursor.heartbeats_at.replace(now).unwrap_or_default();
             digest.heartbeats = self.heartbeats_for(node, target, since);
             if is_same_region {
                 digest.forecasts = self.forecasts_of_other_regions(node);
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -15,13 +15,13 @@
 mod state;
 mod tick;
 
-pub use digest::{Digest, DigestScope, FleetReport, TrialSum};
+pub use digest::{Digest, DigestScope, FleetReport, LinkCursor, TrialSum};
 pub use evidence::SendIds;
 pub use gossip::{Additions, ForecastReport, Gossip, TrialReport};
 pub use limits::KeyedLimitReport;
 pub(crate) use limits::LimitWait;
 pub use news::HealthChecks;
 pub use placement::PlacementRequest;
-pub use relay::{KeptReport, RelayedReport};
+pub use relay::{RelayedReport, ReportRelay};
 pub use state::{urgency, Node, State};
 pub use tick::Pull;
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -1,6 +1,6 @@
 //! State of an instance, and the decisions that are based on it.
 
-use super::{ForecastReport, KeptReport};
+use super::{ForecastReport, ReportRelay};
 use crate::{
     cold::own_cold_rate,
     dispatch::Pools,
@@ -90,8 +90,8 @@
     pub topology: Topology,
     /// Delegate whose sums this instance subscribes to.
     pub sums_from: Option<Arc<str>>,
-    /// Reports of other instances that are passed on, by the key of the sender's process.
-    pub relayed: HashMap<u32, KeptReport>,
+    /// Reports of other instances that are passed on.
+    pub relay: ReportRelay,
     /// Number of instances that the latest sums of each other region cover, and their arrival.
     pub region_instances: HashMap<Arc<str>, (Millis, u32)>,
     /// Forecasts of other regions as delegates have passed them on, with the time of their arrival.
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -1,7 +1,10 @@
 //! Sending of gossip on a link.
 
 use super::{encode, PeerError};
-use crate::{member::MemberEntry, node::Node};
+use crate::{
+    member::MemberEntry,
+    node::{LinkCursor, Node},
+};
 use bytes::Bytes;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
@@ -17,10 +20,10 @@
 ) -> PeerError {
     let is_same_region = entry.region == node.region;
     let mut announced = node.links.announced.subscribe();
-    let mut heartbeats_at = None;
+    let mut cursor = LinkCursor::default();
     loop {
         announced.mark_unchanged();
-        let message = match encode(&node.gossip_for(entry, &mut heartbeats_at)) {
+        let message = match encode(&node.gossip_for(entry, &mut cursor)) {
             Ok(message) => Bytes::from(message),
             Err(err) => return err,
         };
--- a/crates/gateway/tests/platform_links.rs
+++ b/crates/gateway/tests/platform_links.rs
@@ -136,3 +136,46 @@
     assert_eq!(counts.iter().sum::<usize>(), REQUESTS);
     assert!(counts.iter().all(|count| *count <= SLOTS), "{counts:?}");
 }
+
+/// Prompts that fail at the same engine.
+const FAILED_PROMPTS: usize = 60;
+
+/// Guards against gossip that fills links because each report on a known crash was announced.
+#[test]
+fn one_failing_engine_is_announced_to_the_fleet_once() {
+    let store = Store::start();
+    let resumable = json!({"resumable": true, "timeoutMs": 10_000});
+    store.publish(&ConfigBuilder::new(1).route("/brief/", "streaming", "model", 1, resumable));
+    let engine = Engine::start("i-1");
+    engine.register(&store, "model", "north-a", "ready");
+    engine.script(std::iter::repeat_n(Script::Close, FAILED_PROMPTS));
+    let instances = start_all(&store);
+    let delegates = &instances[..2];
+    let announced = |instance: &Instance| metric(instance, "carobwheel_gossip_announced_total");
+    let counts = || -> Vec<usize> { delegates.iter().map(announced).collect() };
+    let mut before = counts();
+    wait_until("the start is no longer announced", || {
+        std::thread::sleep(Duration::from_millis(500));
+        std::mem::replace(&mut before, counts()) == before
+    });
+    for number in 0..FAILED_PROMPTS {
+        let mut caller = instances[2 + number % 6].caller();
+        let headers = format!(
+            "X-Carobwheel-Prompt-Prefix: a{number:x}:40,f{number:x}:20\r\n\
+             X-Carobwheel-Token-Usage: 100,10\r\n"
+        );
+        caller.send("POST", "/brief/x", &format!("a-{number}"), &headers, "");
+        caller.answer();
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert!(!instances[2].logged("crash_seen").is_empty());
+    for (delegate, before) in delegates.iter().zip(before) {
+        let links = metric(delegate, "carobwheel_links_dialled")
+            + metric(delegate, "carobwheel_links_accepted");
+        let sent_early = announced(delegate) - before;
+        assert!(
+            sent_early <= links,
+            "{sent_early} messages on {links} links"
+        );
+    }
+}
