Links: a silent link takes no new requests, but ends no answer under way

Cause: the idle timeout of the connection decided three things at once: which link gets further requests, when another one is dialled, and when all answers on it end. Class: a timer that watches one thing ends another.

Now 2.5 s of silence end the use of a link for requests and dial anew, and a request without an answer fails as before. Answers under way stay: their connection closes after 15 s of silence or once no exchange uses it, and is served until then, so that a request the other end still sends on it is not left hanging. A forwarded answer ends at the deadline of its request at the instance that holds the caller; only the loss of the link ended it there.

Tests (platform_fleet), the other instance is suspended in mid-stream: a_forwarded_answer_is_not_cut_while_its_link_is_silent (before: cut after 162 bytes), a_forwarded_answer_ends_at_its_deadline_although_its_link_is_silent (before: cut after 2.52 s). Both pass now.

--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -2,7 +2,7 @@
 
 use super::{
     decode, exchange::READ_BYTES, gossip::send_gossip, holds, pull, tls::peer_digest, Links,
-    HOLDS_HEADER, MAX_GOSSIP_BYTES, PULL_HEADER, REFUSED_HEADER, TICKET_HEADER,
+    OpenLink, HOLDS_HEADER, MAX_GOSSIP_BYTES, PULL_HEADER, REFUSED_HEADER, TICKET_HEADER,
 };
 use crate::{
     front::read_body,
@@ -66,12 +66,13 @@
 
 /// Serves a link that another instance has dialled. Its gossip is answered by gossip on the same link.
 async fn serve_accepted(node: Rc<Node>, name: Arc<str>, connection: quinn::Connection) {
-    node.links.add_accepted(&name, &connection);
+    let link = OpenLink::new(connection);
+    node.links.add_accepted(&name, &link);
     let has_gossip = CancellationToken::new();
-    let answered = answer_gossip(&node, &name, &connection, &has_gossip);
-    let served = serve(&node, &name, &connection, &has_gossip);
-    tokio::join!(answered, served);
-    node.links.remove_accepted(&name, &connection);
+    let answered = answer_gossip(&node, &name, &link.connection, &has_gossip);
+    let served = serve(&node, &name, &link, &has_gossip);
+    tokio::join!(answered, served, link.observe());
+    node.links.remove_accepted(&name, &link);
 }
 
 /// Waits for the first gossip on the link, and sends own gossip from then on unless it goes by another
@@ -103,9 +104,10 @@
 pub(super) async fn serve(
     node: &Rc<Node>,
     name: &Arc<str>,
-    connection: &quinn::Connection,
+    link: &OpenLink,
     has_gossip: &CancellationToken,
 ) {
+    let connection = &link.connection;
     loop {
         tokio::select! {
             datagram = connection.read_datagram() => match datagram {
@@ -132,8 +134,12 @@
                 let Ok((send, receive)) = stream else {
                     return;
                 };
-                let node = Rc::clone(node);
-                tokio::task::spawn_local(serve_stream(node, send, receive));
+                let served = serve_stream(Rc::clone(node), send, receive);
+                let guard = link.exchange_guard();
+                tokio::task::spawn_local(async move {
+                    served.await;
+                    drop(guard);
+                });
             }
         }
     }
--- a/crates/edge/src/peers/dial.rs
+++ b/crates/edge/src/peers/dial.rs
@@ -5,11 +5,11 @@
     gossip::send_gossip,
     holds::fetch_holds,
     links::{LinkUse, WantedLink},
-    PeerError, LINK_IDLE_TIMEOUT,
+    OpenLink, PeerError, LINK_SILENCE,
 };
 use crate::{log::Event, member::MemberEntry, node::Node};
 use carobwheel_core::time::Millis;
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -18,63 +18,89 @@
 /// Server name in all certificates.
 const SERVER_NAME: &str = "carobwheel";
 
-/// Dials an instance, uses the link while it is up, and dials again when it is lost.
-pub(super) async fn maintain_link(node: &Rc<Node>, wanted: &WantedLink) {
-    let entry = &wanted.entry;
+/// Dials an instance, uses the link while it is heard, and dials again when it is lost, until `stop`.
+pub(super) async fn maintain_link(node: &Rc<Node>, wanted: &WantedLink, stop: &CancellationToken) {
+    let name = &wanted.entry.name;
     let [mut pause, longest] = REDIAL_PAUSES;
     let mut is_first = true;
-    loop {
-        match connect(node, entry, is_first).await {
+    while !stop.is_cancelled() {
+        let connected = tokio::select! {
+            connected = connect(node, &wanted.entry, is_first) => connected,
+            () = stop.cancelled() => return,
+        };
+        match connected {
             Ok(connection) => {
                 pause = REDIAL_PAUSES[0];
-                node.log.event(Event::LinkUp {
-                    member: &entry.name,
-                });
-                node.links
-                    .set_connection(&entry.name, Some(connection.clone()));
-                let up_at = node.now();
-                let reason = run_link(node, wanted, &connection).await;
-                log_packets(node, &entry.name, &connection, up_at);
-                node.links.set_connection(&entry.name, None);
-                node.log.event(Event::LinkLost {
-                    member: &entry.name,
-                    reason: &reason.0,
-                });
-            }
-            Err(err) if is_first => {
-                node.log.event(Event::LinkLost {
-                    member: &entry.name,
-                    reason: &err.0,
-                });
+                use_link(node, wanted, OpenLink::new(connection), stop).await;
             }
+            Err(err) if is_first => log_loss(node, name, &err),
             // The loss of the link was already logged.
             Err(_) => {}
         }
         is_first = false;
-        sleep(pause.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
+        let paused = sleep(pause.mul_f64(0.5 + rand::random::<f64>() / 2.0));
+        tokio::select! {
+            () = paused => {}
+            () = stop.cancelled() => {}
+        }
         pause = (pause * 2).min(longest);
     }
 }
 
-/// Uses a link until it is lost.
-async fn run_link(
+/// Uses a link until it is lost or `stop`. Then its connection serves the exchanges that are under way.
+async fn use_link(
     node: &Rc<Node>,
     wanted: &WantedLink,
-    connection: &quinn::Connection,
-) -> PeerError {
+    link: Rc<OpenLink>,
+    stop: &CancellationToken,
+) {
+    let name = &wanted.entry.name;
+    let up_at = node.now();
+    node.log.event(Event::LinkUp { member: name });
+    node.links.set_connection(name, Some(Rc::clone(&link)));
+    tokio::select! {
+        reason = run_link(node, wanted, &link) => {
+            log_packets(node, name, &link.connection, up_at);
+            // Another link may have taken the place of one that is not wanted any more.
+            if !stop.is_cancelled() {
+                node.links.set_connection(name, None);
+            }
+            log_loss(node, name, &reason);
+        }
+        () = stop.cancelled() => {}
+    }
+    let (node, name) = (Rc::clone(node), Arc::clone(name));
+    tokio::task::spawn_local(async move {
+        let has_gossip = CancellationToken::new();
+        tokio::select! {
+            () = serve(&node, &name, &link, &has_gossip) => {}
+            () = link.close_unused() => {}
+        }
+    });
+}
+
+fn log_loss(node: &Node, member: &str, reason: &PeerError) {
+    let reason = &reason.0;
+    node.log.event(Event::LinkLost { member, reason });
+}
+
+/// Uses a link until it is lost.
+async fn run_link(node: &Rc<Node>, wanted: &WantedLink, link: &OpenLink) -> PeerError {
     let name = &wanted.entry.name;
     let has_gossip = CancellationToken::new();
-    let served = serve(node, name, connection, &has_gossip);
-    if wanted.link_use == LinkUse::Forward {
-        served.await;
-        return closed(connection).await;
+    let gossip = async {
+        if wanted.link_use == LinkUse::Gossip {
+            tokio::join!(
+                send_gossip(node, &wanted.entry, &link.connection),
+                fetch_holds(node, name)
+            );
+        }
+    };
+    let used = async { tokio::join!(gossip, serve(node, name, link, &has_gossip), link.observe()) };
+    tokio::select! {
+        _ = used => PeerError(link.connection.closed().await.to_string()),
+        () = link.silent() => PeerError("no packet has arrived in time".to_owned()),
     }
-    let (reason, (), ()) = tokio::join!(
-        send_gossip(node, &wanted.entry, connection),
-        fetch_holds(node, name),
-        served
-    );
-    reason
 }
 
 /// Logs what a link has carried that was up since `up_at`.
@@ -92,10 +118,6 @@
     });
 }
 
-async fn closed(connection: &quinn::Connection) -> PeerError {
-    PeerError(connection.closed().await.to_string())
-}
-
 /// Opens a link. Further attempts use a new local port, since a device on the path may drop the
 /// packets of the old flow.
 async fn connect(
@@ -114,7 +136,7 @@
     let connecting = endpoint
         .connect_with(config, entry.peers, SERVER_NAME)
         .map_err(|err| peer_error(&err))?;
-    let connected = timeout(LINK_IDLE_TIMEOUT, connecting).await;
+    let connected = timeout(LINK_SILENCE, connecting).await;
     connected
         .map_err(|err| peer_error(&err))?
         .map_err(|err| peer_error(&err))
--- a/crates/edge/src/peers/exchange.rs
+++ b/crates/edge/src/peers/exchange.rs
@@ -24,11 +24,12 @@
     member: &str,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, ExchangeError> {
-    let connection = node
+    let link = node
         .links
         .connection(member)
         .ok_or(ExchangeError::NotSent)?;
-    let (send, receive) = connection
+    let (send, receive) = link
+        .connection
         .open_bi()
         .await
         .map_err(|_| ExchangeError::NotSent)?;
@@ -39,10 +40,16 @@
         .handshake(io)
         .await
         .map_err(|_| ExchangeError::NotSent)?;
-    // Errors of the driver are also returned by the request that they affect.
-    tokio::task::spawn_local(async move { drop(driver.await) });
-    sender
-        .send_request(request)
-        .await
-        .map_err(|err| ExchangeError::Broken(err.to_string()))
+    let guard = link.exchange_guard();
+    tokio::task::spawn_local(async move {
+        // Errors of the driver are also returned by the request that they affect.
+        drop(driver.await);
+        drop(guard);
+    });
+    tokio::select! {
+        response = sender.send_request(request) => {
+            response.map_err(|err| ExchangeError::Broken(err.to_string()))
+        }
+        () = link.silent() => Err(ExchangeError::Broken("the link is silent".to_owned())),
+    }
 }
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -13,20 +13,16 @@
 const MIN_GOSSIP_PERIOD: Duration = Duration::from_millis(50);
 
 /// Sends gossip until the link is lost.
-pub(super) async fn send_gossip(
-    node: &Node,
-    entry: &MemberEntry,
-    connection: &quinn::Connection,
-) -> PeerError {
+pub(super) async fn send_gossip(node: &Node, entry: &MemberEntry, connection: &quinn::Connection) {
     let is_same_region = entry.region == node.region;
     let mut announced = node.links.announced.subscribe();
     let mut cursor = LinkCursor::default();
     loop {
         announced.mark_unchanged();
-        let message = match encode(&node.gossip_for(entry, &mut cursor)) {
-            Ok(message) => Bytes::from(message),
-            Err(err) => return err,
+        let Ok(message) = encode(&node.gossip_for(entry, &mut cursor)) else {
+            return;
         };
+        let message = Bytes::from(message);
         node.metrics.gossip_sent.add(message.len());
         let period = Duration::from_millis(node.gossip_period_ms(is_same_region));
         let is_small = connection
@@ -39,8 +35,8 @@
         } else {
             send_stream(connection, &message).await
         };
-        if let Err(err) = sent {
-            return err;
+        if sent.is_err() {
+            return;
         }
         let next_message = async {
             sleep(period.min(MIN_GOSSIP_PERIOD)).await;
@@ -52,7 +48,7 @@
         };
         tokio::select! {
             () = next_message => {}
-            reason = connection.closed() => return PeerError(reason.to_string()),
+            _ = connection.closed() => return,
         }
     }
 }
--- a/crates/edge/src/peers/links.rs
+++ b/crates/edge/src/peers/links.rs
@@ -1,6 +1,6 @@
 //! Links that this instance keeps to other instances.
 
-use super::{dial, tls::Identity, PeerError};
+use super::{dial, tls::Identity, OpenLink, PeerError};
 use crate::{member::MemberEntry, node::Node};
 use carobwheel_core::time::Millis;
 use std::{
@@ -46,9 +46,8 @@
 }
 
 /// Link that this instance dials.
-#[derive(Debug)]
 struct Link {
-    connection: Option<quinn::Connection>,
+    connection: Option<Rc<OpenLink>>,
     link_use: LinkUse,
     wanted_at: Millis,
     stop: CancellationToken,
@@ -61,7 +60,7 @@
     pub(super) endpoint: quinn::Endpoint,
     dialled: RefCell<HashMap<Arc<str>, Link>>,
     /// Latest link that each other instance has dialled.
-    accepted: RefCell<HashMap<Arc<str>, quinn::Connection>>,
+    accepted: RefCell<HashMap<Arc<str>, Rc<OpenLink>>>,
     /// Wakes the senders of gossip before their next message is due.
     pub(super) announced: watch::Sender<()>,
     to_dial: Sender<(WantedLink, CancellationToken)>,
@@ -170,23 +169,23 @@
         self.accepted.borrow_mut().remove(name);
     }
 
-    /// Open connection to an instance, if there is one.
-    pub fn connection(&self, name: &str) -> Option<quinn::Connection> {
+    /// Connection to an instance that takes requests, if there is one.
+    pub fn connection(&self, name: &str) -> Option<Rc<OpenLink>> {
         self.dialled_connection(name)
             .or_else(|| self.accepted_connection(name))
     }
 
-    /// Open connection that this instance has dialled.
-    fn dialled_connection(&self, name: &str) -> Option<quinn::Connection> {
+    /// Connection that this instance has dialled.
+    fn dialled_connection(&self, name: &str) -> Option<Rc<OpenLink>> {
         let dialled = self.dialled.borrow();
         let connection = dialled.get(name)?.connection.clone()?;
-        connection.close_reason().is_none().then_some(connection)
+        connection.is_usable().then_some(connection)
     }
 
-    fn accepted_connection(&self, name: &str) -> Option<quinn::Connection> {
+    fn accepted_connection(&self, name: &str) -> Option<Rc<OpenLink>> {
         let accepted = self.accepted.borrow();
         let connection = accepted.get(name)?.clone();
-        connection.close_reason().is_none().then_some(connection)
+        connection.is_usable().then_some(connection)
     }
 
     /// Whether this instance sends its gossip to `name` over a link that it has dialled.
@@ -206,29 +205,28 @@
         while let Some((wanted, stop)) = queue.recv().await {
             let node = Rc::clone(&node);
             tokio::task::spawn_local(async move {
-                tokio::select! {
-                    () = stop.cancelled() => {}
-                    () = dial::maintain_link(&node, &wanted) => {}
-                }
+                dial::maintain_link(&node, &wanted, &stop).await;
             });
         }
     }
 
-    pub(super) fn set_connection(&self, name: &str, connection: Option<quinn::Connection>) {
+    pub(super) fn set_connection(&self, name: &str, connection: Option<Rc<OpenLink>>) {
         if let Some(link) = self.dialled.borrow_mut().get_mut(name) {
             link.connection = connection;
         }
     }
 
-    pub(super) fn add_accepted(&self, name: &Arc<str>, connection: &quinn::Connection) {
+    pub(super) fn add_accepted(&self, name: &Arc<str>, link: &Rc<OpenLink>) {
         let mut accepted = self.accepted.borrow_mut();
-        accepted.insert(Arc::clone(name), connection.clone());
+        accepted.insert(Arc::clone(name), Rc::clone(link));
     }
 
-    pub(super) fn remove_accepted(&self, name: &str, connection: &quinn::Connection) {
+    pub(super) fn remove_accepted(&self, name: &str, link: &Rc<OpenLink>) {
         let mut accepted = self.accepted.borrow_mut();
-        let latest = accepted.get(name).map(quinn::Connection::stable_id);
-        if latest == Some(connection.stable_id()) {
+        if accepted
+            .get(name)
+            .is_some_and(|latest| Rc::ptr_eq(latest, link))
+        {
             accepted.remove(name);
         }
     }
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -13,12 +13,14 @@
 mod gossip;
 mod holds;
 mod links;
+mod open_link;
 mod pull;
 mod tls;
 mod verify;
 
 pub(crate) use exchange::{exchange, ExchangeError};
 pub use links::{LinkUse, Links, WantedLink};
+pub use open_link::OpenLink;
 pub use pull::{decode_facts, encode_facts, pull};
 pub use tls::{Identity, PeerError};
 
@@ -43,8 +45,10 @@
     [TICKET_HEADER, REFUSED_HEADER, PULL_HEADER, HOLDS_HEADER].contains(&name.as_str())
 }
 
-/// Time without packets after which a link is lost; also the timeout for a new link.
-const LINK_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without packets after which a link takes no further requests; also the timeout for a new link.
+const LINK_SILENCE: Duration = Duration::from_millis(2_500);
+/// Time without packets after which a connection closes, and what is under way on it ends.
+const CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Maximum size of a gossip message, in bytes.
 const MAX_GOSSIP_BYTES: usize = 256 * 1024;
 
--- /dev/null
+++ b/crates/edge/src/peers/open_link.rs
@@ -0,0 +1,71 @@
+//! An open connection to another instance.
+
+use super::LINK_SILENCE;
+use quinn::Connection;
+use std::{rc::Rc, time::Duration};
+use tokio::{sync::watch, time::sleep};
+
+/// Interval of looks at the packets that have arrived.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Open connection to another instance.
+///
+/// Without packets for [`LINK_SILENCE`] it takes no further requests, but stays open: answers that are
+/// under way on it go on if the other instance is heard again before their deadlines.
+pub struct OpenLink {
+    pub(super) connection: Connection,
+    is_silent: watch::Sender<bool>,
+    /// Cloned by each exchange on the connection.
+    exchanges: Rc<()>,
+}
+
+impl OpenLink {
+    pub(super) fn new(connection: Connection) -> Rc<Self> {
+        Rc::new(Self {
+            connection,
+            is_silent: watch::Sender::new(false),
+            exchanges: Rc::default(),
+        })
+    }
+
+    /// Whether further requests may be sent on it.
+    pub(super) fn is_usable(&self) -> bool {
+        self.connection.close_reason().is_none() && !*self.is_silent.borrow()
+    }
+
+    /// Guard of one exchange, which has to be held until its end.
+    pub(super) fn exchange_guard(&self) -> Rc<()> {
+        Rc::clone(&self.exchanges)
+    }
+
+    /// Observes whether packets arrive, until the connection is closed.
+    pub(super) async fn observe(&self) {
+        // Looks are counted, since the clock goes on while this process is suspended.
+        let most_looks = LINK_SILENCE.as_millis() / POLL_INTERVAL.as_millis();
+        let mut received = 0;
+        let mut looks = 0;
+        while self.connection.close_reason().is_none() {
+            let before = std::mem::replace(&mut received, self.connection.stats().udp_rx.datagrams);
+            looks = if received == before { looks + 1 } else { 0 };
+            let is_silent = looks >= most_looks;
+            self.is_silent
+                .send_if_modified(|known| std::mem::replace(known, is_silent) != is_silent);
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits until no packet has arrived for [`LINK_SILENCE`].
+    pub(super) async fn silent(&self) {
+        let mut is_silent = self.is_silent.subscribe();
+        // The sender lives as long as this link.
+        drop(is_silent.wait_for(|is_silent| *is_silent).await);
+    }
+
+    /// Waits until no exchange uses the connection, and closes it.
+    pub(super) async fn close_unused(&self) {
+        while Rc::strong_count(&self.exchanges) > 1 {
+            sleep(POLL_INTERVAL).await;
+        }
+        self.connection.close(0u8.into(), b"not used any more");
+    }
+}
--- a/crates/edge/src/peers/tls.rs
+++ b/crates/edge/src/peers/tls.rs
@@ -3,7 +3,7 @@
 use super::{
     congestion::WindowFloorConfig,
     verify::{AnyClient, PinnedServer},
-    LINK_IDLE_TIMEOUT,
+    CONNECTION_IDLE_TIMEOUT,
 };
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rustls::{
@@ -124,7 +124,7 @@
 fn transport() -> quinn::TransportConfig {
     let mut transport = quinn::TransportConfig::default();
     transport
-        .max_idle_timeout(quinn::IdleTimeout::try_from(LINK_IDLE_TIMEOUT).ok())
+        .max_idle_timeout(quinn::IdleTimeout::try_from(CONNECTION_IDLE_TIMEOUT).ok())
         .mtu_discovery_config(None)
         .congestion_controller_factory(Arc::new(WindowFloorConfig::default()))
         .initial_rtt(INITIAL_RTT)
--- a/crates/edge/src/pipeline/forward.rs
+++ b/crates/edge/src/pipeline/forward.rs
@@ -13,7 +13,7 @@
 use http_body_util::Full;
 use hyper::{header::HeaderValue, Request, Response, StatusCode};
 use std::{rc::Rc, sync::Arc, time::Duration};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Time that forwarding to another region adds to a request, in milliseconds: the way there and the
 /// way of the response back.
@@ -147,7 +147,8 @@
     if head.headers.contains_key(REFUSED_HEADER) {
         return Err(refusal_of(&head));
     }
-    let mut answer = Response::new(AnswerBody::Passthrough(body));
+    let deadline = Box::pin(sleep(Duration::from_millis(ctx.left_ms(node))));
+    let mut answer = Response::new(AnswerBody::Passthrough(body, deadline));
     *answer.status_mut() = head.status;
     *answer.headers_mut() = caller_headers(&head.headers);
     Ok(answer)
--- a/crates/edge/src/relay/body.rs
+++ b/crates/edge/src/relay/body.rs
@@ -5,10 +5,11 @@
 use hyper::body::Incoming;
 use std::{
     fmt,
+    future::Future as _,
     pin::Pin,
     task::{Context, Poll},
 };
-use tokio::sync::mpsc::Receiver;
+use tokio::{sync::mpsc::Receiver, time::Sleep};
 
 /// Error of a response body that cannot be completed; the caller's connection is closed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,8 +29,8 @@
     Whole(Option<Bytes>),
     /// Chunks from a task, which ends when the body is dropped.
     Chunks(Receiver<Result<Bytes, AnswerBroken>>),
-    /// Body of another instance, relayed as it arrives.
-    Passthrough(Incoming),
+    /// Body of another instance, relayed as it arrives until the deadline of the request.
+    Passthrough(Incoming, Pin<Box<Sleep>>),
 }
 
 impl AnswerBody {
@@ -56,7 +57,11 @@
                 let chunk = std::task::ready!(chunks.poll_recv(cx));
                 Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
             }
-            Self::Passthrough(incoming) => {
+            Self::Passthrough(incoming, deadline) => {
+                if deadline.as_mut().poll(cx).is_ready() {
+                    let reason = "the deadline of the request has passed".to_owned();
+                    return Poll::Ready(Some(Err(AnswerBroken(reason))));
+                }
                 let frame = std::task::ready!(Pin::new(incoming).poll_frame(cx));
                 Poll::Ready(frame.map(|frame| frame.map_err(|err| AnswerBroken(err.to_string()))))
             }
@@ -67,7 +72,7 @@
         match self {
             Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
             Self::Chunks(_) => false,
-            Self::Passthrough(incoming) => incoming.is_end_stream(),
+            Self::Passthrough(incoming, _) => incoming.is_end_stream(),
         }
     }
 
@@ -77,7 +82,7 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             Self::Chunks(_) => SizeHint::default(),
-            Self::Passthrough(incoming) => incoming.size_hint(),
+            Self::Passthrough(incoming, _) => incoming.size_hint(),
         }
     }
 }
--- a/crates/gateway/tests/platform_fleet.rs
+++ b/crates/gateway/tests/platform_fleet.rs
@@ -8,7 +8,7 @@
     wait_until, Caller, ConfigBuilder, Engine, Instance, InstanceOptions, Script, Store,
 };
 use serde_json::json;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Options of an instance that is connected to the store directly.
 fn options(name: &'static str, region: &'static str, store: &Store) -> InstanceOptions {
@@ -94,6 +94,90 @@
     assert_eq!(second.wait(), Some(0));
 }
 
+/// Time for which the instance that relays an answer stands still.
+const SILENCE: Duration = Duration::from_millis(3_500);
+
+/// A request to `north` whose stream of 4 s is relayed by `south`.
+struct ForwardedStream {
+    caller: Caller,
+    south: Instance,
+    _north: Instance,
+    _engine: Engine,
+    _store: Store,
+}
+
+impl ForwardedStream {
+    fn start(deadline_ms: u64) -> Self {
+        let store = Store::start();
+        let homes = json!({"homeRegions": ["south"], "timeoutMs": 20_000});
+        store.publish(&ConfigBuilder::new(1).route("/chat/", "streaming", "model", 1, homes));
+        let engine = Engine::start("i-s");
+        engine.register(&store, "model", "south-a", "ready");
+        let north = Instance::start_ready(&options("north-1", "north", &store));
+        let south = Instance::start_ready(&options("south-1", "south", &store));
+        wait_for_links(&[&north, &south]);
+        let events = |until, pause_ms| Script::Events {
+            until,
+            pause_ms,
+            is_complete: true,
+        };
+        engine.script([events(1, 0)]);
+        let mut early = north.caller();
+        wait_until("requests are forwarded", || {
+            early.send("POST", "/chat/x", "early", "", "");
+            early.answer().status == 200
+        });
+        let before = engine.seen().len();
+        engine.script([events(40, 100)]);
+        let mut caller = north.caller();
+        caller.write(&format!(
+            "POST /chat/x HTTP/1.1\r\nHost: rugs.example\r\nX-Carobwheel-Attempt-Id: a-1\r\n\
+             X-Carobwheel-Deadline-Ms: {deadline_ms}\r\nX-Carobwheel-Key: key-of-valuers\r\n\
+             Content-Length: 0\r\n\r\n"
+        ));
+        wait_until("the stream is running", || engine.seen().len() > before);
+        std::thread::sleep(Duration::from_millis(500));
+        Self {
+            caller,
+            south,
+            _north: north,
+            _engine: engine,
+            _store: store,
+        }
+    }
+}
+
+#[test]
+fn a_forwarded_answer_is_not_cut_while_its_link_is_silent() {
+    let mut stream = ForwardedStream::start(15_000);
+    stream.south.signal("-STOP");
+    std::thread::sleep(SILENCE);
+    stream.south.signal("-CONT");
+    let answer = stream.caller.answer();
+    assert_eq!(answer.status, 200);
+    assert!(answer.is_complete, "{} bytes", answer.body.len());
+}
+
+#[test]
+fn a_forwarded_answer_ends_at_its_deadline_although_its_link_is_silent() {
+    let mut stream = ForwardedStream::start(4_000);
+    stream.south.signal("-STOP");
+    let stopped = Instant::now();
+    let answer = stream.caller.answer();
+    stream.south.signal("-CONT");
+    assert!(!answer.is_complete);
+    assert!(
+        stopped.elapsed() > Duration::from_millis(3_000),
+        "{:?}",
+        stopped.elapsed()
+    );
+    assert!(
+        stopped.elapsed() < Duration::from_millis(4_500),
+        "{:?}",
+        stopped.elapsed()
+    );
+}
+
 #[test]
 fn a_stopping_instance_refuses_forwarded_requests() {
     let store = Store::start();
@@ -196,7 +280,7 @@
     let first = Instance::start_ready(&options("north-1", "north", &store));
     let second = Instance::start_ready(&options("north-2", "north", &store));
     wait_for_links(&[&first, &second]);
-    let started = std::time::Instant::now();
+    let started = Instant::now();
     let mut callers = [first.caller(), second.caller()];
     let mut served = 0;
     while started.elapsed() < Duration::from_secs(4) {
