Stop: an exchange lasts until its forwarded answer has arrived

A caller could see a forwarded answer cut although its upstream had ended it: an instance that stops counted the exchange as over once the answer was handed to the link, and exited half a second later with what the link had not carried yet. Up to 1.25 MB fit into the windows of one exchange; a small, full or lossy link needs longer.

Cause: handing over was taken for delivery. An exchange now lasts until the other instance has acknowledged the end of the answer or the link is lost; the end of the grace period bounds a stop as before.

--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -187,8 +187,17 @@
         .max_buf_size(READ_BYTES)
         .auto_date_header(false)
         .keep_alive(false);
+    let connection = builder.serve_connection(io, service);
     // The instance that forwarded the request notices and logs a broken exchange.
-    drop(builder.serve_connection(io, service).await);
+    let Ok(ended) = connection.without_shutdown().await else {
+        return;
+    };
+    let (_receive, mut send) = ended.io.into_inner().into_inner();
+    // The process may exit once no exchange is in progress, so this one lasts until its answer has
+    // arrived. The connection's loss ends the wait.
+    if send.finish().is_ok() {
+        drop(send.stopped().await);
+    }
 }
 
 /// Answers a pull, or runs a forwarded request in the own region.
--- a/crates/gateway/tests/platform_fleet.rs
+++ b/crates/gateway/tests/platform_fleet.rs
@@ -5,7 +5,7 @@
 mod platform_support;
 
 use platform_support::{
-    wait_until, Caller, ConfigBuilder, Engine, Instance, InstanceOptions, Script, Store,
+    wait_until, Caller, ConfigBuilder, Engine, Instance, InstanceOptions, RawEnd, Script, Store,
 };
 use serde_json::json;
 use std::time::{Duration, Instant};
@@ -94,6 +94,15 @@
     assert_eq!(second.wait(), Some(0));
 }
 
+/// Head of a request without a body, after the method and the path.
+fn head_of(id: &str, deadline_ms: u64) -> String {
+    format!(
+        "HTTP/1.1\r\nHost: rugs.example\r\nX-Carobwheel-Attempt-Id: {id}\r\n\
+         X-Carobwheel-Deadline-Ms: {deadline_ms}\r\nX-Carobwheel-Key: key-of-valuers\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
 /// Time for which the instance that relays an answer stands still.
 const SILENCE: Duration = Duration::from_millis(3_500);
 
@@ -130,11 +139,7 @@
         let before = engine.seen().len();
         engine.script([events(40, 100)]);
         let mut caller = north.caller();
-        caller.write(&format!(
-            "POST /chat/x HTTP/1.1\r\nHost: rugs.example\r\nX-Carobwheel-Attempt-Id: a-1\r\n\
-             X-Carobwheel-Deadline-Ms: {deadline_ms}\r\nX-Carobwheel-Key: key-of-valuers\r\n\
-             Content-Length: 0\r\n\r\n"
-        ));
+        caller.write(&format!("POST /chat/x {}", head_of("a-1", deadline_ms)));
         wait_until("the stream is running", || engine.seen().len() > before);
         std::thread::sleep(Duration::from_millis(500));
         Self {
@@ -178,6 +183,44 @@
     );
 }
 
+/// Bytes of an answer that fit into the windows of a link, but not into a socket's buffer.
+const LARGE_BYTES: usize = 1024 * 1024;
+
+#[test]
+fn a_forwarded_answer_arrives_before_the_instance_that_relays_it_exits() {
+    let store = Store::start();
+    let homes = json!({"homeRegions": ["south"], "timeoutMs": 20_000});
+    store.publish(&ConfigBuilder::new(1).route("/read/", "idempotent", "registry", 1, homes));
+    let engine = Engine::start("i-s");
+    engine.register(&store, "registry", "south-a", "ready");
+    let north = Instance::start_ready(&options("north-1", "north", &store));
+    let mut south = Instance::start_ready(&options("south-1", "south", &store));
+    wait_for_links(&[&north, &south]);
+    let mut caller = north.caller();
+    wait_until("requests are forwarded", || {
+        caller.send("GET", "/read/x", "early", "", "");
+        caller.answer().status == 200
+    });
+    let head = format!(
+        "HTTP/1.1 200 X\r\nx-carobwheel-attempt-id: {{id}}\r\nx-carobwheel-server-seal: sealed\r\n\
+         content-length: {LARGE_BYTES}\r\n\r\n"
+    );
+    let slow = RawEnd::Slow(&[b'x'; 64 * 1024], 100);
+    let before = engine.seen().len();
+    engine.replace_script([Script::Raw(head.into_bytes(), slow)]);
+    caller.write(&format!("GET /read/x {}", head_of("large", 15_000)));
+    wait_until("the answer is under way", || engine.seen().len() > before);
+    south.signal("-TERM");
+    std::thread::sleep(Duration::from_millis(400));
+    north.signal("-STOP");
+    // Longer than a stop takes that waits for nothing.
+    std::thread::sleep(Duration::from_millis(4_500));
+    north.signal("-CONT");
+    let answer = caller.answer();
+    assert!(answer.is_complete, "{} bytes", answer.body.len());
+    assert_eq!(south.wait(), Some(0));
+}
+
 #[test]
 fn a_stopping_instance_refuses_forwarded_requests() {
     let store = Store::start();
