Announce own crashes and stated rates once, too; answers wait half a second

An engine's crash is announced once, own or reported. A stated rate is announced when a later statement differs from the one announced before. Answers, which change all the time, go out with the message that has all reports. Tests in report_relay.

--- a/crates/edge/src/crash/evidence.rs
+++ b/crates/edge/src/crash/evidence.rs
@@ -79,7 +79,7 @@
         fingerprint: PartId,
     ) {
         let now = self.now();
-        let (part_changes, request_changes, at_upstream) = {
+        let (part_changes, request_changes, at_upstream, is_new) = {
             let mut state = self.state.borrow_mut();
             let known = state.upstreams.by_id.get(upstream);
             if known.is_some_and(|known| state.is_end_planned(known)) {
@@ -93,7 +93,8 @@
             };
             let requests = &mut state.request_crashes;
             let request_changes = requests.crashed(engine, &[fingerprint], now);
-            (part_changes, request_changes, at_upstream)
+            let is_new = state.relay.announce_crash(engine, now);
+            (part_changes, request_changes, at_upstream, is_new)
         };
         self.metrics.crashes_seen.add(1);
         self.log.event(Event::CrashSeen {
@@ -108,7 +109,9 @@
         });
         self.log_hold_changes(CrashSubject::PromptPart, &part_changes, Source::Own);
         self.log_hold_changes(CrashSubject::Request, &request_changes, Source::Own);
-        self.links.announce();
+        if is_new {
+            self.links.announce();
+        }
     }
 
     /// Applies the evidence of another instance.
--- a/crates/edge/src/node/relay.rs
+++ b/crates/edge/src/node/relay.rs
@@ -8,15 +8,18 @@
     upstream_limit::LimitReport,
 };
 use serde::{Deserialize, Serialize};
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 /// Longest age of a report that is passed on, in milliseconds.
 const MAX_RELAYED_AGE_MS: u32 = 2_000;
 /// Largest number of reports in one message.
 const MAX_RELAYED: usize = 64;
-/// Time for which a fact is not announced again, in milliseconds.
+/// Time without a report on a fact after which it is announced again, in milliseconds.
 const ANNOUNCED_MS: u64 = 10_000;
-/// Largest number of facts that are kept as announced. Further ones wait for the next message.
+/// Largest number of facts, and of stated rates, that are kept as announced.
 const MAX_ANNOUNCED: usize = 4_096;
 
 /// Report of an instance about crashes, limits and leaving upstreams.
@@ -62,19 +65,26 @@
     Crash(u32),
     HeldPart(PartId),
     HeldRequest(PartId),
-    /// An upstream has stated a rate, given by its bits.
-    Limit(u32, u32),
     /// An upstream's process is leaving.
     Leaving(u32),
 }
 
+/// Latest statement of an upstream about the rate that it takes.
+#[derive(Clone, Copy, Debug)]
+struct StatedRate {
+    per_s: f32,
+    stated_at: Millis,
+}
+
 /// Reports of other instances, which a delegate passes on.
 #[derive(Debug, Default)]
 pub struct ReportRelay {
     /// Reports by the key of the sender's process.
     kept: HashMap<u32, KeptReport>,
-    /// Facts that were announced lately, and when.
+    /// Facts that were announced, and when they were last reported.
     announced: HashMap<Fact, Millis>,
+    /// Stated rates that were announced, by the key of the upstream.
+    rates: HashMap<u32, StatedRate>,
 }
 
 impl RelayedReport {
@@ -102,13 +112,11 @@
         let crashes = crashes.chain(request_crashes);
         let held = self.crashes.held.iter();
         let held_requests = self.request_crashes.held.iter();
-        let limits = self.limits.iter();
         let leaving = self.leaving.iter();
         crashes
             .map(|crash| Fact::Crash(crash.engine))
             .chain(held.map(|held| Fact::HeldPart(held.part)))
             .chain(held_requests.map(|held| Fact::HeldRequest(held.part)))
-            .chain(limits.map(|(key, limit)| Fact::Limit(*key, limit.rate_per_s.to_bits())))
             .chain(leaving.map(|key| Fact::Leaving(*key)))
     }
 
@@ -202,20 +210,62 @@
         is_urgent
     }
 
-    /// Records the facts of a report. Returns whether one of them was not announced lately.
+    /// Records the facts of a report. Returns whether one of them has to be announced.
     fn announce_facts(&mut self, report: &RelayedReport, now: Millis) -> bool {
         self.announced
             .retain(|_, at| now.since(*at) <= ANNOUNCED_MS);
         let mut is_new = false;
         for fact in report.facts() {
-            if self.announced.len() >= MAX_ANNOUNCED {
-                break;
+            is_new |= self.announce(fact, now);
+        }
+        for (upstream, limit) in &report.limits {
+            if let Some(age_ms) = limit.age_ms {
+                let age_ms = u64::from(age_ms.saturating_add(report.age_ms));
+                let rate = StatedRate {
+                    per_s: limit.rate_per_s,
+                    stated_at: Millis(now.0.saturating_sub(age_ms)),
+                };
+                is_new |= self.announce_rate(*upstream, rate);
             }
-            is_new |= self.announced.insert(fact, now).is_none();
         }
         is_new
     }
 
+    /// Records that an engine's process, given by its key, has crashed on a request of this instance.
+    /// Returns whether it has to be announced.
+    pub fn announce_crash(&mut self, engine: u32, now: Millis) -> bool {
+        self.announced
+            .retain(|_, at| now.since(*at) <= ANNOUNCED_MS);
+        self.announce(Fact::Crash(engine), now)
+    }
+
+    /// Whether a fact is new. Beyond the limit of the table further facts wait for the next message.
+    fn announce(&mut self, fact: Fact, now: Millis) -> bool {
+        if let Some(reported_at) = self.announced.get_mut(&fact) {
+            *reported_at = now;
+            return false;
+        }
+        if self.announced.len() >= MAX_ANNOUNCED {
+            return false;
+        }
+        self.announced.insert(fact, now);
+        true
+    }
+
+    /// Whether an upstream has stated another rate since the last one that was announced.
+    fn announce_rate(&mut self, upstream: u32, rate: StatedRate) -> bool {
+        if self.rates.len() >= MAX_ANNOUNCED {
+            self.rates.clear();
+        }
+        let known = self.rates.get(&upstream);
+        if known.is_some_and(|known| rate.stated_at <= known.stated_at) {
+            return false;
+        }
+        let is_other = known.is_none_or(|known| known.per_s.to_bits() != rate.per_s.to_bits());
+        self.rates.insert(upstream, rate);
+        is_other
+    }
+
     /// Reports whose senders `is_included` accepts by their keys, newest first: those that have changed
     /// since `since`, or all.
     pub fn reports(
@@ -265,27 +315,34 @@
     }
 }
 
-/// Whether two reports of an instance name other crashes, parts, limits or upstreams. Ages alone are no
-/// change.
+/// Whether a report names crashes, parts, limits or upstreams that the one before did not. Answers and ages
+/// change all the time, and are passed on with the next message that has all reports.
 fn has_other_subjects(before: &RelayedReport, report: &RelayedReport) -> bool {
-    let crashes = |report: &CrashReport| {
-        let crashes: Vec<_> = report
-            .crashes
-            .iter()
-            .map(|crash| (crash.engine, crash.parts.clone()))
-            .collect();
-        let answered: Vec<_> = report.answered.iter().map(|answer| answer.part).collect();
-        let held: Vec<_> = report.held.iter().map(|held| held.part).collect();
-        (crashes, answered, held)
-    };
     let rates = |report: &RelayedReport| -> Vec<(u32, f32)> {
         let limits = report.limits.iter();
         limits
             .map(|(key, limit)| (*key, limit.rate_per_s))
             .collect()
     };
-    crashes(&before.crashes) != crashes(&report.crashes)
-        || crashes(&before.request_crashes) != crashes(&report.request_crashes)
+    adds_evidence(&before.crashes, &report.crashes)
+        || adds_evidence(&before.request_crashes, &report.request_crashes)
         || rates(before) != rates(report)
         || before.leaving != report.leaving
 }
+
+/// Whether a report on crashes has a sighting or a hold that the one before did not have.
+fn adds_evidence(before: &CrashReport, report: &CrashReport) -> bool {
+    let sightings = |report: &CrashReport| -> HashSet<(u32, Option<PartId>)> {
+        let crashes = report.crashes.iter();
+        crashes
+            .flat_map(|crash| {
+                let parts = crash.parts.iter().map(|part| Some(*part));
+                parts.chain([None]).map(|part| (crash.engine, part))
+            })
+            .collect()
+    };
+    let held = |report: &CrashReport| -> HashSet<PartId> {
+        report.held.iter().map(|held| held.part).collect()
+    };
+    !sightings(report).is_subset(&sightings(before)) || !held(report).is_subset(&held(before))
+}
--- a/crates/edge/tests/report_relay.rs
+++ b/crates/edge/tests/report_relay.rs
@@ -3,6 +3,7 @@
 use carobwheel_core::{
     crash::{AnsweredPart, Crash, CrashReport, HeldPart},
     time::Millis,
+    upstream_limit::LimitReport,
 };
 use carobwheel_edge::node::{LinkCursor, RelayedReport, ReportRelay};
 
@@ -71,6 +72,71 @@
     assert!(relay.keep(report(2, vec![crash(1), crash(2)]), Millis(1_200)));
 }
 
+fn limit(rate_per_s: f32, age_ms: Option<u32>) -> LimitReport {
+    LimitReport {
+        rate_per_s,
+        age_ms,
+        sent: 0,
+        is_user: true,
+    }
+}
+
+#[test]
+fn a_stated_rate_is_announced_when_it_changes() {
+    let mut relay = ReportRelay::default();
+    let mut keep = |key, at_ms, limit| {
+        let report = RelayedReport {
+            key,
+            limits: vec![(9, limit)],
+            ..RelayedReport::default()
+        };
+        relay.keep(report, Millis(at_ms))
+    };
+    assert!(keep(1, 1_000, limit(5.0, Some(0))));
+    // Another instance knows the same statement, or has heard none.
+    assert!(!keep(2, 1_100, limit(5.0, Some(100))));
+    assert!(!keep(3, 1_200, limit(0.0, None)));
+    assert!(keep(2, 1_300, limit(0.0, Some(0))));
+    // The former statement comes late.
+    assert!(!keep(1, 1_400, limit(5.0, Some(400))));
+    assert!(keep(1, 1_500, limit(5.0, Some(0))));
+}
+
+#[test]
+fn answers_wait_for_the_message_with_all_reports() {
+    let mut relay = ReportRelay::default();
+    let mut cursor = LinkCursor::default();
+    let crash = Crash {
+        engine: 1,
+        age_ms: 0,
+        parts: vec![1, 2],
+    };
+    let mut changed = report(1, vec![crash.clone()]);
+    relay.keep(changed.clone(), Millis(1_000));
+    let reports_at = |relay: &ReportRelay, cursor: &mut LinkCursor, at_ms| {
+        let since = cursor.next_reports_since(Millis(at_ms));
+        relay.reports(since, |_| true, Millis(at_ms)).len()
+    };
+    assert_eq!(reports_at(&relay, &mut cursor, 1_001), 1);
+    changed.crashes.answered = vec![AnsweredPart { part: 1, age_ms: 0 }];
+    changed.crashes.crashes[0].parts = vec![2];
+    relay.keep(changed.clone(), Millis(1_100));
+    assert_eq!(reports_at(&relay, &mut cursor, 1_200), 0);
+    assert_eq!(reports_at(&relay, &mut cursor, 1_501), 1);
+    changed.crashes.crashes[0].parts = vec![2, 3];
+    relay.keep(changed, Millis(1_600));
+    assert_eq!(reports_at(&relay, &mut cursor, 1_700), 1);
+}
+
+#[test]
+fn crashes_that_this_instance_sees_are_announced_once_for_each_process() {
+    let mut relay = ReportRelay::default();
+    assert!(relay.announce_crash(1, Millis(1_000)));
+    assert!(!relay.announce_crash(1, Millis(1_050)));
+    assert!(relay.announce_crash(2, Millis(1_100)));
+    assert!(relay.announce_crash(1, Millis(20_000)));
+}
+
 /// Reports that a link gets in 10 s while each sender repeats the same one.
 #[test]
 fn unchanged_reports_are_passed_on_twice_a_second() {
