serve: a forwarded answer outlasts a short silence of its link

What callers saw: an answer that another region's instance was giving ended with the error event "the other instance broke off its answer" (upstream_failed), though the engine went on, whenever the other instance, the caller's own or the path between them was silent for about 1.4 s.

Cause: a link with open requests is tested by echoes, and one on which two of them stayed without a reply for 0.9 s was closed together with the answers on it. The silence only shows that the link is no good for new work. It is now retired: nothing new uses it, the next dial comes from a new local port, and a request that waits for the head of its answer fails, all as before. It closes once its answers have ended, or after 4 s without a reply (probe period and suspicion timeout, by which a probed instance counts as gone). A request counted as ended when its last byte stood in the link's buffer, so that a retired link closed before the peer had it; it now ends when the peer has acknowledged that byte.

--- a/crates/gateway/src/peers/counters.rs
+++ b/crates/gateway/src/peers/counters.rs
@@ -38,7 +38,7 @@
     /// Incoming connections refused: no valid certificate, a name that does not match it, a timeout
     /// or too many links.
     refused_peers,
-    /// Links closed because messages that expect a reply got none.
+    /// Links replaced because messages that expect a reply got none.
     silent_links,
     /// Messages sent.
     sent_messages,
--- a/crates/gateway/src/peers/forward.rs
+++ b/crates/gateway/src/peers/forward.rs
@@ -118,6 +118,7 @@
     let head = tokio::select! {
         head = read_head::<ForwardHead>(&mut receive) => head,
         () = answer.closed() => None,
+        () = link.silenced() => None,
     };
     relay_answer(head, receive, answer, &link).await;
     writer.abort();
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -6,6 +6,7 @@
     rc::Rc,
     time::{Duration, Instant},
 };
+use tokio_util::sync::CancellationToken;
 
 /// Minimum number of messages without a reply for a link to count as silent.
 const MIN_UNANSWERED_MESSAGES: u32 = 2;
@@ -29,6 +30,8 @@
     requests: Cell<u32>,
     large_messages: Cell<u32>,
     is_retired: Cell<bool>,
+    /// Cancelled when the link is retired because it is silent.
+    silenced: CancellationToken,
 }
 
 impl Link {
@@ -53,6 +56,7 @@
             requests: Cell::new(0),
             large_messages: Cell::new(0),
             is_retired: Cell::new(false),
+            silenced: CancellationToken::new(),
         }
     }
 
@@ -104,6 +108,17 @@
         self.is_retired.set(true);
     }
 
+    /// Retires the link because messages on it get no reply.
+    pub(super) fn retire_silent(&self) {
+        self.retire();
+        self.silenced.cancel();
+    }
+
+    /// Waits until the link is retired because messages on it get no reply.
+    pub(super) async fn silenced(&self) {
+        self.silenced.cancelled().await;
+    }
+
     pub(super) fn is_retired(&self) -> bool {
         self.is_retired.get()
     }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,8 +7,9 @@
 //!
 //! The name of a peer is bound to its certificate: the dialling side requires the certificate of
 //! the instance that it dials, and the accepting side checks the name that the peer claims against
-//! the peer's certificate. A link on which messages get no reply is closed and dialled again from a
-//! new local port, because a middlebox on the path may have lost the state of the old flow.
+//! the peer's certificate. A link on which messages get no reply is replaced by one from a new local
+//! port, because a middlebox on the path may have lost the state of the old flow. The old link stays
+//! open while requests are in progress on it, up to the lost timeout.
 
 mod counters;
 mod dial;
--- a/crates/gateway/src/peers/pump.rs
+++ b/crates/gateway/src/peers/pump.rs
@@ -10,8 +10,8 @@
 /// Maximum size of a chunk read from a stream, in bytes.
 const MAX_CHUNK_BYTES: usize = 32 * 1_024;
 
-/// Writes a body to a stream and returns whether all of it was written. A truncated body resets
-/// the stream.
+/// Writes a body to a stream and returns whether the peer received all of it. A truncated body
+/// resets the stream.
 pub(super) async fn write_body(
     mut stream: quinn::SendStream,
     mut body: mpsc::Receiver<BodyChunk>,
@@ -24,7 +24,7 @@
         };
         let is_written = match chunk {
             Some(BodyChunk::Data(bytes)) => write_chunk_to(&mut stream, bytes, link).await,
-            Some(BodyChunk::End) => return stream.finish().is_ok(),
+            Some(BodyChunk::End) => return finish(stream).await,
             None => false,
         };
         if !is_written {
@@ -35,6 +35,10 @@
     }
 }
 
+async fn finish(mut stream: quinn::SendStream) -> bool {
+    stream.finish().is_ok() && matches!(stream.stopped().await, Ok(None))
+}
+
 async fn write_chunk_to(stream: &mut quinn::SendStream, bytes: Bytes, link: &Link) -> bool {
     let is_written = stream.write_chunk(bytes).await.is_ok();
     if is_written {
--- a/crates/gateway/src/peers/run.rs
+++ b/crates/gateway/src/peers/run.rs
@@ -4,6 +4,7 @@
 use super::document::{self, ServedDocument};
 use super::forward::{forward, OutgoingForward};
 use super::handle::Sinks;
+use super::link::Link;
 use super::links::Links;
 use super::shared::{open_dialler, Shared, UdpTraffic};
 use super::tls::TlsConfigs;
@@ -166,9 +167,11 @@
     }
 }
 
-/// Closes silent, idle and retired links, and sends an echo on quiet ones with open requests.
+/// Retires silent links, closes lost, idle and retired ones, and sends an echo on quiet ones with
+/// open requests.
 fn check_links(shared: &Rc<Shared>) {
     let reply_timeout = Duration::from_millis(shared.settings.reply_timeout_ms);
+    let lost_timeout = Duration::from_millis(shared.settings.lost_timeout_ms);
     let idle_timeout = Duration::from_millis(shared.settings.idle_timeout_ms);
     let links = shared.links.borrow().all();
     shared
@@ -176,13 +179,10 @@
         .links
         .store(links.len() as u64, Ordering::Relaxed);
     for link in links {
-        if link.is_silent(reply_timeout) {
-            log::info!(peer:% = link.peer; "peer_link_silent");
-            count(&shared.counters.silent_links);
-            shared
-                .links
-                .borrow_mut()
-                .record_lost_flow(&link.peer, link.generation);
+        if link.is_silent(reply_timeout) && !link.is_retired() {
+            retire_silent(shared, &link);
+        }
+        if link.is_silent(lost_timeout) {
             shared.remove_link(&link);
             link.connection.close(0u32.into(), b"silent");
         } else if link.is_idle(idle_timeout) || link.is_retired() && !link.is_busy() {
@@ -194,6 +194,17 @@
     }
 }
 
+/// Has a silent link replaced by one from a new local port; the answers under way keep it open.
+fn retire_silent(shared: &Shared, link: &Link) {
+    log::info!(peer:% = link.peer; "peer_link_silent");
+    count(&shared.counters.silent_links);
+    shared
+        .links
+        .borrow_mut()
+        .record_lost_flow(&link.peer, link.generation);
+    link.retire_silent();
+}
+
 fn update_traffic_counters(shared: &Shared) {
     let links = shared.links.borrow().all();
     let traffic = links
--- a/crates/gateway/src/peers/settings.rs
+++ b/crates/gateway/src/peers/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of the links between instances.
 
-use carobwheel_core::id::InstanceId;
+use carobwheel_core::{
+    id::InstanceId,
+    member::{PROBE_PERIOD_MS, SUSPICION_TIMEOUT_MS},
+};
 use carobwheel_wire::peer::PROTOCOL_VERSIONS;
 use std::{net::SocketAddr, ops::RangeInclusive};
 
@@ -8,6 +11,9 @@
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 120_000;
 /// Default of [`PeerSettings::reply_timeout_ms`].
 const DEFAULT_REPLY_TIMEOUT_MS: u64 = 900;
+/// Default of [`PeerSettings::lost_timeout_ms`]: time within which a probed instance that does not
+/// answer counts as gone.
+const DEFAULT_LOST_TIMEOUT_MS: u64 = PROBE_PERIOD_MS + SUSPICION_TIMEOUT_MS;
 
 /// Certificate, private key and certificate authorities, as PEM text.
 #[derive(Clone)]
@@ -34,8 +40,11 @@
     /// Time without traffic after which a link is closed, in milliseconds.
     pub idle_timeout_ms: u64,
     /// Time without a reply to at least two messages after which a link counts as silent and is
-    /// closed, in milliseconds.
+    /// replaced, in milliseconds.
     pub reply_timeout_ms: u64,
+    /// Time without a reply after which a link is closed although requests are in progress on it,
+    /// in milliseconds.
+    pub lost_timeout_ms: u64,
     /// Capacity of the command queue of the link thread.
     pub max_queued_commands: usize,
 }
@@ -50,6 +59,7 @@
             versions: PROTOCOL_VERSIONS,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
             reply_timeout_ms: DEFAULT_REPLY_TIMEOUT_MS,
+            lost_timeout_ms: DEFAULT_LOST_TIMEOUT_MS,
             max_queued_commands: 1_024,
         }
     }
