Gossip: a message has 4 KiB of reports at most, those that wait longest first

A link now remembers when it last carried each report. What has changed since, or was sent half a second ago, is due; what waits longest goes first, up to 4 KiB: 16 KiB a second on a link, and 2 Mbit/s for 15 links.

Test: large_reports_of_many_instances_take_turns_in_messages_of_bounded_size (60 instances, 15 engines; each report at least every 3 s).

--- a/crates/edge/src/node/digest.rs
+++ b/crates/edge/src/node/digest.rs
@@ -1,6 +1,8 @@
 //! What a delegate tells other instances of the fleet: heartbeats, sums and reports of others.
 
-use super::{gossip::ForecastReport, relay::RelayedReport, Gossip, Node, State};
+use super::{
+    gossip::ForecastReport, relay::RelayedReport, relay::ReportCursor, Gossip, Node, State,
+};
 use crate::{
     hash::short_hash,
     limit::DEMAND_TIMEOUT_MS,
@@ -13,32 +15,13 @@
 
 /// Interval at which heartbeats and forecasts are passed on, in milliseconds.
 const HEARTBEATS_PERIOD_MS: u64 = 500;
-/// Interval at which reports are passed on that have not changed, in milliseconds: a datagram may be
-/// lost.
-const REPORTS_PERIOD_MS: u64 = 500;
-
 /// What was sent on a link, and when.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct LinkCursor {
     /// Last heartbeats.
     heartbeats_at: Option<Millis>,
-    /// Last message with changed reports.
-    changed_reports_at: Millis,
-    /// Last message with all reports.
-    all_reports_at: Option<Millis>,
-}
-
-impl LinkCursor {
-    /// Time since which reports have to have changed to be in the next message; `None` for all reports.
-    pub fn next_reports_since(&mut self, now: Millis) -> Option<Millis> {
-        let changed_since = std::mem::replace(&mut self.changed_reports_at, now);
-        let is_due = |at: Millis| now.since(at) >= REPORTS_PERIOD_MS;
-        if self.all_reports_at.is_none_or(is_due) {
-            self.all_reports_at = Some(now);
-            return None;
-        }
-        Some(changed_since)
-    }
+    /// Reports of other instances.
+    reports: ReportCursor,
 }
 
 /// Part of a message that only builds with delegates send.
@@ -148,8 +131,7 @@
         // An instance hears of others from the one delegate that it subscribes to.
         let is_listener = scope != DigestScope::Nothing || is_delegate;
         if is_listener {
-            let since = cursor.next_reports_since(now);
-            digest.relayed = self.relayed_reports(node, target, since, now);
+            digest.relayed = self.relayed_reports(node, target, &mut cursor.reports, now);
         }
         if is_due && is_listener {
             let since = cursor.heartbeats_at.replace(now).unwrap_or_default();
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -22,6 +22,6 @@
 pub(crate) use limits::LimitWait;
 pub use news::HealthChecks;
 pub use placement::PlacementRequest;
-pub use relay::{RelayedReport, ReportRelay};
+pub use relay::{RelayedReport, ReportCursor, ReportRelay};
 pub use state::{urgency, Node, State};
 pub use tick::Pull;
--- a/crates/edge/src/node/relay.rs
+++ b/crates/edge/src/node/relay.rs
@@ -15,8 +15,16 @@
 
 /// Longest age of a report that is passed on, in milliseconds.
 const MAX_RELAYED_AGE_MS: u32 = 2_000;
-/// Largest number of reports in one message.
+/// Interval at which a report is passed on that has not changed, in milliseconds.
+const REPORTS_PERIOD_MS: u64 = 500;
+/// Largest number of reports that are applied of one message.
 const MAX_RELAYED: usize = 64;
+/// Size of the reports in one message, in bytes. Bounds what a delegate sends on all its links, of which
+/// each gets four messages a second or so.
+const MAX_RELAYED_BYTES: usize = 4 * 1024;
+/// Size of a prompt part and of another item of a report in a message, in bytes.
+const PART_BYTES: usize = 10;
+const ITEM_BYTES: usize = 14;
 /// Time without a report on a fact after which it is announced again, in milliseconds.
 const ANNOUNCED_MS: u64 = 10_000;
 /// Largest number of facts, and of stated rates, that are kept as announced.
@@ -55,6 +63,17 @@
     fn age_ms(&self, now: Millis) -> u32 {
         self.report.age_ms.saturating_add(self.kept_ms(now))
     }
+
+    /// Whether to send it again on a link on which it was last sent at `sent_at`.
+    fn is_due(&self, sent_at: Millis, now: Millis) -> bool {
+        self.changed_at >= sent_at || now.since(sent_at) >= REPORTS_PERIOD_MS
+    }
+}
+
+/// Times at which reports were last sent on a link, by the key of the sender's process.
+#[derive(Clone, Debug, Default)]
+pub struct ReportCursor {
+    sent_at: HashMap<u32, Millis>,
 }
 
 /// Fact that all instances have to hear of before their next message is due. Several instances may
@@ -120,6 +139,17 @@
             .chain(leaving.map(|key| Fact::Leaving(*key)))
     }
 
+    /// Approximate size in a message, in bytes.
+    fn estimated_bytes(&self) -> usize {
+        let of_crashes = |report: &CrashReport| {
+            let parts: usize = report.crashes.iter().map(|crash| crash.parts.len()).sum();
+            let listed = report.crashes.len() + report.answered.len() + report.held.len();
+            PART_BYTES * parts + ITEM_BYTES * listed
+        };
+        let listed = self.limits.len() + self.leaving.len();
+        ITEM_BYTES * (1 + listed) + of_crashes(&self.crashes) + of_crashes(&self.request_crashes)
+    }
+
     /// The report as it is `ms` milliseconds later.
     fn aged(&self, ms: u32) -> Self {
         let later = |(key, report): &KeyedLimitReport| {
@@ -266,26 +296,37 @@
         is_other
     }
 
-    /// Reports whose senders `is_included` accepts by their keys, newest first: those that have changed
-    /// since `since`, or all.
+    /// Reports for the next message on a link, the one that waits longest first: those that have changed
+    /// since they were last sent there, or were sent a while ago, since a datagram may be lost. `prepare`
+    /// gives a report the form for this link, or leaves it out.
     pub fn reports(
         &self,
-        since: Option<Millis>,
-        is_included: impl Fn(u32) -> bool,
+        cursor: &mut ReportCursor,
+        prepare: impl Fn(&RelayedReport) -> Option<RelayedReport>,
         now: Millis,
     ) -> Vec<RelayedReport> {
-        let mut kept: Vec<&KeptReport> = self
-            .kept
-            .values()
-            .filter(|kept| since.is_none_or(|since| kept.changed_at >= since))
-            .filter(|kept| is_included(kept.report.key))
-            .filter(|kept| kept.age_ms(now) <= MAX_RELAYED_AGE_MS)
+        cursor.sent_at.retain(|key, _| self.kept.contains_key(key));
+        let kept = self.kept.values();
+        let recent = kept.filter(|kept| kept.age_ms(now) <= MAX_RELAYED_AGE_MS);
+        let mut due: Vec<(Option<Millis>, &KeptReport)> = recent
+            .map(|kept| (cursor.sent_at.get(&kept.report.key).copied(), kept))
+            .filter(|(sent_at, kept)| sent_at.is_none_or(|at| kept.is_due(at, now)))
             .collect();
-        kept.sort_by_key(|kept| kept.age_ms(now));
-        let newest = kept.into_iter().take(MAX_RELAYED);
-        newest
-            .map(|kept| kept.report.aged(kept.kept_ms(now)))
-            .collect()
+        due.sort_by_key(|(sent_at, kept)| (*sent_at, kept.age_ms(now)));
+        let mut reports = Vec::new();
+        let mut bytes = 0;
+        for (_, kept) in due {
+            let Some(report) = prepare(&kept.report) else {
+                continue;
+            };
+            bytes += report.estimated_bytes();
+            if bytes > MAX_RELAYED_BYTES && !reports.is_empty() {
+                break;
+            }
+            cursor.sent_at.insert(report.key, now);
+            reports.push(report.aged(kept.kept_ms(now)));
+        }
+        reports
     }
 }
 
@@ -295,7 +336,7 @@
         &self,
         node: &Node,
         target: &MemberEntry,
-        since: Option<Millis>,
+        cursor: &mut ReportCursor,
         now: Millis,
     ) -> Vec<RelayedReport> {
         let target_key = target.key();
@@ -303,15 +344,14 @@
             let sender = self.members.by_key(key);
             sender.is_some_and(|sender| sender.entry.region == node.region)
         };
-        if target.region == node.region {
-            return self.relay.reports(since, |key| key != target_key, now);
-        }
-        let reports = self.relay.reports(since, is_of_region, now);
-        reports
-            .into_iter()
-            .map(RelayedReport::without_region_parts)
-            .filter(|report| !report.is_empty())
-            .collect()
+        let prepare = |report: &RelayedReport| {
+            if target.region == node.region {
+                return (report.key != target_key).then(|| report.clone());
+            }
+            let report = is_of_region(report.key).then(|| report.clone().without_region_parts())?;
+            (!report.is_empty()).then_some(report)
+        };
+        self.relay.reports(cursor, prepare, now)
     }
 }
 
--- a/crates/edge/tests/report_relay.rs
+++ b/crates/edge/tests/report_relay.rs
@@ -5,7 +5,8 @@
     time::Millis,
     upstream_limit::LimitReport,
 };
-use carobwheel_edge::node::{LinkCursor, RelayedReport, ReportRelay};
+use carobwheel_edge::node::{RelayedReport, ReportCursor, ReportRelay};
+use std::collections::BTreeMap;
 
 const REPORTERS: u32 = 60;
 const ENGINES: u32 = 15;
@@ -26,6 +27,11 @@
     }
 }
 
+#[allow(clippy::unnecessary_wraps)]
+fn as_it_is(report: &RelayedReport) -> Option<RelayedReport> {
+    Some(report.clone())
+}
+
 /// Report with crashes of all engines, parts and answers that differ each time, and a hold.
 fn busy_report(key: u32, now: Millis) -> RelayedReport {
     let crash = |engine: u32| Crash {
@@ -105,7 +111,7 @@
 #[test]
 fn answers_wait_for_the_message_with_all_reports() {
     let mut relay = ReportRelay::default();
-    let mut cursor = LinkCursor::default();
+    let mut cursor = ReportCursor::default();
     let crash = Crash {
         engine: 1,
         age_ms: 0,
@@ -113,9 +119,8 @@
     };
     let mut changed = report(1, vec![crash.clone()]);
     relay.keep(changed.clone(), Millis(1_000));
-    let reports_at = |relay: &ReportRelay, cursor: &mut LinkCursor, at_ms| {
-        let since = cursor.next_reports_since(Millis(at_ms));
-        relay.reports(since, |_| true, Millis(at_ms)).len()
+    let reports_at = |relay: &ReportRelay, cursor: &mut ReportCursor, at_ms| {
+        relay.reports(cursor, as_it_is, Millis(at_ms)).len()
     };
     assert_eq!(reports_at(&relay, &mut cursor, 1_001), 1);
     changed.crashes.answered = vec![AnsweredPart { part: 1, age_ms: 0 }];
@@ -141,7 +146,7 @@
 #[test]
 fn unchanged_reports_are_passed_on_twice_a_second() {
     let mut relay = ReportRelay::default();
-    let mut cursor = LinkCursor::default();
+    let mut cursor = ReportCursor::default();
     let mut passed_on = 0;
     for step in 0..SECONDS * 1_000 / PERIOD_MS {
         let now = Millis(5_000 + step * PERIOD_MS);
@@ -153,11 +158,42 @@
             };
             relay.keep(report(key, vec![crash]), now);
         }
-        let since = cursor.next_reports_since(now);
-        passed_on += relay.reports(since, |_| true, now).len() as u64;
+        passed_on += relay.reports(&mut cursor, as_it_is, now).len() as u64;
     }
     // New reports may be sent twice, since they are as old as the message before.
     let most = (2 * SECONDS + 1) * u64::from(REPORTERS);
     assert!(passed_on <= most, "{passed_on} reports");
     assert!(passed_on >= 2 * SECONDS * u64::from(REPORTERS));
 }
+
+/// Bytes of reports that a message may have.
+const MAX_BYTES: usize = 4 * 1024;
+/// Evidence has 6 s to be known everywhere, by way of two delegates, in milliseconds.
+const MAX_WAIT_MS: u64 = 6_000 / 2;
+
+#[test]
+fn large_reports_of_many_instances_take_turns_in_messages_of_bounded_size() {
+    let mut relay = ReportRelay::default();
+    let mut cursor = ReportCursor::default();
+    let mut sent_at: BTreeMap<u32, Millis> = BTreeMap::new();
+    let mut longest_wait_ms = 0;
+    for step in 0..SECONDS * 1_000 / PERIOD_MS {
+        let now = Millis(5_000 + step * PERIOD_MS);
+        for key in 0..REPORTERS {
+            relay.keep(busy_report(key, now), now);
+        }
+        let reports = relay.reports(&mut cursor, as_it_is, now);
+        let bytes = postcard::to_stdvec(&reports).map(|bytes| bytes.len());
+        assert!(
+            bytes.as_ref().is_ok_and(|bytes| *bytes <= MAX_BYTES),
+            "{bytes:?}"
+        );
+        for report in reports {
+            let before = sent_at.insert(report.key, now);
+            let waited_ms = now.since(before.unwrap_or(Millis(5_000)));
+            longest_wait_ms = longest_wait_ms.max(waited_ms);
+        }
+    }
+    assert_eq!(sent_at.len(), REPORTERS as usize);
+    assert!(longest_wait_ms <= MAX_WAIT_MS, "{longest_wait_ms} ms");
+}
