--- a/crates/edge/src/node/digest.rs
+++ b/crates/edge/src/node/digest.rs
@@ -1,7 +1,9 @@
 //! What a delegate tells other instances of the fleet: heartbeats, sums and reports of others.
 
 use super::{
-    gossip::ForecastReport, relay::RelayedReport, relay::ReportCursor, Gossip, Node, State,
+    gossip::ForecastReport,
+    relay::{RelayedReport, ReportCursor},
+    Gossip, Node, State,
 };
 use crate::{
     hash::short_hash,
--- a/crates/edge/src/peers/links.rs
+++ b/crates/edge/src/peers/links.rs
@@ -250,7 +250,7 @@
     pub(super) fn is_gossip_link(&self, name: &str, link: &OpenLink) -> bool {
         let accepted = self.accepted.borrow();
         let latest = accepted.get(name);
-        latest.is_some_and(|latest| std::ptr::eq(&raw const **latest, link))
+        latest.is_some_and(|latest| std::ptr::eq(Rc::as_ptr(latest), link))
             && link.is_usable()
             && !self.has_dialled_gossip(name)
     }
