--- a/crates/gateway/tests/platform_links.rs
+++ b/crates/gateway/tests/platform_links.rs
@@ -8,7 +8,10 @@
     wait_until, ConfigBuilder, Engine, Instance, InstanceOptions, Script, Store,
 };
 use serde_json::json;
-use std::time::{Duration, Instant};
+use std::{
+    net::TcpStream,
+    time::{Duration, Instant},
+};
 
 const NORTH: [&str; 8] = [
     "north-1", "north-2", "north-3", "north-4", "north-5", "north-6", "north-7", "north-8",
@@ -38,6 +41,9 @@
 fn wait_for_fleet(instances: &[Instance], heard: usize) {
     let heard = format!("carobwheel_instances_heard {heard}\n");
     for instance in instances {
+        wait_until("the instance listens", || {
+            TcpStream::connect(instance.metrics).is_ok()
+        });
         wait_until("all instances hear each other", || {
             instance.metrics_text().contains(&heard)
         });
