Log: since when an instance is behind, and what the event loop's time goes into

Change: store_behind when another instance is first heard to be ahead in a prefix; behind_ms in pulled and pull_failed; times of building and applying gossip, of applying changes in the store and of periodic work in load and as metrics.

--- a/crates/edge/src/daemon/load_report.rs
+++ b/crates/edge/src/daemon/load_report.rs
@@ -18,6 +18,10 @@
     received: u64,
     received_bytes: u64,
     announced: u64,
+    gossip_built_ms: u64,
+    gossip_applied_ms: u64,
+    store_applied_ms: u64,
+    ticks_ms: u64,
 }
 
 impl Counts {
@@ -31,6 +35,10 @@
             received,
             received_bytes,
             announced: metrics.gossip_announced.get(),
+            gossip_built_ms: metrics.work.gossip_built.ms(),
+            gossip_applied_ms: metrics.work.gossip_applied.ms(),
+            store_applied_ms: metrics.work.store_applied.ms(),
+            ticks_ms: metrics.work.ticks.ms(),
         }
     }
 }
@@ -64,6 +72,10 @@
             gossip_received: counts.received - before.received,
             gossip_received_bytes: counts.received_bytes - before.received_bytes,
             gossip_announced: counts.announced - before.announced,
+            gossip_built_ms: counts.gossip_built_ms - before.gossip_built_ms,
+            gossip_applied_ms: counts.gossip_applied_ms - before.gossip_applied_ms,
+            store_applied_ms: counts.store_applied_ms - before.store_applied_ms,
+            ticks_ms: counts.ticks_ms - before.ticks_ms,
         });
     }
 }
--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -207,7 +207,8 @@
 /// Applies the events of the store's thread.
 async fn apply_all(node: Rc<Node>, mut events: Receiver<StoreEvent>) {
     while let Some(event) = events.recv().await {
-        node.apply_store_event(event);
+        let work = &node.metrics.work;
+        work.store_applied.measure(|| node.apply_store_event(event));
     }
 }
 
@@ -224,7 +225,7 @@
         last_tick = Instant::now();
         let late = passed.saturating_sub(TICK_INTERVAL).as_millis();
         load_report.tick(&node, u64::try_from(late).unwrap_or(u64::MAX));
-        node.tick();
+        node.metrics.work.ticks.measure(|| node.tick());
         for check in node.due_health_checks() {
             tokio::task::spawn_local(health_check::run(Rc::clone(&node), check));
         }
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -138,9 +138,18 @@
     MemberForgotten {
         member: &'a str,
     },
+    /// Another instance knows a later position of a prefix of the store.
+    StoreBehind {
+        member: &'a str,
+        prefix: usize,
+        after: u64,
+        revision: u64,
+    },
+    /// Changes were pulled `behind_ms` after another instance was first heard to know them.
     Pulled {
         member: &'a str,
         prefix: usize,
+        behind_ms: u64,
         after_era: u64,
         after: u64,
         era: u64,
@@ -149,6 +158,8 @@
     },
     PullFailed {
         member: &'a str,
+        prefix: usize,
+        behind_ms: u64,
         reason: &'a str,
     },
     LinkUp {
@@ -168,7 +179,8 @@
         sent_bytes: u64,
         received_bytes: u64,
     },
-    /// Work since the last such line. `max_late_ms` is the longest delay of the event loop.
+    /// Work since the last such line. `max_late_ms` is the longest delay of the event loop; the other
+    /// times are those of its work that is not done for single requests.
     Load {
         is_delegate: bool,
         max_late_ms: u64,
@@ -179,6 +191,10 @@
         gossip_received: u64,
         gossip_received_bytes: u64,
         gossip_announced: u64,
+        gossip_built_ms: u64,
+        gossip_applied_ms: u64,
+        store_applied_ms: u64,
+        ticks_ms: u64,
     },
     TrialSeen {
         service: &'a str,
--- a/crates/edge/src/metrics/mod.rs
+++ b/crates/edge/src/metrics/mod.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     fmt::Write as _,
+    time::{Duration, Instant},
 };
 
 /// Value of a counter or gauge.
@@ -44,6 +45,38 @@
     }
 }
 
+/// Time that a part of the event loop's work has taken.
+#[derive(Debug, Default)]
+pub struct TimeCounter(Cell<Duration>);
+
+impl TimeCounter {
+    /// Does the work and adds the time that it takes.
+    pub fn measure<T>(&self, work: impl FnOnce() -> T) -> T {
+        let started_at = Instant::now();
+        let result = work();
+        self.0.set(self.0.get() + started_at.elapsed());
+        result
+    }
+
+    /// Sum of the times, in milliseconds.
+    pub fn ms(&self) -> u64 {
+        u64::try_from(self.0.get().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+/// Times of the event loop's work that is not done for single requests.
+#[derive(Debug, Default)]
+pub struct WorkTimes {
+    /// Building gossip.
+    pub gossip_built: TimeCounter,
+    /// Applying gossip.
+    pub gossip_applied: TimeCounter,
+    /// Applying changes in the store.
+    pub store_applied: TimeCounter,
+    /// Periodic work.
+    pub ticks: TimeCounter,
+}
+
 /// Upper bounds of the histogram buckets, in milliseconds.
 const BOUNDS_MS: [u64; 12] = [
     5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800,
@@ -73,6 +106,8 @@
     pub gossip_received: MessageCounter,
     /// Wake-ups of the senders of gossip before their next message was due.
     pub gossip_announced: MetricValue,
+    /// Times of work that is not done for single requests.
+    pub work: WorkTimes,
     /// Requests that waited for their first output when their engine's connection broke.
     pub crashes_seen: MetricValue,
     /// Requests refused because of a held or suspected prompt part.
@@ -137,6 +172,19 @@
                 "carobwheel_gossip_announced_total",
                 self.gossip_announced.get(),
             ),
+            (
+                "carobwheel_gossip_built_ms_total",
+                self.work.gossip_built.ms(),
+            ),
+            (
+                "carobwheel_gossip_applied_ms_total",
+                self.work.gossip_applied.ms(),
+            ),
+            (
+                "carobwheel_store_applied_ms_total",
+                self.work.store_applied.ms(),
+            ),
+            ("carobwheel_ticks_ms_total", self.work.ticks.ms()),
             ("carobwheel_engine_crashes_total", self.crashes_seen.get()),
             ("carobwheel_hold_refusals_total", self.hold_refusals.get()),
         ];
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -24,4 +24,4 @@
 pub use placement::PlacementRequest;
 pub use relay::{RelayedReport, ReportCursor, ReportRelay};
 pub use state::{urgency, Node, State};
-pub use tick::Pull;
+pub use tick::{Behind, Pull};
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -1,6 +1,6 @@
 //! State of an instance, and the decisions that are based on it.
 
-use super::{ForecastReport, ReportRelay};
+use super::{Behind, ForecastReport, ReportRelay};
 use crate::{
     cold::own_cold_rate,
     dispatch::Pools,
@@ -121,7 +121,7 @@
     /// Whether the facts that are being applied are the first ones below their prefix.
     pub is_first_content: bool,
     /// Time since which another instance has been ahead, by index of the prefix.
-    pub behind: HashMap<usize, Millis>,
+    pub behind: HashMap<usize, Behind>,
     /// Era of the store; `None` until it has answered.
     pub store_era: Option<u64>,
     /// Time at which this instance learned that the store was restored.
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -6,6 +6,7 @@
     rollout::Verdict,
     store::{Position, VerdictRecord},
 };
+use carobwheel_core::time::Millis;
 use std::sync::Arc;
 
 /// Delay per preceding instance before an instance records a verdict itself, in milliseconds.
@@ -24,6 +25,15 @@
     pub prefix: usize,
     /// Position of the own replica.
     pub after: Position,
+    /// Time at which another instance was first heard to be ahead.
+    pub behind_since: Millis,
+}
+
+/// Since when another instance has been ahead in a prefix, and when changes were last pulled.
+#[derive(Clone, Copy, Debug)]
+pub struct Behind {
+    since: Millis,
+    pulled_at: Option<Millis>,
 }
 
 impl Node {
@@ -84,19 +94,33 @@
                 state.behind.remove(&prefix);
                 continue;
             };
+            let is_known = state.behind.contains_key(&prefix);
+            if !is_known {
+                self.log.event(Event::StoreBehind {
+                    member: &member,
+                    prefix,
+                    after: after.revision,
+                    revision: position.revision,
+                });
+            }
             // A newer version may stand at an older position, from before a restore of the store.
             let after = if position > after {
                 after
             } else {
                 Position::default()
             };
-            let since = *state.behind.entry(prefix).or_insert(now);
-            if now.since(since) >= PULL_DELAY_MS {
-                state.behind.insert(prefix, now);
+            let behind = state.behind.entry(prefix).or_insert(Behind {
+                since: now,
+                pulled_at: None,
+            });
+            let waited_since = behind.pulled_at.unwrap_or(behind.since);
+            if now.since(waited_since) >= PULL_DELAY_MS {
+                behind.pulled_at = Some(now);
                 pulls.push(Pull {
                     member,
                     prefix,
                     after,
+                    behind_since: behind.since,
                 });
             }
         }
--- a/crates/edge/src/peers/accept.rs
+++ b/crates/edge/src/peers/accept.rs
@@ -153,7 +153,11 @@
 fn receive_gossip(node: &Node, name: &Arc<str>, bytes: &[u8]) {
     node.metrics.gossip_received.add(bytes.len());
     match decode(bytes) {
-        Ok(gossip) => node.receive_gossip(name, gossip),
+        Ok(gossip) => {
+            let work = &node.metrics.work;
+            let apply = || node.receive_gossip(name, gossip);
+            work.gossip_applied.measure(apply);
+        }
         Err(err) => {
             let reason = err.0.as_str();
             node.log
--- a/crates/edge/src/peers/gossip.rs
+++ b/crates/edge/src/peers/gossip.rs
@@ -53,7 +53,8 @@
     connection: &quinn::Connection,
     cursor: &mut LinkCursor,
 ) -> Result<(), PeerError> {
-    let message = Bytes::from(encode(&node.gossip_for(entry, cursor))?);
+    let build = || encode(&node.gossip_for(entry, cursor));
+    let message = Bytes::from(node.metrics.work.gossip_built.measure(build)?);
     node.metrics.gossip_sent.add(message.len());
     let is_small = connection
         .max_datagram_size()
--- a/crates/edge/src/peers/pull.rs
+++ b/crates/edge/src/peers/pull.rs
@@ -60,6 +60,7 @@
             node.log.event(Event::Pulled {
                 member: &pull.member,
                 prefix: pull.prefix,
+                behind_ms: node.now().since(pull.behind_since),
                 after_era: pull.after.era,
                 after: pull.after.revision,
                 era: facts.at.era,
@@ -70,6 +71,8 @@
         }
         Err(reason) => node.log.event(Event::PullFailed {
             member: &pull.member,
+            prefix: pull.prefix,
+            behind_ms: node.now().since(pull.behind_since),
             reason: &reason,
         }),
     }
