Gossip: a copy of a report that comes by another way is no news

Cause: a report's age leaves out the time in transit, and a report counted as news if it seemed younger than the known one. Each copy that another delegate passed on seemed younger, the more so the later event loops were; it was applied again, kept as fresh and passed on again. With failing engines the small delegates spent up to 1.66 of 2 s on applying gossip, which made the copies later still. Change: a report carries the time at which its own process made it. Only a later one is applied, kept and passed on; empty ones and those too old to pass on are kept for 10 s, so that late copies are recognised. Messages without these times are judged by age as before. Metric carobwheel_reports_applied_total.

--- a/crates/edge/src/metrics/mod.rs
+++ b/crates/edge/src/metrics/mod.rs
@@ -106,6 +106,8 @@
     pub gossip_received: MessageCounter,
     /// Wake-ups of the senders of gossip before their next message was due.
     pub gossip_announced: MetricValue,
+    /// Reports of other instances that a delegate has passed on and that were news.
+    pub reports_applied: MetricValue,
     /// Times of work that is not done for single requests.
     pub work: WorkTimes,
     /// Requests that waited for their first output when their engine's connection broke.
@@ -172,6 +174,10 @@
                 "carobwheel_gossip_announced_total",
                 self.gossip_announced.get(),
             ),
+            (
+                "carobwheel_reports_applied_total",
+                self.reports_applied.get(),
+            ),
             (
                 "carobwheel_gossip_built_ms_total",
                 self.work.gossip_built.ms(),
--- a/crates/edge/src/node/digest.rs
+++ b/crates/edge/src/node/digest.rs
@@ -35,6 +35,10 @@
     pub subscribes: bool,
     /// What the sender has heard; only from delegates.
     pub digest: Option<Digest>,
+    /// Time on the sender's clock at which the message was made; 0 if its build does not tell. Appended to
+    /// the encoded message.
+    #[serde(skip)]
+    pub made_at: Millis,
 }
 
 /// Instances that the sums of a digest cover.
@@ -107,6 +111,7 @@
             subscribes: !state.topology.is_delegate
                 && state.sums_from.as_ref() == Some(&target.name),
             digest,
+            made_at: now,
         });
         message
     }
--- a/crates/edge/src/node/receive.rs
+++ b/crates/edge/src/node/receive.rs
@@ -68,7 +68,7 @@
             has_news |= news.is_suspect || !news.verdicts.is_empty();
             (has_news, news.verdicts)
         };
-        self.receive_urgent(name, &gossip);
+        self.receive_urgent(name, fleet.made_at, &gossip);
         if let Some(digest) = digest {
             self.receive_relayed(digest.relayed);
         }
@@ -81,7 +81,7 @@
     }
 
     /// Applies what the sender reports of crashes, limits and leaving upstreams.
-    fn receive_urgent(&self, name: &Arc<str>, gossip: &Gossip) {
+    fn receive_urgent(&self, name: &Arc<str>, made_at: Millis, gossip: &Gossip) {
         let additions = &gossip.additions;
         self.receive_limits(name, gossip.life, &additions.limits);
         self.receive_leaving(name, &additions.leaving);
@@ -92,7 +92,7 @@
             state.members.by_name.get(name).map(|member| member.key)
         };
         if let Some(key) = key {
-            self.keep_own_report_of(key, gossip);
+            self.keep_own_report_of(key, made_at, gossip);
         }
     }
 }
--- a/crates/edge/src/node/relay.rs
+++ b/crates/edge/src/node/relay.rs
@@ -15,6 +15,9 @@
 
 /// Longest age of a report that is passed on, in milliseconds.
 const MAX_RELAYED_AGE_MS: u32 = 2_000;
+/// Time for which a report is kept, in milliseconds. Longer than it is passed on, so that a copy of it that
+/// arrives late is recognised.
+const KEPT_MS: u64 = 10_000;
 /// Interval at which a report is passed on that has not changed, in milliseconds.
 const REPORTS_PERIOD_MS: u64 = 500;
 /// Largest number of reports that are applied of one message.
@@ -35,7 +38,11 @@
 pub struct RelayedReport {
     /// Identifies the process of the instance; see [`MemberEntry::key`].
     pub key: u32,
-    /// Age of the report, in milliseconds.
+    /// Time on the clock of that process at which the report was made; 0 if its build, or that of an instance
+    /// that has passed it on, does not tell. Tells copies apart from news. Appended to the encoded message.
+    #[serde(skip)]
+    pub made_at: Millis,
+    /// Age of the report without the time in transit, in milliseconds.
     pub age_ms: u32,
     /// Evidence on prompt parts that crash engines.
     pub crashes: CrashReport,
@@ -107,9 +114,10 @@
 }
 
 impl RelayedReport {
-    fn of(gossip: &Gossip, key: u32) -> Self {
+    fn of(gossip: &Gossip, made_at: Millis, key: u32) -> Self {
         Self {
             key,
+            made_at,
             age_ms: 0,
             crashes: gossip.crashes.clone(),
             request_crashes: gossip.additions.request_crashes.clone(),
@@ -158,6 +166,7 @@
         };
         Self {
             key: self.key,
+            made_at: self.made_at,
             age_ms: self.age_ms.saturating_add(ms),
             crashes: self.crashes.aged(ms),
             request_crashes: self.request_crashes.aged(ms),
@@ -174,9 +183,14 @@
 }
 
 impl Node {
-    /// Applies the reports that a delegate has passed on.
+    /// Applies the reports that a delegate has passed on. Several delegates pass on the same one.
     pub(super) fn receive_relayed(&self, reports: Vec<RelayedReport>) {
+        let now = self.now();
         for report in reports.into_iter().take(MAX_RELAYED) {
+            if !self.state.borrow().relay.is_news(&report, now) {
+                continue;
+            }
+            self.metrics.reports_applied.add(1);
             let sender = {
                 let state = self.state.borrow();
                 let sender = state.members.by_key(report.key);
@@ -195,15 +209,16 @@
     }
 
     /// Keeps what an instance reports of itself, to pass it on.
-    pub(super) fn keep_own_report_of(&self, key: u32, gossip: &Gossip) {
-        self.keep_report(RelayedReport::of(gossip, key));
+    pub(super) fn keep_own_report_of(&self, key: u32, made_at: Millis, gossip: &Gossip) {
+        self.keep_report(RelayedReport::of(gossip, made_at, key));
     }
 
     fn keep_report(&self, report: RelayedReport) {
         let now = self.now();
         let is_urgent = {
             let mut state = self.state.borrow_mut();
-            state.topology.is_delegate && state.relay.keep(report, now)
+            let has_new_fact = state.relay.keep(report, now);
+            state.topology.is_delegate && has_new_fact
         };
         if is_urgent {
             self.links.announce();
@@ -212,17 +227,27 @@
 }
 
 impl ReportRelay {
-    /// Keeps a report unless a newer one of the same process is known. Returns whether it states a fact
-    /// that has to be announced.
+    /// Whether a report is newer than what is known of its process. The same one may come in several ways,
+    /// and late.
+    pub fn is_news(&self, report: &RelayedReport, now: Millis) -> bool {
+        let Some(known) = self.kept.get(&report.key) else {
+            return true;
+        };
+        let (known_at, made_at) = (known.report.made_at, report.made_at);
+        if known_at == Millis::default() || made_at == Millis::default() {
+            return report.age_ms < known.age_ms(now);
+        }
+        made_at > known_at
+    }
+
+    /// Keeps a report if it is news. Returns whether it states a fact that has to be announced.
     pub fn keep(&mut self, report: RelayedReport, now: Millis) -> bool {
-        self.kept
-            .retain(|_, kept| kept.age_ms(now) <= MAX_RELAYED_AGE_MS);
-        let known = self.kept.get(&report.key);
-        if known.is_some_and(|known| known.age_ms(now) <= report.age_ms) {
+        self.kept.retain(|_, kept| now.since(kept.at) <= KEPT_MS);
+        if !self.is_news(&report, now) {
             return false;
         }
-        if report.is_empty() {
-            self.kept.remove(&report.key);
+        let known = self.kept.get(&report.key);
+        if report.is_empty() && known.is_none() {
             return false;
         }
         // Reports on limits count requests, so that each of them is news.
@@ -307,7 +332,8 @@
     ) -> Vec<RelayedReport> {
         cursor.sent_at.retain(|key, _| self.kept.contains_key(key));
         let kept = self.kept.values();
-        let recent = kept.filter(|kept| kept.age_ms(now) <= MAX_RELAYED_AGE_MS);
+        let recent =
+            kept.filter(|kept| kept.age_ms(now) <= MAX_RELAYED_AGE_MS && !kept.report.is_empty());
         let mut due: Vec<(Option<Millis>, &KeptReport)> = recent
             .map(|kept| (cursor.sent_at.get(&kept.report.key).copied(), kept))
             .filter(|(sent_at, kept)| sent_at.is_none_or(|at| kept.is_due(at, now)))
--- a/crates/edge/src/peers/mod.rs
+++ b/crates/edge/src/peers/mod.rs
@@ -24,8 +24,8 @@
 pub use pull::{decode_facts, encode_facts, pull};
 pub use tls::{Identity, PeerError};
 
-use crate::node::{Additions, Gossip};
-use carobwheel_core::crash::CrashReport;
+use crate::node::{Additions, FleetReport, Gossip};
+use carobwheel_core::{crash::CrashReport, time::Millis};
 use hyper::header::HeaderName;
 use std::time::Duration;
 
@@ -52,9 +52,37 @@
 /// Maximum size of a gossip message, in bytes.
 const MAX_GOSSIP_BYTES: usize = 256 * 1024;
 
+/// Times at which the reports in a message were made, in milliseconds on the clocks of their processes.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct ReportTimes {
+    /// That of the message itself.
+    own_ms: u64,
+    /// Those of the reports that are passed on, in their order.
+    relayed_ms: Vec<u64>,
+}
+
+impl ReportTimes {
+    fn of(fleet: &FleetReport) -> Self {
+        let relayed = fleet.digest.iter().flat_map(|digest| &digest.relayed);
+        Self {
+            own_ms: fleet.made_at.0,
+            relayed_ms: relayed.map(|report| report.made_at.0).collect(),
+        }
+    }
+
+    fn set(&self, fleet: &mut FleetReport) {
+        fleet.made_at = Millis(self.own_ms);
+        let digest = fleet.digest.iter_mut();
+        let relayed = digest.flat_map(|digest| &mut digest.relayed);
+        for (report, made_ms) in relayed.zip(&self.relayed_ms) {
+            report.made_at = Millis(*made_ms);
+        }
+    }
+}
+
 /// Encodes a message. Crash reports, additions, reports on whole requests and on leaving upstreams,
-/// and the part of the fleet follow the other fields, each unless it and what follows are empty: builds that do not know them
-/// ignore trailing bytes.
+/// the part of the fleet and the times of its reports follow the other fields, each unless it and what follows are empty: builds
+/// that do not know them ignore trailing bytes.
 ///
 /// # Errors
 ///
@@ -88,7 +116,7 @@
     }
     let bytes = extend(bytes, leaving)?;
     match fleet {
-        Some(fleet) => extend(bytes, fleet),
+        Some(fleet) => extend(extend(bytes, fleet)?, &ReportTimes::of(fleet)),
         None => Ok(bytes),
     }
 }
@@ -114,10 +142,19 @@
                 gossip.additions.request_crashes = requests;
                 if let Ok((leaving, rest)) = postcard::take_from_bytes(rest) {
                     gossip.additions.leaving = leaving;
-                    gossip.additions.fleet = postcard::from_bytes(rest).ok();
+                    gossip.additions.fleet = decode_fleet(rest);
                 }
             }
         }
     }
     Ok(gossip)
 }
+
+/// Decodes the part of the fleet, with or without the times of its reports.
+fn decode_fleet(bytes: &[u8]) -> Option<FleetReport> {
+    let (mut fleet, rest): (FleetReport, &[u8]) = postcard::take_from_bytes(bytes).ok()?;
+    if let Ok(times) = postcard::from_bytes::<ReportTimes>(rest) {
+        times.set(&mut fleet);
+    }
+    Some(fleet)
+}
--- a/crates/edge/tests/gossip_encoding.rs
+++ b/crates/edge/tests/gossip_encoding.rs
@@ -4,11 +4,12 @@
 
 use carobwheel_core::{
     crash::{CrashReport, HeldPart},
+    time::Millis,
     upstream_limit::LimitReport,
 };
 use carobwheel_edge::{
     member::Heartbeat,
-    node::{Additions, Digest, DigestScope, FleetReport, Gossip},
+    node::{Additions, Digest, DigestScope, FleetReport, Gossip, RelayedReport},
     peers::{decode, encode},
 };
 use rand::{rngs::StdRng, Rng as _, SeedableRng as _};
@@ -154,12 +155,31 @@
             scope: DigestScope::Region,
             instances: 3,
             heartbeats: vec![heartbeat],
+            relayed: vec![RelayedReport {
+                key: 8,
+                made_at: Millis(77),
+                age_ms: 20,
+                crashes: report(),
+                ..RelayedReport::default()
+            }],
             ..Digest::default()
         }),
+        made_at: Millis(900),
     });
     message
 }
 
+/// Guards against builds that do not tell when reports were made.
+#[test]
+fn the_part_of_the_fleet_is_understood_without_the_times_of_its_reports() {
+    let bytes = encode(&with_fleet()).unwrap();
+    let times_bytes = postcard::to_stdvec(&(900_u64, vec![77_u64])).unwrap().len();
+    let decoded = decode(&bytes[..bytes.len() - times_bytes]).unwrap();
+    let fleet = decoded.additions.fleet.unwrap();
+    assert_eq!((fleet.beat, fleet.made_at), (9, Millis::default()));
+    assert_eq!(fleet.digest.unwrap().relayed[0].made_at, Millis::default());
+}
+
 #[test]
 fn the_part_of_the_fleet_survives_the_encoding_with_and_without_other_parts() {
     let mut alone = gossip(CrashReport::default());
--- a/crates/edge/tests/report_relay.rs
+++ b/crates/edge/tests/report_relay.rs
@@ -166,6 +166,49 @@
     assert!(passed_on >= 2 * SECONDS * u64::from(REPORTERS));
 }
 
+/// Delegates of all regions, each of which has links to all others.
+const DELEGATES: usize = 12;
+/// Time of a message between two delegates whose event loops are late, in milliseconds.
+const TRANSIT_MS: u64 = 700;
+
+/// Guards against delegates that take the copies of their own reports for news.
+#[test]
+fn a_report_that_comes_back_late_is_not_passed_on_again() {
+    let mut relays: Vec<ReportRelay> = (0..DELEGATES).map(|_| ReportRelay::default()).collect();
+    let mut cursors = vec![vec![ReportCursor::default(); DELEGATES]; DELEGATES];
+    let mut in_transit: Vec<(Millis, usize, RelayedReport)> = Vec::new();
+    let crash = Crash {
+        engine: 1,
+        age_ms: 0,
+        parts: vec![1],
+    };
+    let first = RelayedReport {
+        made_at: Millis(400),
+        ..report(1, vec![crash])
+    };
+    relays[0].keep(first, Millis(1_000));
+    let mut accepted = 0;
+    for step in 0..SECONDS * 1_000 / PERIOD_MS {
+        let now = Millis(1_000 + step * PERIOD_MS);
+        let is_due = |(at, _, _): &(Millis, usize, RelayedReport)| *at <= now;
+        let (due, waiting) = in_transit.into_iter().partition(is_due);
+        in_transit = waiting;
+        for (_, target, report) in Vec::from_iter::<Vec<_>>(due) {
+            accepted += u32::from(relays[target].is_news(&report, now));
+            relays[target].keep(report, now);
+        }
+        for (source, cursors) in cursors.iter_mut().enumerate() {
+            for (target, cursor) in cursors.iter_mut().enumerate() {
+                let reports = relays[source].reports(cursor, as_it_is, now);
+                let arrival = now.plus(TRANSIT_MS);
+                let sent = reports.into_iter().map(|report| (arrival, target, report));
+                in_transit.extend(sent.filter(|_| source != target));
+            }
+        }
+    }
+    assert_eq!(accepted, DELEGATES as u32 - 1);
+}
+
 /// Bytes of reports that a message may have.
 const MAX_BYTES: usize = 4 * 1024;
 /// Evidence has 6 s to be known everywhere, by way of two delegates, in milliseconds.
