Changes in the store reach an instance also if the others' event loops are late

Cause: an instance that doesn't watch the store heard of changes in one way, which presumed punctual event loops: a member counted as ahead only for 0.4 s after its message, and had to at each look for 0.4 s; everyone then asked the last by name of those furthest ahead, which is a small machine, had 1.5 s for the answer and asked the same one again. Change: a position that was heard counts for 5 s. Changes that operators write are pulled at once by those who do not watch them, from one of the furthest at random, later from any that is ahead, at growing intervals. If nothing comes for 1 s, or nobody who follows the store was heard for 1.5 s, the instance watches the operators' prefix itself for 5 s or longer (watch_scope). Evacuations and rollout orders share that prefix.

--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -138,6 +138,10 @@
     MemberForgotten {
         member: &'a str,
     },
+    /// Prefixes of the store that this instance watches itself: `nothing`, `urgent` or `all`.
+    WatchScope {
+        scope: &'a str,
+    },
     /// Another instance knows a later position of a prefix of the store.
     StoreBehind {
         member: &'a str,
--- /dev/null
+++ b/crates/edge/src/node/catch_up.rs
@@ -0,0 +1,222 @@
+//! How an instance catches up with others that know later changes in the store.
+//!
+//! It pulls what it lacks from one of them. It reads what operators write from the store itself if the
+//! pulls bring nothing, or if nobody tells it of changes: event loops and links may be late on
+//! either end.
+
+use super::{restore::CONFIG_PREFIX, Node, State};
+use crate::{
+    log::Event,
+    member::Member,
+    store::{Position, WatchScope},
+};
+use carobwheel_core::time::Millis;
+use std::sync::Arc;
+
+/// Longest age of a message whose sender may be asked for changes, in milliseconds.
+const MAX_MESSAGE_AGE_MS: u64 = 5_000;
+/// Time for which another instance has to be ahead before changes are pulled, in milliseconds: the own
+/// watch may return them as well.
+const PULL_DELAY_MS: u64 = 400;
+/// Time until the second pull, in milliseconds; it doubles with each further one.
+const PULL_INTERVAL_MS: u64 = 400;
+/// Number of pulls after which their interval no longer grows.
+const MAX_DOUBLINGS: u32 = 3;
+/// Time without progress after which the store is read, in milliseconds.
+const READ_STORE_AFTER_MS: u64 = 1_000;
+/// Time without a message of an instance that follows the store after which the store is read, in
+/// milliseconds.
+const NEWS_SILENCE_MS: u64 = 1_500;
+/// Shortest time for which the store is then watched, in milliseconds. Each start costs a listing.
+const MIN_WATCH_MS: u64 = 5_000;
+
+/// Request to another instance for changes of a prefix of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pull {
+    /// Name of the instance.
+    pub member: Arc<str>,
+    /// Index of the prefix.
+    pub prefix: usize,
+    /// Position of the own replica.
+    pub after: Position,
+    /// Time at which another instance was first heard to be ahead.
+    pub behind_since: Millis,
+}
+
+/// Progress in a prefix in which another instance is ahead.
+#[derive(Clone, Copy, Debug)]
+pub struct CatchUp {
+    /// Time at which another instance was first heard to be ahead.
+    since: Millis,
+    /// Own position, and the time from which it has been the same.
+    after: Position,
+    unchanged_since: Millis,
+    /// Pulls from this position, and the time of the last one.
+    pulls: u32,
+    pulled_at: Millis,
+}
+
+impl CatchUp {
+    fn new(after: Position, now: Millis) -> Self {
+        Self {
+            since: now,
+            after,
+            unchanged_since: now,
+            pulls: 0,
+            pulled_at: now,
+        }
+    }
+
+    /// Starts over if the own position has changed.
+    fn update(&mut self, after: Position, now: Millis) {
+        if self.after != after {
+            *self = Self {
+                since: self.since,
+                ..Self::new(after, now)
+            };
+        }
+    }
+
+    /// Whether to pull if the first pull has to wait for `delay_ms` milliseconds.
+    fn is_pull_due(&self, delay_ms: u64, now: Millis) -> bool {
+        let wait_ms = match self.pulls {
+            0 => delay_ms,
+            pulls => PULL_INTERVAL_MS << (pulls - 1).min(MAX_DOUBLINGS),
+        };
+        now.since(self.pulled_at) >= wait_ms
+    }
+
+    fn pulled(&mut self, now: Millis) {
+        self.pulls += 1;
+        self.pulled_at = now;
+    }
+
+    fn is_stuck(&self, now: Millis) -> bool {
+        now.since(self.unchanged_since) >= READ_STORE_AFTER_MS
+    }
+}
+
+/// Instance that is ahead, and how far.
+struct Ahead {
+    member: Arc<str>,
+    /// Whether it has a newer configuration in force, and its position.
+    rank: (bool, Position),
+}
+
+impl Node {
+    /// Changes to pull from other instances that are ahead.
+    pub fn due_pulls(&self) -> Vec<Pull> {
+        let now = self.now();
+        let scope = *self.watch_scope.borrow();
+        let mut state = self.state.borrow_mut();
+        let own = state.replica.positions();
+        let mut pulls = Vec::new();
+        for (prefix, after) in own.into_iter().enumerate() {
+            let ahead = state.ahead(self, prefix, after, now);
+            let Some(first) = ahead.first() else {
+                state.behind.remove(&prefix);
+                continue;
+            };
+            if !state.behind.contains_key(&prefix) {
+                self.log.event(Event::StoreBehind {
+                    member: &first.member,
+                    prefix,
+                    after: after.revision,
+                    revision: first.rank.1.revision,
+                });
+            }
+            let known = state.behind.entry(prefix);
+            let catch_up = known.or_insert_with(|| CatchUp::new(after, now));
+            catch_up.update(after, now);
+            let is_urgent = prefix == CONFIG_PREFIX;
+            let delay_ms = if is_urgent && scope == WatchScope::Nothing {
+                0
+            } else {
+                PULL_DELAY_MS
+            };
+            if catch_up.is_pull_due(delay_ms, now) {
+                let chosen = choose_source(&ahead, catch_up.pulls);
+                catch_up.pulled(now);
+                pulls.push(Pull {
+                    member: Arc::clone(&chosen.member),
+                    prefix,
+                    // A newer version may stand at an older position, from before a restore of the store.
+                    after: if chosen.rank.1 > after {
+                        after
+                    } else {
+                        Position::default()
+                    },
+                    behind_since: catch_up.since,
+                });
+            }
+        }
+        pulls
+    }
+
+    /// Decides which prefixes of the store this instance watches.
+    pub(super) fn update_watch_scope(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let scope = if state.members.is_watcher(&self.name, &self.region, now) {
+            WatchScope::All
+        } else if state.must_read_urgent(now) {
+            WatchScope::Urgent
+        } else {
+            WatchScope::Nothing
+        };
+        let is_changed = |known: &mut WatchScope| std::mem::replace(known, scope) != scope;
+        if self.watch_scope.send_if_modified(is_changed) {
+            self.log.event(Event::WatchScope {
+                scope: scope.name(),
+            });
+        }
+    }
+}
+
+impl State {
+    /// Instances that are ahead of `after` in a prefix, the furthest first.
+    fn ahead(&self, node: &Node, prefix: usize, after: Position, now: Millis) -> Vec<Ahead> {
+        let own_config = self.config_version();
+        let members = self.members.by_name.values();
+        let recent = members.filter(|member| member.has_direct_within(MAX_MESSAGE_AGE_MS, now));
+        let ahead = recent.filter_map(|member: &Member| {
+            let position = member.position(prefix, after.era)?;
+            let has_newer_config = prefix == CONFIG_PREFIX && member.config_version > own_config;
+            (has_newer_config || position > after).then(|| Ahead {
+                member: Arc::clone(&member.entry.name),
+                rank: (has_newer_config, position),
+            })
+        });
+        let mut ahead: Vec<Ahead> = ahead
+            .filter(|ahead| node.links.connection(&ahead.member).is_some())
+            .collect();
+        ahead.sort_by_key(|ahead| std::cmp::Reverse(ahead.rank));
+        ahead
+    }
+
+    /// Whether this instance has to watch what operators write although others do it for its region.
+    fn must_read_urgent(&mut self, now: Millis) -> bool {
+        let is_stuck = self
+            .behind
+            .get(&CONFIG_PREFIX)
+            .is_some_and(|catch_up| catch_up.is_stuck(now));
+        let mut members = self.members.by_name.values();
+        let has_news = members
+            .any(|member| member.has_store && member.has_direct_within(NEWS_SILENCE_MS, now));
+        if is_stuck || !has_news {
+            self.read_urgent_until = now.plus(MIN_WATCH_MS);
+        }
+        now < self.read_urgent_until
+    }
+}
+
+/// Instance to pull from: at first one of those that are furthest ahead, then any that is ahead, since the
+/// former may be late.
+fn choose_source(ahead: &[Ahead], pulls: u32) -> &Ahead {
+    let furthest = ahead
+        .iter()
+        .take_while(|other| other.rank == ahead[0].rank)
+        .count();
+    let count = if pulls == 0 { furthest } else { ahead.len() };
+    &ahead[rand::random_range(0..count)]
+}
--- a/crates/edge/src/node/mod.rs
+++ b/crates/edge/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! State of the instance, and the operations that read and change it.
 
 mod apply;
+mod catch_up;
 mod digest;
 mod evidence;
 mod gossip;
@@ -15,6 +16,7 @@
 mod state;
 mod tick;
 
+pub use catch_up::{CatchUp, Pull};
 pub use digest::{Digest, DigestScope, FleetReport, LinkCursor, TrialSum};
 pub use evidence::SendIds;
 pub use gossip::{Additions, ForecastReport, Gossip, TrialReport};
@@ -24,4 +26,3 @@
 pub use placement::PlacementRequest;
 pub use relay::{RelayedReport, ReportCursor, ReportRelay};
 pub use state::{urgency, Node, State};
-pub use tick::{Behind, Pull};
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -1,6 +1,6 @@
 //! State of an instance, and the decisions that are based on it.
 
-use super::{Behind, ForecastReport, ReportRelay};
+use super::{CatchUp, ForecastReport, ReportRelay};
 use crate::{
     cold::own_cold_rate,
     dispatch::Pools,
@@ -15,7 +15,7 @@
     retry::{RetryBounds, RetryBudget},
     rollout::{Trial, Verdict},
     settings::Settings,
-    store::{Decoder, Position, Replica, VerdictRecord},
+    store::{Decoder, Position, Replica, VerdictRecord, WatchScope},
     upstream::Upstreams,
 };
 use carobwheel_core::{
@@ -65,8 +65,8 @@
     pub links: Links,
     /// Queue of verdicts to write to the store.
     pub record: Sender<VerdictRecord>,
-    /// Whether this instance watches the store on behalf of its region.
-    pub is_watcher: tokio::sync::watch::Sender<bool>,
+    /// Prefixes of the store that this instance watches.
+    pub watch_scope: tokio::sync::watch::Sender<WatchScope>,
     /// Cancelled at the end of the grace period of a stop.
     pub grace_end: CancellationToken,
     /// Number of callers' requests whose response head has not been sent yet.
@@ -120,8 +120,10 @@
     pub replica: Replica,
     /// Whether the facts that are being applied are the first ones below their prefix.
     pub is_first_content: bool,
-    /// Time since which another instance has been ahead, by index of the prefix.
-    pub behind: HashMap<usize, Behind>,
+    /// Prefixes in which another instance is ahead, by index.
+    pub behind: HashMap<usize, CatchUp>,
+    /// Time until which this instance watches urgent prefixes whatever its role.
+    pub read_urgent_until: Millis,
     /// Era of the store; `None` until it has answered.
     pub store_era: Option<u64>,
     /// Time at which this instance learned that the store was restored.
--- a/crates/edge/src/peers/pull.rs
+++ b/crates/edge/src/peers/pull.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 /// Timeout for the response to a pull.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Maximum size of the response, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
--- a/crates/gateway/tests/platform_support/instance.rs
+++ b/crates/gateway/tests/platform_support/instance.rs
@@ -122,6 +122,10 @@
             .collect()
     }
 
+    pub(crate) fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub(crate) fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill")
--- a/crates/gateway/tests/platform_support/mod.rs
+++ b/crates/gateway/tests/platform_support/mod.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod instance;
 mod store;
+mod throttle;
 
 pub(crate) use caller::{Answer, Caller};
 pub(crate) use config::{ConfigBuilder, HOST, KEY};
@@ -16,6 +17,7 @@
 pub(crate) use engine::{Engine, RawEnd, ReceivedRequest, Script};
 pub(crate) use instance::{start_region, Instance, InstanceOptions};
 pub(crate) use store::{Store, StoreCopy};
+pub(crate) use throttle::{Duty, Throttle};
 
 use std::{
     thread,
