Fleet: the largest instances are delegates and watch the store, not the first by name

Cause: the two delegates of a data centre and the two watchers of a region were the first by name; of the grown sites' names -1 is a machine of 0.5 cores and -10 one of 0.12, which so did the same work for its region. Change: an instance states its processor time (processor.share and .cores of the settings, from the platform's limits) in its entry; roles go to the largest that are heard, by name among equals. Without the figure, and on the small sites, the choice is as before. Measured: fleet_topology, member_heartbeats: of 1 (500), 2 (500), 10 and 11 (120) the delegates are 1 and 2; by name they were 1 and 10.

--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -9,5 +9,6 @@
 mod topology;
 
 pub use topology::{
-    delegates_of, Peer, Topology, DELEGATES_PER_DATA_CENTRE, DELEGATE_CONTACTS, FORWARD_CONTACTS,
+    delegates_of, role_order, Peer, Topology, DELEGATES_PER_DATA_CENTRE, DELEGATE_CONTACTS,
+    FORWARD_CONTACTS,
 };
--- a/crates/core/src/fleet/topology.rs
+++ b/crates/core/src/fleet/topology.rs
@@ -1,7 +1,10 @@
 //! Choice of the delegates and of the links that an instance keeps.
 
 use sha2::{Digest as _, Sha256};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 /// Delegates in each data centre: one may be lost while another one takes over.
 pub const DELEGATES_PER_DATA_CENTRE: usize = 2;
@@ -19,6 +22,8 @@
     pub region: &'a str,
     /// Data centre.
     pub data_centre: &'a str,
+    /// Processor time that it may use, in thousandths of a core; 0 if unknown.
+    pub processor_millicores: u32,
     /// Whether it was heard lately, directly or through a delegate, or was just registered.
     pub is_heard: bool,
 }
@@ -73,8 +78,13 @@
     names.into_iter().map(str::to_owned).collect()
 }
 
-/// Delegates of a region: in each data centre the first by name of those that were heard. Silent ones
-/// fill up the number, since an instance that hears nobody has to try someone.
+/// Order in which instances take on work for others: the largest first, and equal ones by name.
+pub fn role_order(processor_millicores: u32, name: &str) -> (Reverse<u32>, &str) {
+    (Reverse(processor_millicores), name)
+}
+
+/// Delegates of a region: in each data centre the first by [`role_order`] of those that were heard. Silent
+/// ones fill up the number, since an instance that hears nobody has to try someone.
 pub fn delegates_of<'a>(region: &str, peers: &[Peer<'a>]) -> BTreeSet<&'a str> {
     let mut by_data_centre: BTreeMap<&str, Vec<Peer<'a>>> = BTreeMap::new();
     for peer in peers.iter().filter(|peer| peer.region == region) {
@@ -83,7 +93,10 @@
     }
     let mut delegates = BTreeSet::new();
     for mut members in by_data_centre.into_values() {
-        members.sort_by_key(|peer| (!peer.is_heard, peer.name));
+        members.sort_by_key(|peer| {
+            let order = role_order(peer.processor_millicores, peer.name);
+            (!peer.is_heard, order)
+        });
         let first = members.into_iter().take(DELEGATES_PER_DATA_CENTRE);
         delegates.extend(first.map(|peer| peer.name));
     }
--- a/crates/core/tests/fleet_topology.rs
+++ b/crates/core/tests/fleet_topology.rs
@@ -38,6 +38,7 @@
         name: &instance.name,
         region: &instance.region,
         data_centre: &instance.data_centre,
+        processor_millicores: 0,
         is_heard: instance.is_alive,
     }
 }
@@ -173,6 +174,7 @@
         name,
         region: "north",
         data_centre: "north-a",
+        processor_millicores: 120,
         is_heard,
     };
     let all = [peer("a", true), peer("b", true), peer("c", true)];
@@ -188,3 +190,27 @@
         BTreeSet::from(["a", "c"])
     );
 }
+
+/// Guards against small machines that do the work of delegates because of their names.
+#[test]
+fn delegates_are_the_largest_instances_that_are_heard() {
+    let peer = |name, processor_millicores, is_heard| Peer {
+        name,
+        region: "north",
+        data_centre: "north-a",
+        processor_millicores,
+        is_heard,
+    };
+    let others = [
+        peer("1", 500, true),
+        peer("10", 120, true),
+        peer("11", 120, true),
+    ];
+    let all = [&others[..], &[peer("2", 500, true)]].concat();
+    assert_eq!(delegates_of("north", &all), BTreeSet::from(["1", "2"]));
+    let one_silent = [&others[..], &[peer("2", 500, false)]].concat();
+    assert_eq!(
+        delegates_of("north", &one_silent),
+        BTreeSet::from(["1", "10"])
+    );
+}
--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -159,6 +159,7 @@
         callers: settings.listen.callers,
         peers: settings.listen.peers,
         certificate_digest: identity.digest(),
+        processor_millicores: settings.processor.millicores(),
     }
 }
 
--- a/crates/edge/src/member/entry.rs
+++ b/crates/edge/src/member/entry.rs
@@ -33,6 +33,9 @@
     /// SHA-256 digest of its certificate.
     #[serde_as(as = "Hex")]
     pub certificate_digest: [u8; 32],
+    /// Processor time that it may use, in thousandths of a core; 0 if its build does not tell.
+    #[serde(default)]
+    pub processor_millicores: u32,
 }
 
 impl MemberEntry {
--- a/crates/edge/src/member/mod.rs
+++ b/crates/edge/src/member/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::limit::{Fleet, DEMAND_TIMEOUT_MS};
 use carobwheel_core::{
-    fleet::{Peer, Topology},
+    fleet::{role_order, Peer, Topology},
     time::Millis,
 };
 use std::{
@@ -228,6 +228,7 @@
             name: &member.entry.name,
             region: &member.entry.region,
             data_centre: &member.entry.data_centre,
+            processor_millicores: member.entry.processor_millicores,
             is_heard: is_new || is_heard,
         }
     }
@@ -331,10 +332,13 @@
 
     /// Whether the instance `own` is one of those of its region that watch the store for the
     /// others.
-    pub fn is_watcher(&self, own: &str, region: &str, now: Millis) -> bool {
+    pub fn is_watcher(&self, own: Peer<'_>, now: Millis) -> bool {
+        let order = role_order(own.processor_millicores, own.name);
+        let is_before =
+            |entry: &MemberEntry| role_order(entry.processor_millicores, &entry.name) < order;
         let preferred = self
-            .up_in(region, now)
-            .filter(|member| member.has_store && &*member.entry.name < own);
+            .up_in(own.region, now)
+            .filter(|member| member.has_store && is_before(&member.entry));
         preferred.count() < WATCHERS_PER_REGION
     }
 
--- a/crates/edge/src/node/catch_up.rs
+++ b/crates/edge/src/node/catch_up.rs
@@ -157,7 +157,8 @@
     pub(super) fn update_watch_scope(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let scope = if state.members.is_watcher(&self.name, &self.region, now) {
+        let own = self.as_peer(state.leaving_at.is_none());
+        let scope = if state.members.is_watcher(own, now) {
             WatchScope::All
         } else if state.must_read_urgent(now) {
             WatchScope::Urgent
--- a/crates/edge/src/node/links.rs
+++ b/crates/edge/src/node/links.rs
@@ -36,14 +36,22 @@
     }
 }
 
+impl Node {
+    /// This instance as the choice of roles sees it.
+    pub(super) fn as_peer(&self, is_heard: bool) -> Peer<'_> {
+        Peer {
+            name: &self.name,
+            region: &self.region,
+            data_centre: &self.settings.data_centre,
+            processor_millicores: self.settings.processor.millicores(),
+            is_heard,
+        }
+    }
+}
+
 impl State {
     fn update_topology(&mut self, node: &Node, now: Millis) {
-        let own = Peer {
-            name: &node.name,
-            region: &node.region,
-            data_centre: &node.settings.data_centre,
-            is_heard: self.leaving_at.is_none(),
-        };
+        let own = node.as_peer(self.leaving_at.is_none());
         let topology = self.members.topology(own, now);
         if topology.is_delegate != self.topology.is_delegate {
             self.forget_sums();
--- a/crates/edge/src/settings/mod.rs
+++ b/crates/edge/src/settings/mod.rs
@@ -33,10 +33,30 @@
     /// Address of the store.
     #[serde_as(as = "DisplayFromStr")]
     pub store: SocketAddr,
+    /// Processor of the machine; unknown if it is left out.
+    #[serde(default)]
+    pub processor: Processor,
     /// Operational bounds of the deployment.
     pub bounds: Bounds,
 }
 
+/// Processor time that the instance may use.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+pub struct Processor {
+    /// Share of the time of each core.
+    pub share: f64,
+    /// Speed in cores.
+    pub cores: f64,
+}
+
+impl Processor {
+    /// Processor time in thousandths of a core.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn millicores(self) -> u32 {
+        (self.share * self.cores * 1_000.0).round() as u32
+    }
+}
+
 /// Listen addresses of an instance.
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
@@ -117,6 +137,11 @@
             self.regions.get(&self.data_centre) == Some(&self.region),
             "`regions` does not place `data_centre` in `region`",
         );
+        let processor = [self.processor.share, self.processor.cores];
+        require(
+            processor.iter().all(|value| *value >= 0.0),
+            "`processor.share` and `processor.cores` must not be negative",
+        );
         require(
             self.bounds.stop_grace_s >= 1.0,
             "`bounds.stop_grace_s` must be 1 or more",
--- a/crates/edge/tests/member_heartbeats.rs
+++ b/crates/edge/tests/member_heartbeats.rs
@@ -18,6 +18,7 @@
         callers: "127.0.0.1:1".parse().unwrap(),
         peers: "127.0.0.1:2".parse().unwrap(),
         certificate_digest: [0; 32],
+        processor_millicores: 0,
     }
 }
 
@@ -46,6 +47,7 @@
         name: "c",
         region: "north",
         data_centre: "north-a",
+        processor_millicores: 0,
         is_heard: true,
     };
     let topology = members.topology(own, Millis(now));
@@ -155,3 +157,34 @@
     // Another process counts anew.
     assert!(!members.is_outdated("a", 2, 1));
 }
+
+/// Guards against small machines that watch the store for others because of their names.
+#[test]
+fn the_largest_instances_of_a_region_watch_the_store() {
+    let mut members = Members::default();
+    for (name, processor_millicores) in [("10", 120), ("11", 120), ("2", 500)] {
+        let entry = MemberEntry {
+            processor_millicores,
+            ..entry(name)
+        };
+        let heartbeat = Heartbeat {
+            key: entry.key(),
+            ..heartbeat(name, 1, true)
+        };
+        members.update_entry(entry, Millis(0));
+        members.record_heartbeat(heartbeat, Millis(100));
+    }
+    let is_watcher = |name, processor_millicores| {
+        let own = Peer {
+            name,
+            region: "north",
+            data_centre: "north-a",
+            processor_millicores,
+            is_heard: true,
+        };
+        members.is_watcher(own, Millis(200))
+    };
+    assert!(is_watcher("9", 500));
+    assert!(is_watcher("1", 120));
+    assert!(!is_watcher("12", 120));
+}
--- a/crates/edge/tests/member_join.rs
+++ b/crates/edge/tests/member_join.rs
@@ -15,6 +15,7 @@
         callers: "127.0.0.1:1".parse().unwrap(),
         peers: "127.0.0.1:2".parse().unwrap(),
         certificate_digest: [0; 32],
+        processor_millicores: 0,
     }
 }
 
--- a/crates/edge/tests/small_parts.rs
+++ b/crates/edge/tests/small_parts.rs
@@ -195,6 +195,7 @@
         callers: "127.0.0.1:1".parse().unwrap(),
         peers: "127.0.0.1:2".parse().unwrap(),
         certificate_digest: [0; 32],
+        processor_millicores: 0,
     };
     let mut members = Members::default();
     members.update_entry(entry, Millis(0));
--- a/crates/edge/tests/store_register.rs
+++ b/crates/edge/tests/store_register.rs
@@ -128,6 +128,7 @@
                 callers: address,
                 peers: address,
                 certificate_digest: [0; 32],
+                processor_millicores: 0,
             },
         };
         let (handle, running) = client(settings, CancellationToken::new());
--- a/crates/edge/tests/store_support/mod.rs
+++ b/crates/edge/tests/store_support/mod.rs
@@ -215,6 +215,7 @@
                 callers: address,
                 peers: address,
                 certificate_digest: [0; 32],
+                processor_millicores: 0,
             },
         };
         let (handle, running) = client(settings, CancellationToken::new());
