--- a/crates/core/src/crash/detector.rs
+++ b/crates/core/src/crash/detector.rs
@@ -25,6 +25,10 @@
 /// Period for which an answer speaks for a repeat, in milliseconds.
 pub(super) const ANSWERED_LATELY_MS: u64 = 30_000;
 
+/// Shortest time between two decisions on reports and answers, in milliseconds. A decision counts all
+/// evidence anew, and in a large fleet reports come every few milliseconds.
+const DECISION_INTERVAL_MS: u64 = 50;
+
 /// What crashes are counted against.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum CrashSubject {
@@ -56,6 +60,11 @@
     needs_answer: bool,
     /// Whether an answer has changed what counts since the last decision.
     needs_recount: bool,
+    /// Whether other instances have reported evidence since the last decision.
+    has_new_reports: bool,
+    /// Time and number of the decisions.
+    decided_at: Option<Millis>,
+    decisions: u64,
 }
 
 impl CrashDetector {
@@ -110,7 +119,7 @@
             self.answers.insert(*part, now);
             self.clear(*part, now, now, &mut changes);
         }
-        self.decide_after(&mut changes, now);
+        self.decide_if_due(&mut changes, now);
         changes
     }
 
@@ -131,6 +140,8 @@
         self.end_holds(&mut changes, now);
         if self.evidence.expire(now) || !changes.is_empty() {
             self.decide(&mut changes, now);
+        } else {
+            self.decide_if_due(&mut changes, now);
         }
         changes
     }
@@ -140,6 +151,11 @@
         self.in_flight.len() + self.answers.len() + self.evidence.len() + self.holds.len()
     }
 
+    /// Number of times at which all evidence was counted, for a metric.
+    pub fn decision_count(&self) -> u64 {
+        self.decisions
+    }
+
     /// Number of parts that are held.
     pub fn held_count(&self) -> usize {
         self.holds.held_count()
@@ -220,9 +236,19 @@
         self.needs_recount |= has_counted || is_released;
     }
 
-    /// Decides again if answers have changed what counts.
-    pub(super) fn decide_after(&mut self, changes: &mut Vec<HoldChange>, now: Millis) {
-        if self.needs_recount || self.needs_answer {
+    /// Records that other instances have reported evidence.
+    pub(super) fn note_reports(&mut self) {
+        self.has_new_reports = true;
+    }
+
+    /// Decides on reports and answers, unless the last decision was a moment ago. Then the next report,
+    /// answer or call of [`Self::expire`] leads to one.
+    pub(super) fn decide_if_due(&mut self, changes: &mut Vec<HoldChange>, now: Millis) {
+        let has_news = self.has_new_reports || self.needs_recount || self.needs_answer;
+        let is_due = self
+            .decided_at
+            .is_none_or(|at| now.since(at) >= DECISION_INTERVAL_MS);
+        if has_news && is_due {
             self.decide(changes, now);
         }
     }
@@ -240,6 +266,9 @@
     /// held ones do not explain.
     pub(super) fn decide(&mut self, changes: &mut Vec<HoldChange>, now: Millis) {
         self.needs_recount = false;
+        self.has_new_reports = false;
+        self.decided_at = Some(now);
+        self.decisions += 1;
         self.end_holds(changes, now);
         loop {
             let holds = &self.holds;
--- a/crates/core/src/crash/share.rs
+++ b/crates/core/src/crash/share.rs
@@ -60,10 +60,9 @@
             }
         }
         if is_changed {
-            self.decide(&mut changes, now);
-        } else {
-            self.decide_after(&mut changes, now);
+            self.note_reports();
         }
+        self.decide_if_due(&mut changes, now);
         changes
     }
 
--- a/crates/core/tests/crash_cases.rs
+++ b/crates/core/tests/crash_cases.rs
@@ -1,6 +1,8 @@
 //! Cases of the detection of prompt parts that crash engines.
 
-use carobwheel_core::crash::{CrashDetector, CrashReport, Gate, HeldPart, HoldChange, PartId};
+use carobwheel_core::crash::{
+    Crash, CrashDetector, CrashReport, Gate, HeldPart, HoldChange, PartId,
+};
 use carobwheel_core::time::Millis;
 
 const BAD: PartId = 7;
@@ -324,3 +326,32 @@
     assert!(!is_held(&near, BESIDE, 3_200));
     assert!(!is_held(&far, BESIDE, 3_200));
 }
+
+/// Reports and answers of one second in a large fleet while engines crash.
+const REPORTS: u64 = 200;
+
+/// Guards against counting all evidence anew for each report and answer.
+#[test]
+fn reports_and_answers_in_quick_succession_are_decided_on_together() {
+    let mut detector = CrashDetector::default();
+    let start = 10_000;
+    for step in 0..REPORTS {
+        let now = Millis(start + step * 1_000 / REPORTS);
+        let crash = Crash {
+            engine: u32::try_from(step % 30).unwrap(),
+            age_ms: 0,
+            parts: vec![COMMON, 100 + step],
+        };
+        let report = CrashReport {
+            crashes: vec![crash],
+            ..CrashReport::default()
+        };
+        detector.receive(&report, now);
+        detector.answered(&[COMMON, 100 + step / 2], now);
+    }
+    let decisions = detector.decision_count();
+    assert!(decisions <= 1_000 / 50, "{decisions} decisions");
+    // What was reported last counts soon after.
+    detector.expire(Millis(start + 1_100));
+    assert!(detector.decision_count() > decisions);
+}
--- a/crates/edge/src/front/aux_endpoint.rs
+++ b/crates/edge/src/front/aux_endpoint.rs
@@ -188,6 +188,10 @@
             "carobwheel_log_lines_left_out_total",
             node.log.dropped_lines(),
         ),
+        (
+            "carobwheel_crash_decisions_total",
+            state.crashes.decision_count() + state.request_crashes.decision_count(),
+        ),
         (
             "carobwheel_prompt_parts_held",
             state.crashes.held_count() as u64,
