--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -117,7 +117,7 @@
         pools: Pools::default(),
         links,
         record: store_handle.record,
-        is_watcher: store_handle.is_watcher,
+        watch_scope: store_handle.watch_scope,
         grace_end: CancellationToken::new(),
         in_flight: Cell::new(0),
         peer_exchanges: Cell::new(0),
@@ -159,6 +159,7 @@
         callers: settings.listen.callers,
         peers: settings.listen.peers,
         certificate_digest: identity.digest(),
+        processor_millicores: settings.processor.millicores(),
     }
 }
 
@@ -207,7 +208,8 @@
 /// Applies the events of the store's thread.
 async fn apply_all(node: Rc<Node>, mut events: Receiver<StoreEvent>) {
     while let Some(event) = events.recv().await {
-        node.apply_store_event(event);
+        let work = &node.metrics.work;
+        work.store_applied.measure(|| node.apply_store_event(event));
     }
 }
 
@@ -224,7 +226,7 @@
         last_tick = Instant::now();
         let late = passed.saturating_sub(TICK_INTERVAL).as_millis();
         load_report.tick(&node, u64::try_from(late).unwrap_or(u64::MAX));
-        node.tick();
+        node.metrics.work.ticks.measure(|| node.tick());
         for check in node.due_health_checks() {
             tokio::task::spawn_local(health_check::run(Rc::clone(&node), check));
         }
