--- a/crates/edge/src/daemon/mod.rs
+++ b/crates/edge/src/daemon/mod.rs
@@ -117,7 +117,7 @@
         pools: Pools::default(),
         links,
         record: store_handle.record,
-        watch_scope: store_handle.watch_scope,
+        is_watcher: store_handle.is_watcher,
         grace_end: CancellationToken::new(),
         in_flight: Cell::new(0),
         peer_exchanges: Cell::new(0),
--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -138,9 +138,10 @@
     MemberForgotten {
         member: &'a str,
     },
-    /// Prefixes of the store that this instance watches itself: `nothing`, `urgent` or `all`.
-    WatchScope {
-        scope: &'a str,
+    /// Whether this instance watches the store itself; for its region, or since others tell it too little.
+    StoreWatched {
+        is_watcher: bool,
+        is_for_region: bool,
     },
     /// Another instance knows a later position of a prefix of the store.
     StoreBehind {
--- a/crates/edge/src/node/catch_up.rs
+++ b/crates/edge/src/node/catch_up.rs
@@ -1,15 +1,10 @@
 //! How an instance catches up with others that know later changes in the store.
 //!
-//! It pulls what it lacks from one of them. It reads what operators write from the store itself if the
-//! pulls bring nothing, or if nobody tells it of changes: event loops and links may be late on
-//! either end.
+//! It pulls what it lacks from one of them. It watches the store itself for a while if the pulls bring
+//! nothing, or if nobody tells it of changes: event loops and links may be late on either end.
 
 use super::{restore::CONFIG_PREFIX, Node, State};
-use crate::{
-    log::Event,
-    member::Member,
-    store::{Position, WatchScope},
-};
+use crate::{log::Event, member::Member, store::Position};
 use carobwheel_core::time::Millis;
 use std::sync::Arc;
 
@@ -22,12 +17,12 @@
 const PULL_INTERVAL_MS: u64 = 400;
 /// Number of pulls after which their interval no longer grows.
 const MAX_DOUBLINGS: u32 = 3;
-/// Time without progress after which the store is read, in milliseconds.
-const READ_STORE_AFTER_MS: u64 = 1_000;
-/// Time without a message of an instance that follows the store after which the store is read, in
+/// Time without progress after which the store is watched, in milliseconds.
+const STUCK_MS: u64 = 1_000;
+/// Time without a message of an instance that follows the store after which it is watched, in
 /// milliseconds.
 const NEWS_SILENCE_MS: u64 = 1_500;
-/// Shortest time for which the store is then watched, in milliseconds. Each start costs a listing.
+/// Shortest time for which the store is then watched, in milliseconds. Each start costs listings.
 const MIN_WATCH_MS: u64 = 5_000;
 
 /// Request to another instance for changes of a prefix of the store.
@@ -67,11 +62,13 @@
         }
     }
 
-    /// Starts over if the own position has changed.
+    /// Starts over if the own position has changed. The next pull then waits, so that one returns several
+    /// changes in quick succession.
     fn update(&mut self, after: Position, now: Millis) {
         if self.after != after {
             *self = Self {
                 since: self.since,
+                pulls: 1,
                 ..Self::new(after, now)
             };
         }
@@ -92,7 +89,7 @@
     }
 
     fn is_stuck(&self, now: Millis) -> bool {
-        now.since(self.unchanged_since) >= READ_STORE_AFTER_MS
+        now.since(self.unchanged_since) >= STUCK_MS
     }
 }
 
@@ -107,7 +104,7 @@
     /// Changes to pull from other instances that are ahead.
     pub fn due_pulls(&self) -> Vec<Pull> {
         let now = self.now();
-        let scope = *self.watch_scope.borrow();
+        let is_watcher = *self.is_watcher.borrow();
         let mut state = self.state.borrow_mut();
         let own = state.replica.positions();
         let mut pulls = Vec::new();
@@ -129,7 +126,7 @@
             let catch_up = known.or_insert_with(|| CatchUp::new(after, now));
             catch_up.update(after, now);
             let is_urgent = prefix == CONFIG_PREFIX;
-            let delay_ms = if is_urgent && scope == WatchScope::Nothing {
+            let delay_ms = if is_urgent && !is_watcher {
                 0
             } else {
                 PULL_DELAY_MS
@@ -153,22 +150,18 @@
         pulls
     }
 
-    /// Decides which prefixes of the store this instance watches.
-    pub(super) fn update_watch_scope(&self) {
+    /// Decides whether this instance watches the store itself.
+    pub(super) fn update_watch(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let own = self.as_peer(state.leaving_at.is_none());
-        let scope = if state.members.is_watcher(own, now) {
-            WatchScope::All
-        } else if state.must_read_urgent(now) {
-            WatchScope::Urgent
-        } else {
-            WatchScope::Nothing
-        };
-        let is_changed = |known: &mut WatchScope| std::mem::replace(known, scope) != scope;
-        if self.watch_scope.send_if_modified(is_changed) {
-            self.log.event(Event::WatchScope {
-                scope: scope.name(),
+        let is_for_region = state.members.is_watcher(own, now);
+        let is_watcher = is_for_region || state.must_watch(now);
+        let replace = |known: &mut bool| std::mem::replace(known, is_watcher) != is_watcher;
+        if self.is_watcher.send_if_modified(replace) {
+            self.log.event(Event::StoreWatched {
+                is_watcher,
+                is_for_region,
             });
         }
     }
@@ -195,19 +188,17 @@
         ahead
     }
 
-    /// Whether this instance has to watch what operators write although others do it for its region.
-    fn must_read_urgent(&mut self, now: Millis) -> bool {
-        let is_stuck = self
-            .behind
-            .get(&CONFIG_PREFIX)
-            .is_some_and(|catch_up| catch_up.is_stuck(now));
+    /// Whether this instance has to watch the store although others do it for its region.
+    fn must_watch(&mut self, now: Millis) -> bool {
+        let mut behind = self.behind.values();
+        let is_stuck = behind.any(|catch_up| catch_up.is_stuck(now));
         let mut members = self.members.by_name.values();
         let has_news = members
             .any(|member| member.has_store && member.has_direct_within(NEWS_SILENCE_MS, now));
         if is_stuck || !has_news {
-            self.read_urgent_until = now.plus(MIN_WATCH_MS);
+            self.watch_until = now.plus(MIN_WATCH_MS);
         }
-        now < self.read_urgent_until
+        now < self.watch_until
     }
 }
 
@@ -218,6 +209,6 @@
         .iter()
         .take_while(|other| other.rank == ahead[0].rank)
         .count();
-    let count = if pulls == 0 { furthest } else { ahead.len() };
+    let count = if pulls <= 1 { furthest } else { ahead.len() };
     &ahead[rand::random_range(0..count)]
 }
--- a/crates/edge/src/node/news.rs
+++ b/crates/edge/src/node/news.rs
@@ -5,7 +5,6 @@
     hash::short_hash,
     health_check::{HealthCheck, Warmth},
     log::Event,
-    store::WatchScope,
     upstream::Upstream,
 };
 use carobwheel_core::time::Millis;
@@ -88,7 +87,7 @@
     /// Time for which the upstreams' entries could not be followed, in milliseconds; 0 if they can.
     /// Logs when the upstreams begin or cease to be asked.
     fn time_without_news_ms(&self, state: &mut State, now: Millis) -> u64 {
-        let is_watcher = *self.watch_scope.borrow() == WatchScope::All;
+        let is_watcher = *self.is_watcher.borrow();
         if state.config.is_none() || state.has_upstream_news(is_watcher, now) {
             let since = state.news_lost_at.take().unwrap_or(now);
             if std::mem::take(&mut state.is_asking) {
--- a/crates/edge/src/node/state.rs
+++ b/crates/edge/src/node/state.rs
@@ -15,7 +15,7 @@
     retry::{RetryBounds, RetryBudget},
     rollout::{Trial, Verdict},
     settings::Settings,
-    store::{Decoder, Position, Replica, VerdictRecord, WatchScope},
+    store::{Decoder, Position, Replica, VerdictRecord},
     upstream::Upstreams,
 };
 use carobwheel_core::{
@@ -65,8 +65,9 @@
     pub links: Links,
     /// Queue of verdicts to write to the store.
     pub record: Sender<VerdictRecord>,
-    /// Prefixes of the store that this instance watches.
-    pub watch_scope: tokio::sync::watch::Sender<WatchScope>,
+    /// Whether this instance watches the store itself, on behalf of its region or since others tell it too
+    /// little.
+    pub is_watcher: tokio::sync::watch::Sender<bool>,
     /// Cancelled at the end of the grace period of a stop.
     pub grace_end: CancellationToken,
     /// Number of callers' requests whose response head has not been sent yet.
@@ -122,8 +123,8 @@
     pub is_first_content: bool,
     /// Prefixes in which another instance is ahead, by index.
     pub behind: HashMap<usize, CatchUp>,
-    /// Time until which this instance watches urgent prefixes whatever its role.
-    pub read_urgent_until: Millis,
+    /// Time until which this instance watches the store whatever its role.
+    pub watch_until: Millis,
     /// Era of the store; `None` until it has answered.
     pub store_era: Option<u64>,
     /// Time at which this instance learned that the store was restored.
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -29,7 +29,7 @@
             self.links.forget(name);
             self.log.event(Event::MemberForgotten { member: name });
         }
-        self.update_watch_scope();
+        self.update_watch();
         self.update_links();
         self.advance_trials();
         self.expire_crashes();
--- a/crates/edge/src/store/follow.rs
+++ b/crates/edge/src/store/follow.rs
@@ -2,7 +2,7 @@
 
 use super::{
     backoff::Backoff, ops::Freshness, reach::LostAnswers, task::Context, Position, StoreError,
-    StoreEvent, WatchScope, WatchedPrefix, RESTORE_SETTLE_MS,
+    StoreEvent, WatchedPrefix, RESTORE_SETTLE_MS,
 };
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
@@ -83,7 +83,7 @@
 pub(super) async fn follow(
     context: Context,
     watched: WatchedPrefix,
-    mut scope: tokio::sync::watch::Receiver<WatchScope>,
+    mut watching: tokio::sync::watch::Receiver<bool>,
 ) {
     let mut backoff = Backoff::default();
     let mut progress = Progress::default();
@@ -95,10 +95,9 @@
         Freshness::Stale
     };
     loop {
-        if progress.position.is_some() && !scope.borrow().includes(&watched) {
+        if progress.position.is_some() && !*watching.borrow() {
             // The sender is dropped only at shutdown.
-            let is_included = |scope: &WatchScope| scope.includes(&watched);
-            if scope.wait_for(is_included).await.is_err() {
+            if watching.wait_for(|is_watcher| *is_watcher).await.is_err() {
                 return;
             }
             progress.position = None;
--- a/crates/edge/src/store/mod.rs
+++ b/crates/edge/src/store/mod.rs
@@ -23,6 +23,6 @@
     Position, StoreCall, StoreError, StoreOps, StoreResult, Watch, Write,
 };
 pub use replica::{Fact, Facts, Replica, RestoreRules};
-pub use task::{client, start, StoreHandle, StoreKeys, StoreSettings, WatchScope, WatchedPrefix};
+pub use task::{client, start, StoreHandle, StoreKeys, StoreSettings, WatchedPrefix};
 pub use update::{Decoder, MemberChange, StoreEvent, StoreUpdate};
 pub use verdict::VerdictRecord;
--- a/crates/edge/src/store/task.rs
+++ b/crates/edge/src/store/task.rs
@@ -31,37 +31,6 @@
     pub is_urgent: bool,
 }
 
-/// Prefixes that an instance watches itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WatchScope {
-    /// None.
-    Nothing,
-    /// Those whose changes are in force from their confirmation.
-    Urgent,
-    /// All.
-    All,
-}
-
-impl WatchScope {
-    /// Whether the prefix is one of them.
-    pub fn includes(self, watched: &WatchedPrefix) -> bool {
-        match self {
-            Self::Nothing => false,
-            Self::Urgent => watched.is_urgent,
-            Self::All => true,
-        }
-    }
-
-    /// Name in the log.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Nothing => "nothing",
-            Self::Urgent => "urgent",
-            Self::All => "all",
-        }
-    }
-}
-
 /// Key prefixes of the deployment's store.
 #[derive(Clone, Debug)]
 pub struct StoreKeys {
@@ -106,8 +75,8 @@
     pub events: Receiver<StoreEvent>,
     /// Verdicts to record.
     pub record: Sender<VerdictRecord>,
-    /// Prefixes that this instance watches itself; it receives other changes from other instances.
-    pub watch_scope: watch::Sender<WatchScope>,
+    /// Whether this instance watches the store itself, or receives changes from other instances.
+    pub is_watcher: watch::Sender<bool>,
 }
 
 /// State shared by the tasks of the store's client.
@@ -144,20 +113,23 @@
 ) -> (StoreHandle, impl Future<Output = ()> + Send) {
     let (events_in, events) = mpsc::channel(EVENTS_CAPACITY);
     let (record, to_record) = mpsc::channel(RECORDS_CAPACITY);
-    let (watch_scope, scope_rx) = watch::channel(WatchScope::All);
+    let (is_watcher, watcher_rx) = watch::channel(true);
     let handle = StoreHandle {
         events,
         record,
-        watch_scope,
+        is_watcher,
     };
-    (handle, run(settings, events_in, to_record, scope_rx, stop))
+    (
+        handle,
+        run(settings, events_in, to_record, watcher_rx, stop),
+    )
 }
 
 async fn run(
     settings: StoreSettings,
     events: Sender<StoreEvent>,
     mut to_record: Receiver<VerdictRecord>,
-    scope_rx: watch::Receiver<WatchScope>,
+    watcher_rx: watch::Receiver<bool>,
     stop: CancellationToken,
 ) {
     let context = Context {
@@ -168,7 +140,7 @@
     };
     let watched = settings.keys.all_watched().into_iter();
     let mut tasks: Vec<_> = watched
-        .map(|watched| tokio::spawn(follow::follow(context.clone(), watched, scope_rx.clone())))
+        .map(|watched| tokio::spawn(follow::follow(context.clone(), watched, watcher_rx.clone())))
         .collect();
     let recording = {
         let (context, prefix) = (context.clone(), settings.keys.verdicts.clone());
