serve: an instance that gets no newer document from its peers watches the store

Change: after 2 s without progress it watches the document, as the first two of its region do, until it has caught up. Measured: member_network: with fetches that never arrive, seven of eight instances know that they are stuck after 5 s, and none once they arrive. That such an instance then watches is by reading of document::follow; no run of serve shows it.

--- a/crates/core/src/member/fetch.rs
+++ b/crates/core/src/member/fetch.rs
@@ -10,10 +10,16 @@
 /// Time after which a fetch of the same revision is advised again, in milliseconds.
 const FETCH_RETRY_MS: u64 = 700;
 
-/// Time and revision of the last fetch that was advised.
+/// Time without progress after which a fetch from peers counts as stuck, in milliseconds.
+const STUCK_MS: u64 = 2_000;
+
+/// Progress of fetching from peers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LastFetch {
+    /// Time and revision of the last fetch that was advised.
     last: Option<(Millis, u64)>,
+    /// Time since which a peer has had a higher revision than this own one.
+    behind: Option<(Millis, u64)>,
 }
 
 impl Members {
@@ -29,7 +35,14 @@
             .present()
             .filter(newer)
             .map(|m| m.status.revision);
-        let highest = highest.max()?;
+        let Some(highest) = highest.max() else {
+            self.fetch.behind = None;
+            return None;
+        };
+        let is_known = |(_, revision): &(Millis, u64)| *revision == own_revision;
+        if !self.fetch.behind.as_ref().is_some_and(is_known) {
+            self.fetch.behind = Some((now, own_revision));
+        }
         if let Some((at, revision)) = self.fetch.last {
             if highest <= revision && now.since(at) < FETCH_RETRY_MS {
                 return None;
@@ -48,4 +61,11 @@
         self.fetch.last = Some((now, highest));
         Some((chosen.identity.instance.clone(), chosen.identity.peer_addr))
     }
+
+    /// Whether a peer has had a newer revision for a while and fetches have brought nothing, so that the
+    /// document has to be read from the store.
+    pub fn is_fetch_stuck(&self, now: Millis) -> bool {
+        let behind = self.fetch.behind;
+        behind.is_some_and(|(since, _)| now.since(since) >= STUCK_MS)
+    }
 }
--- a/crates/core/tests/member_network.rs
+++ b/crates/core/tests/member_network.rs
@@ -104,6 +104,22 @@
     }
 }
 
+/// Guards against an instance that waits for its peers although their documents never arrive.
+#[test]
+fn an_instance_whose_fetches_bring_nothing_knows_that_it_is_stuck() {
+    let mut net = Net::new(&[4, 4], 1);
+    net.settle(SETTLE_PERIODS * PROBE_PERIOD_MS);
+    net.fetches_fail = true;
+    net.publish(7, 2);
+    net.run(5_000);
+    let is_stuck = |net: &Net, at: usize| net.nodes[at].members.is_fetch_stuck(net.now);
+    assert!((0..7).all(|at| is_stuck(&net, at)));
+    assert!(!is_stuck(&net, 7));
+    net.fetches_fail = false;
+    net.run(3_000);
+    assert!(!(0..8).any(|at| is_stuck(&net, at)));
+}
+
 #[test]
 fn a_region_comes_back_after_an_hour() {
     for seed in seeds(2) {
--- a/crates/core/tests/member_support/mod.rs
+++ b/crates/core/tests/member_support/mod.rs
@@ -48,6 +48,8 @@
     pub(crate) nodes: Vec<Node>,
     pub(crate) now: Millis,
     pub(crate) faults: Faults,
+    /// Whether documents that are fetched never arrive.
+    pub(crate) fetches_fail: bool,
     pub(crate) rng: StdRng,
     /// Partition side of each node; packets are delivered only within a side.
     pub(crate) side: Vec<u8>,
@@ -85,6 +87,7 @@
             nodes: Vec::new(),
             now: Millis(1),
             faults: Faults::default(),
+            fetches_fail: false,
             rng: StdRng::seed_from_u64(seed),
             side: Vec::new(),
             incarnations_left: BTreeSet::new(),
@@ -256,7 +259,7 @@
             return;
         };
         let is_reachable = self.side[from] == self.side[at] && self.nodes[from].is_running;
-        if is_reachable && revision > self.nodes[at].revision {
+        if is_reachable && !self.fetches_fail && revision > self.nodes[at].revision {
             self.publish(at, revision);
         }
     }
--- a/crates/gateway/src/decide/membership.rs
+++ b/crates/gateway/src/decide/membership.rs
@@ -104,8 +104,9 @@
     }
 
     /// Decides whether this instance watches the document in the store, as the first
-    /// [`WATCHERS_PER_REGION`] instances of each region by name do.
-    pub(super) fn assign_document_watch(&self) {
+    /// [`WATCHERS_PER_REGION`] instances of each region by name do, and those that get no newer one from
+    /// their peers.
+    pub(super) fn assign_document_watch(&self, now: Millis) {
         let mut names: Vec<&InstanceId> = self
             .members
             .alive_in(&self.identity.region)
@@ -116,7 +117,8 @@
         let is_watcher = names
             .iter()
             .take(WATCHERS_PER_REGION)
-            .any(|name| **name == self.identity.id);
+            .any(|name| **name == self.identity.id)
+            || self.members.is_fetch_stuck(now);
         self.outputs.command(Command::WatchDocument(is_watcher));
     }
 
--- a/crates/gateway/src/decide/state.rs
+++ b/crates/gateway/src/decide/state.rs
@@ -195,7 +195,7 @@
         if is_due(&mut self.last_runs.gossip, GOSSIP_PERIOD_MS, now) {
             self.gossip(now);
             self.publish_entries();
-            self.assign_document_watch();
+            self.assign_document_watch(now);
             self.publish_status(now);
         }
         if is_due(&mut self.last_runs.expiry, EXPIRY_PERIOD_MS, now) {
--- a/crates/gateway/src/platform/document.rs
+++ b/crates/gateway/src/platform/document.rs
@@ -28,7 +28,7 @@
 ///
 /// The store sends every change as a complete document to each watcher, so only a few instances per
 /// region watch. The others receive the new revision number in heartbeats and fetch the difference
-/// from a peer; they read the store periodically as a fallback.
+/// from a peer; those whose fetches bring nothing watch as well.
 pub(super) async fn follow(
     store: &StoreClient,
     decide: &Sender<decide::Event>,
