Test of a crashing stand-in: wait until the engine has counted the end of its answer

The engine counts down when the answer's task is dropped (completion.rs, Drop), which is after the client has the last bytes; the check looked at once. Change: the check waits for 0, as the test does for its other conditions; a request that stays counted still fails it.

--- a/crates/standin/tests/prompt_crash.rs
+++ b/crates/standin/tests/prompt_crash.rs
@@ -96,7 +96,12 @@
     assert!(answer.unwrap().text().await.unwrap().contains("[DONE]"));
     let counts = engine.counts();
     assert_eq!((counts.crashes, counts.failed), (1, 1));
-    assert_eq!(engine.load().running, 0);
+    // The caller may have the whole answer before the engine has counted its end.
+    let answered_at = std::time::Instant::now();
+    while engine.load().running != 0 {
+        assert!(answered_at.elapsed() < CONDITION_TIMEOUT);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
 }
 
 #[tokio::test]
