--- a/crates/edge/src/node/catch_up.rs
+++ b/crates/edge/src/node/catch_up.rs
@@ -104,50 +104,57 @@
     /// Changes to pull from other instances that are ahead.
     pub fn due_pulls(&self) -> Vec<Pull> {
         let now = self.now();
-        let is_watcher = *self.is_watcher.borrow();
         let mut state = self.state.borrow_mut();
         let own = state.replica.positions();
-        let mut pulls = Vec::new();
-        for (prefix, after) in own.into_iter().enumerate() {
-            let ahead = state.ahead(self, prefix, after, now);
-            let Some(first) = ahead.first() else {
-                state.behind.remove(&prefix);
-                continue;
-            };
-            if !state.behind.contains_key(&prefix) {
-                self.log.event(Event::StoreBehind {
-                    member: &first.member,
-                    prefix,
-                    after: after.revision,
-                    revision: first.rank.1.revision,
-                });
-            }
-            let known = state.behind.entry(prefix);
-            let catch_up = known.or_insert_with(|| CatchUp::new(after, now));
-            catch_up.update(after, now);
-            let is_urgent = prefix == CONFIG_PREFIX;
-            let delay_ms = if is_urgent && !is_watcher {
-                0
-            } else {
-                PULL_DELAY_MS
-            };
-            if catch_up.is_pull_due(delay_ms, now) {
-                let chosen = choose_source(&ahead, catch_up.pulls);
-                catch_up.pulled(now);
-                pulls.push(Pull {
-                    member: Arc::clone(&chosen.member),
-                    prefix,
-                    // A newer version may stand at an older position, from before a restore of the store.
-                    after: if chosen.rank.1 > after {
-                        after
-                    } else {
-                        Position::default()
-                    },
-                    behind_since: catch_up.since,
-                });
-            }
+        let prefixes = own.into_iter().enumerate();
+        prefixes
+            .filter_map(|(prefix, after)| self.due_pull(&mut state, prefix, after, now))
+            .collect()
+    }
+
+    fn due_pull(
+        &self,
+        state: &mut State,
+        prefix: usize,
+        after: Position,
+        now: Millis,
+    ) -> Option<Pull> {
+        let ahead = state.ahead(self, prefix, after, now);
+        let Some(first) = ahead.first() else {
+            state.behind.remove(&prefix);
+            return None;
+        };
+        if !state.behind.contains_key(&prefix) {
+            self.log.event(Event::StoreBehind {
+                member: &first.member,
+                prefix,
+                after: after.revision,
+                revision: first.rank.1.revision,
+            });
         }
-        pulls
+        let known = state.behind.entry(prefix);
+        let catch_up = known.or_insert_with(|| CatchUp::new(after, now));
+        catch_up.update(after, now);
+        // What operators write is in force from its confirmation, and nobody else tells this instance.
+        let is_urgent = prefix == CONFIG_PREFIX && !*self.is_watcher.borrow();
+        let delay_ms = if is_urgent { 0 } else { PULL_DELAY_MS };
+        if !catch_up.is_pull_due(delay_ms, now) {
+            return None;
+        }
+        let chosen = choose_source(&ahead, catch_up.pulls);
+        catch_up.pulled(now);
+        // A newer version may stand at an older position, from before a restore of the store.
+        let is_further = chosen.rank.1 > after;
+        Some(Pull {
+            member: Arc::clone(&chosen.member),
+            prefix,
+            after: if is_further {
+                after
+            } else {
+                Position::default()
+            },
+            behind_since: catch_up.since,
+        })
     }
 
     /// Decides whether this instance watches the store itself.
