--- a/crates/gateway/tests/platform_limit.rs
+++ b/crates/gateway/tests/platform_limit.rs
@@ -53,9 +53,22 @@
     later.iter().map(in_window).max().unwrap_or_default()
 }
 
-#[test_case("/read/x", Script::Answer(200, "ok"); "whole answers")]
-#[test_case("/brief/x", Script::Events { until: 2, pause_ms: 5, is_complete: true }; "streams")]
-fn an_upstream_that_names_a_limit_gets_no_more_than_that(path: &str, script: Script) {
+/// Events of a stream with this pause after each.
+fn events(pause_ms: u64) -> Script {
+    Script::Events {
+        until: 2,
+        pause_ms,
+        is_complete: true,
+    }
+}
+
+#[test_case("/read/x", &Script::Answer(200, "ok"), &Script::Late(20, "ok"); "whole answers")]
+#[test_case("/brief/x", &events(5), &events(25); "streams")]
+fn an_upstream_that_names_a_limit_gets_no_more_than_that(
+    path: &str,
+    script: &Script,
+    slower: &Script,
+) {
     let store = Store::start();
     store.publish(&ConfigBuilder::new(1));
     let (first, second) = (Engine::start("i-1"), Engine::start("i-2"));
@@ -70,11 +83,13 @@
     let instances = start_region(store.address, &["north-1", "north-2"]);
     send_all(&instances[0], path, 10, Duration::ZERO);
     // Idle upstreams are used in a fixed order.
-    let limited = if first.seen().len() > second.seen().len() {
-        first
+    let (limited, other) = if first.seen().len() > second.seen().len() {
+        (first, second)
     } else {
-        second
+        (second, first)
     };
+    // Of two that are equally quick either may be preferred.
+    other.replace_script(std::iter::repeat_n(slower.clone(), 2_000));
     limited.state_limit(Some("2.0"));
     let named_at = Instant::now();
     let answers: Vec<_> = thread::scope(|scope| {
--- a/crates/gateway/tests/platform_support/engine.rs
+++ b/crates/gateway/tests/platform_support/engine.rs
@@ -19,6 +19,8 @@
 pub(crate) enum Script {
     /// Response with this status and body, and the seal header.
     Answer(u16, &'static str),
+    /// 200 with this body and the seal header, after a pause of this many milliseconds.
+    Late(u64, &'static str),
     /// Response with this body and without the seal header.
     Unsealed(&'static str),
     /// Response with the id of another request.
@@ -269,6 +271,10 @@
     let not_run = "x-carobwheel-not-executed: 1\r\n";
     let text = match script {
         Script::Answer(status, body) => whole(*status, id, seal, body),
+        Script::Late(pause_ms, body) => {
+            thread::sleep(Duration::from_millis(*pause_ms));
+            whole(200, id, seal, body)
+        }
         Script::Unsealed(body) => whole(200, id, "", body),
         Script::WrongRequestId => whole(200, "another", seal, "not yours"),
         Script::Garbage => "%%%% no answer\r\n\r\n".to_owned(),
