--- a/crates/core/src/member/fetch.rs
+++ b/crates/core/src/member/fetch.rs
@@ -18,7 +18,7 @@
 pub(super) struct LastFetch {
     /// Time and revision of the last fetch that was advised.
     last: Option<(Millis, u64)>,
-    /// Time since which a peer has had a higher revision than this own one.
+    /// Time since which a peer has had a higher revision, and the own revision at that time.
     behind: Option<(Millis, u64)>,
 }
 
--- a/crates/edge/src/node/catch_up.rs
+++ b/crates/edge/src/node/catch_up.rs
@@ -93,11 +93,17 @@
     }
 }
 
+/// How far an instance is in a prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Lead {
+    has_newer_config: bool,
+    position: Position,
+}
+
 /// Instance that is ahead, and how far.
 struct Ahead {
     member: Arc<str>,
-    /// Whether it has a newer configuration in force, and its position.
-    rank: (bool, Position),
+    lead: Lead,
 }
 
 impl Node {
@@ -129,7 +135,7 @@
                 member: &first.member,
                 prefix,
                 after: after.revision,
-                revision: first.rank.1.revision,
+                revision: first.lead.position.revision,
             });
         }
         let known = state.behind.entry(prefix);
@@ -144,7 +150,7 @@
         let chosen = choose_source(&ahead, catch_up.pulls);
         catch_up.pulled(now);
         // A newer version may stand at an older position, from before a restore of the store.
-        let is_further = chosen.rank.1 > after;
+        let is_further = chosen.lead.position > after;
         Some(Pull {
             member: Arc::clone(&chosen.member),
             prefix,
@@ -183,15 +189,19 @@
         let ahead = recent.filter_map(|member: &Member| {
             let position = member.position(prefix, after.era)?;
             let has_newer_config = prefix == CONFIG_PREFIX && member.config_version > own_config;
+            let lead = Lead {
+                has_newer_config,
+                position,
+            };
             (has_newer_config || position > after).then(|| Ahead {
                 member: Arc::clone(&member.entry.name),
-                rank: (has_newer_config, position),
+                lead,
             })
         });
         let mut ahead: Vec<Ahead> = ahead
             .filter(|ahead| node.links.connection(&ahead.member).is_some())
             .collect();
-        ahead.sort_by_key(|ahead| std::cmp::Reverse(ahead.rank));
+        ahead.sort_by_key(|ahead| std::cmp::Reverse(ahead.lead));
         ahead
     }
 
@@ -214,7 +224,7 @@
 fn choose_source(ahead: &[Ahead], pulls: u32) -> &Ahead {
     let furthest = ahead
         .iter()
-        .take_while(|other| other.rank == ahead[0].rank)
+        .take_while(|other| other.lead == ahead[0].lead)
         .count();
     let count = if pulls <= 1 { furthest } else { ahead.len() };
     &ahead[rand::random_range(0..count)]
