--- /dev/null
+++ b/review/standins-2/tests/draining.rs
@@ -0,0 +1,158 @@
+//! A draining engine is cut off from the store for some seconds, so that its entry goes and comes back.
+
+use crate::{
+    client::send,
+    engine::Engine,
+    instance::{Instance, Zones},
+    record::Record,
+    store::Store,
+    Outcome,
+};
+use std::{
+    path::Path,
+    sync::{
+        atomic::{AtomicBool, AtomicU8, Ordering},
+        Arc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+const ZONES: Zones<'_> = &[("ljubljana-a", "ljubljana"), ("maribor-a", "maribor"), ("koper-a", "koper")];
+/// `heartbeatMs` of the small deployments.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// `drainMs` of the small deployments, in seconds.
+const DRAIN_S: f64 = 4.0;
+/// Interval between two requests at a machine.
+const INTERVAL: Duration = Duration::from_millis(40);
+/// Time from the start of traffic until the engine reports that it is draining.
+const DRAIN_AT: Duration = Duration::from_secs(8);
+/// Time from that report until the engine is cut off from the store, and the length of the cut.
+const CUT_AFTER: Duration = Duration::from_millis(500);
+const CUT: Duration = Duration::from_secs(5);
+/// Time for which the engine goes on serving after that report.
+const SERVES: Duration = Duration::from_secs(14);
+
+/// State of the engine's entry.
+const READY: u8 = 0;
+const DRAINING: u8 = 1;
+const SILENT: u8 = 2;
+
+pub fn run(record: &Arc<Record>, work: &Path, has_trouble: bool) -> Outcome {
+    let store = Store::start();
+    store.write("op/config", CONFIG);
+    let leaving = Engine::start(record, "i-koper-1", "bowl-ledger", "koper-a");
+    let other = Engine::start(record, "i-ljubljana-1", "bowl-ledger", "ljubljana-a");
+    let state = Arc::new(AtomicU8::new(READY));
+    beat(&store, &leaving, &state);
+    beat(&store, &other, &Arc::new(AtomicU8::new(READY)));
+    let mut machines: Vec<Instance> = [("edge-koper-a-1", "koper-a"), ("edge-ljubljana-a-1", "ljubljana-a")]
+        .iter()
+        .map(|(name, zone)| Instance::new(record, work, name, zone, ZONES, store.address))
+        .collect();
+    for machine in &mut machines {
+        machine.start();
+    }
+    if !machines.iter().all(Instance::wait_ready) {
+        return Outcome::CouldNotRun("a machine is not ready".to_owned());
+    }
+    thread::sleep(Duration::from_secs(3));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let client = call(record, &machines[0], &is_over);
+    thread::sleep(DRAIN_AT);
+    leaving.report(&store, "draining");
+    let drained_at = Instant::now();
+    let drained_s = record.now();
+    record.line("the store has accepted that i-koper-1 is draining");
+    state.store(DRAINING, Ordering::Relaxed);
+    if has_trouble {
+        cut(record, &store, &leaving, &state, drained_at);
+    }
+    thread::sleep(SERVES.saturating_sub(drained_at.elapsed()));
+    state.store(SILENT, Ordering::Relaxed);
+    store.remove("servers/i-koper-1");
+    record.line("i-koper-1 leaves");
+    is_over.store(true, Ordering::Relaxed);
+    let served = client.join().unwrap_or(0);
+    check(record, &leaving, &other, drained_s, served)
+}
+
+/// Writes the entry of an engine at each heartbeat while it is not silent.
+fn beat(store: &Arc<Store>, engine: &Arc<Engine>, state: &Arc<AtomicU8>) {
+    engine.beat(store);
+    let (store, engine, state) = (Arc::clone(store), Arc::clone(engine), Arc::clone(state));
+    thread::spawn(move || loop {
+        thread::sleep(HEARTBEAT);
+        match state.load(Ordering::Relaxed) {
+            READY => engine.beat(&store),
+            DRAINING => engine.report(&store, "draining"),
+            _ => {}
+        }
+    });
+}
+
+/// Cuts the engine off from the store: its entry is removed after three heartbeats of silence, and is back
+/// when the cut ends.
+fn cut(record: &Record, store: &Store, engine: &Engine, state: &AtomicU8, drained_at: Instant) {
+    thread::sleep(CUT_AFTER);
+    state.store(SILENT, Ordering::Relaxed);
+    record.line("i-koper-1 is cut off from the store");
+    thread::sleep(HEARTBEAT * 3);
+    store.remove("servers/i-koper-1");
+    record.line("the entry of i-koper-1 is removed after three heartbeats of silence");
+    thread::sleep((CUT_AFTER + CUT).saturating_sub(drained_at.elapsed()));
+    engine.report(store, "draining");
+    record.line("the cut ends; the entry of i-koper-1 is back: draining");
+    state.store(DRAINING, Ordering::Relaxed);
+}
+
+/// Sends requests to a machine until the end. Returns the number of those that were served.
+fn call(record: &Arc<Record>, machine: &Instance, is_over: &Arc<AtomicBool>) -> thread::JoinHandle<u32> {
+    let (record, address, is_over) = (Arc::clone(record), machine.callers, Arc::clone(is_over));
+    thread::spawn(move || {
+        let mut served = 0;
+        let mut number = 0;
+        while !is_over.load(Ordering::Relaxed) {
+            number += 1;
+            let id = format!("lookup-{number}");
+            let head = format!(
+                "GET /lookup/x HTTP/1.1\r\nHost: rounds.example\r\nX-Carobwheel-Attempt-Id: {id}\r\n\
+                 X-Carobwheel-Deadline-Ms: 2500\r\nX-Carobwheel-Key: key-1\r\n\r\n"
+            );
+            record.line(&format!("client sends {id}"));
+            let answer = send(&record, address, &id, &head, b"", Duration::from_secs(3));
+            served += u32::from(answer.status == 200 && answer.is_sealed);
+            thread::sleep(INTERVAL);
+        }
+        served
+    })
+}
+
+/// DRAIN: a request reaches the engine later than `drainMs` after the store has acknowledged that it is
+/// draining. All machines are in touch and the store is stable throughout.
+fn check(record: &Record, leaving: &Engine, other: &Engine, drained_s: f64, served: u32) -> Outcome {
+    let late: Vec<(f64, String)> =
+        leaving.arrivals.lock().unwrap().iter().filter(|(at, _)| *at > drained_s + DRAIN_S).cloned().collect();
+    for (at, id) in &late {
+        let after_s = at - drained_s;
+        record.line(&format!("{id} reached i-koper-1 {after_s:.3} s after it was draining"));
+    }
+    let (before, elsewhere) = (leaving.arrivals.lock().unwrap().len(), other.arrivals.lock().unwrap().len());
+    record.line(&format!("{served} requests served; {before} ran at i-koper-1, {elsewhere} elsewhere"));
+    if served < 50 || before < 20 || elsewhere < 10 {
+        return Outcome::CouldNotRun("too few requests were served".to_owned());
+    }
+    if late.is_empty() {
+        return Outcome::Held;
+    }
+    Outcome::Broken(format!("DRAIN: {} requests reached a draining engine too late", late.len()))
+}
+
+const CONFIG: &str = r#"{"version":3,"routes":[{"name":"r-lookup","host":"rounds.example","pathPrefix":"/lookup/",
+"routeType":"idempotent","timeoutMs":1200,"targetLatencyMs":400,"priority":2,"service":"bowl-ledger",
+"maxAttempts":2,"noAuth":false,"affinity":false,"resumable":false,"gapAimMs":0,"homeRegions":[]}],
+"services":[{"name":"bowl-ledger","healthCheck":"/health","maxConnections":96,"protocol":"h1","tls":false,
+"coldS":0.0,"coldPerS":0.0}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":[{"name":"kitchen","apiKeys":["key-1"],"priority":1,"unit":"token_count","plainTokens":200,
+"ratePerS":294350,"burst":294350,"homeRegions":[]}]}"#;
--- /dev/null
+++ b/review/standins-2/tests/main.rs
@@ -0,0 +1,50 @@
+//! Stand-ins and checks of the cases in `review/`. The first argument names the case, the second the
+//! folder for its record. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+mod client;
+mod draining;
+mod engine;
+mod http;
+mod instance;
+mod json;
+mod record;
+mod restarts;
+mod store;
+
+use record::Record;
+use std::{path::PathBuf, process::exit, sync::Arc};
+
+/// Outcome of a case.
+pub enum Outcome {
+    Held,
+    Broken(String),
+    CouldNotRun(String),
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let folder = PathBuf::from(arguments.next().unwrap_or_default());
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Arc::new(Record::create(&folder.join("record.txt")));
+    let work = std::env::temp_dir().join(format!("carobwheel-review-{}", std::process::id()));
+    std::fs::create_dir_all(&work).expect("a temporary folder");
+    let outcome = match case.as_str() {
+        "draining" => draining::run(&record, &work, has_trouble),
+        "restarts" => restarts::run(&record, &work, has_trouble),
+        other => Outcome::CouldNotRun(format!("there is no case {other}")),
+    };
+    if std::env::var_os("KEEP_LOGS").is_none() {
+        let _ = std::fs::remove_dir_all(&work);
+    } else {
+        println!("logs: {}", work.display());
+    }
+    let (code, text) = match outcome {
+        Outcome::Held => (0, "the rule held".to_owned()),
+        Outcome::Broken(reason) => (1, format!("the rule was broken: {reason}")),
+        Outcome::CouldNotRun(reason) => (2, format!("the case could not run: {reason}")),
+    };
+    record.line(&text);
+    println!("{text}");
+    exit(code);
+}
