--- a/review/standins-2/tests/draining.rs
+++ b/review/standins-2/tests/draining.rs
@@ -18,7 +18,7 @@
     time::{Duration, Instant},
 };
 
-const ZONES: Zones<'_> = &[("ljubljana-a", "ljubljana"), ("maribor-a", "maribor"), ("koper-a", "koper")];
+pub const ZONES: Zones<'_> = &[("ljubljana-a", "ljubljana"), ("maribor-a", "maribor"), ("koper-a", "koper")];
 /// `heartbeatMs` of the small deployments.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// `drainMs` of the small deployments, in seconds.
@@ -34,7 +34,7 @@
 const SERVES: Duration = Duration::from_secs(14);
 
 /// State of the engine's entry.
-const READY: u8 = 0;
+pub const READY: u8 = 0;
 const DRAINING: u8 = 1;
 const SILENT: u8 = 2;
 
@@ -78,7 +78,7 @@
 }
 
 /// Writes the entry of an engine at each heartbeat while it is not silent.
-fn beat(store: &Arc<Store>, engine: &Arc<Engine>, state: &Arc<AtomicU8>) {
+pub fn beat(store: &Arc<Store>, engine: &Arc<Engine>, state: &Arc<AtomicU8>) {
     engine.beat(store);
     let (store, engine, state) = (Arc::clone(store), Arc::clone(engine), Arc::clone(state));
     thread::spawn(move || loop {
@@ -107,7 +107,7 @@
 }
 
 /// Sends requests to a machine until the end. Returns the number of those that were served.
-fn call(record: &Arc<Record>, machine: &Instance, is_over: &Arc<AtomicBool>) -> thread::JoinHandle<u32> {
+pub fn call(record: &Arc<Record>, machine: &Instance, is_over: &Arc<AtomicBool>) -> thread::JoinHandle<u32> {
     let (record, address, is_over) = (Arc::clone(record), machine.callers, Arc::clone(is_over));
     thread::spawn(move || {
         let mut served = 0;
@@ -148,7 +148,7 @@
     Outcome::Broken(format!("DRAIN: {} requests reached a draining engine too late", late.len()))
 }
 
-const CONFIG: &str = r#"{"version":3,"routes":[{"name":"r-lookup","host":"rounds.example","pathPrefix":"/lookup/",
+pub const CONFIG: &str = r#"{"version":3,"routes":[{"name":"r-lookup","host":"rounds.example","pathPrefix":"/lookup/",
 "routeType":"idempotent","timeoutMs":1200,"targetLatencyMs":400,"priority":2,"service":"bowl-ledger",
 "maxAttempts":2,"noAuth":false,"affinity":false,"resumable":false,"gapAimMs":0,"homeRegions":[]}],
 "services":[{"name":"bowl-ledger","healthCheck":"/health","maxConnections":96,"protocol":"h1","tls":false,
--- a/review/standins-2/tests/engine.rs
+++ b/review/standins-2/tests/engine.rs
@@ -37,6 +37,10 @@
     record: Arc<Record>,
     /// Runs by the id of the request.
     pub runs: Mutex<HashMap<String, Run>>,
+    /// `Retry-After`, in seconds, with which it turns plain requests away; 0 if it runs them.
+    pub retry_after_s: AtomicU64,
+    /// Times, in seconds, at which it has turned plain requests away.
+    pub rejections: Mutex<Vec<f64>>,
     /// Times, in seconds, at which plain requests arrived and were run, and their ids.
     pub arrivals: Mutex<Vec<(f64, String)>>,
 }
@@ -58,6 +62,8 @@
             record: Arc::clone(record),
             runs: Mutex::default(),
             arrivals: Mutex::default(),
+            retry_after_s: AtomicU64::new(0),
+            rejections: Mutex::default(),
         });
         let accepting = Arc::clone(&engine);
         thread::spawn(move || {
@@ -112,6 +118,15 @@
         if request.path().starts_with("/chat/") {
             return self.stream(writer, request, id);
         }
+        let retry_after_s = self.retry_after_s.load(Ordering::Relaxed);
+        if retry_after_s > 0 {
+            self.record.line(&format!("engine {} turns {id} away, Retry-After {retry_after_s}", self.id));
+            self.rejections.lock().unwrap().push(self.record.now());
+            let headers = format!(
+                "X-Carobwheel-Attempt-Id: {id}\r\nX-Carobwheel-Not-Executed: 1\r\nRetry-After: {retry_after_s}\r\n"
+            );
+            return respond(writer, 503, &headers, b"");
+        }
         self.record.line(&format!("engine {} runs {id}", self.id));
         self.arrivals.lock().unwrap().push((self.record.now(), id.to_owned()));
         let headers =
--- a/review/standins-2/tests/main.rs
+++ b/review/standins-2/tests/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod instance;
 mod json;
+mod pauses;
 mod record;
 mod restarts;
 mod store;
@@ -31,6 +32,7 @@
     std::fs::create_dir_all(&work).expect("a temporary folder");
     let outcome = match case.as_str() {
         "draining" => draining::run(&record, &work, has_trouble),
+        "pauses" => pauses::run(&record, &work, has_trouble),
         "restarts" => restarts::run(&record, &work, has_trouble),
         other => Outcome::CouldNotRun(format!("there is no case {other}")),
     };
