--- a/review/standins-2/tests/draining.rs
+++ b/review/standins-2/tests/draining.rs
@@ -30,13 +30,17 @@
 /// Time from that report until the engine is cut off from the store, and the length of the cut.
 const CUT_AFTER: Duration = Duration::from_millis(500);
 const CUT: Duration = Duration::from_secs(5);
-/// Time for which the engine goes on serving after that report.
-const SERVES: Duration = Duration::from_secs(14);
+/// Time for which the engine goes on serving after that report, until it exits.
+const SERVES: Duration = Duration::from_millis(6_600);
+/// Time for which clients go on after that.
+const TAIL: Duration = Duration::from_secs(4);
+/// Number of clients.
+const CLIENTS: usize = 6;
 
 /// State of the engine's entry.
 pub const READY: u8 = 0;
-const DRAINING: u8 = 1;
-const SILENT: u8 = 2;
+pub const DRAINING: u8 = 1;
+pub const SILENT: u8 = 2;
 
 pub fn run(record: &Arc<Record>, work: &Path, has_trouble: bool) -> Outcome {
     let store = Store::start();
@@ -58,7 +62,7 @@
     }
     thread::sleep(Duration::from_secs(3));
     let is_over = Arc::new(AtomicBool::new(false));
-    let client = call(record, &machines[0], &is_over);
+    let clients: Vec<_> = (0..CLIENTS).map(|client| call(record, &machines[0], client, &is_over)).collect();
     thread::sleep(DRAIN_AT);
     leaving.report(&store, "draining");
     let drained_at = Instant::now();
@@ -71,10 +75,16 @@
     thread::sleep(SERVES.saturating_sub(drained_at.elapsed()));
     state.store(SILENT, Ordering::Relaxed);
     store.remove("servers/i-koper-1");
-    record.line("i-koper-1 leaves");
+    record.line("i-koper-1 exits");
+    leaving.crash();
+    thread::sleep(TAIL);
     is_over.store(true, Ordering::Relaxed);
-    let served = client.join().unwrap_or(0);
-    check(record, &leaving, &other, drained_s, served)
+    let mut total = (0, 0);
+    for client in clients {
+        let (served, lost) = client.join().unwrap_or_default();
+        total = (total.0 + served, total.1 + lost);
+    }
+    check(record, &leaving, &other, drained_s, total)
 }
 
 /// Writes the entry of an engine at each heartbeat while it is not silent.
@@ -106,31 +116,45 @@
     state.store(DRAINING, Ordering::Relaxed);
 }
 
-/// Sends requests to a machine until the end. Returns the number of those that were served.
-pub fn call(record: &Arc<Record>, machine: &Instance, is_over: &Arc<AtomicBool>) -> thread::JoinHandle<u32> {
+/// Sends requests that may not be repeated to a machine until the end. Returns the number of those that were
+/// served, and of those that may have run and got no answer of an engine.
+fn call(
+    record: &Arc<Record>,
+    machine: &Instance,
+    client: usize,
+    is_over: &Arc<AtomicBool>,
+) -> thread::JoinHandle<(u32, u32)> {
     let (record, address, is_over) = (Arc::clone(record), machine.callers, Arc::clone(is_over));
     thread::spawn(move || {
-        let mut served = 0;
+        let (mut served, mut lost) = (0, 0);
         let mut number = 0;
         while !is_over.load(Ordering::Relaxed) {
             number += 1;
-            let id = format!("lookup-{number}");
+            let id = format!("pledge-{client}-{number}");
             let head = format!(
-                "GET /lookup/x HTTP/1.1\r\nHost: rounds.example\r\nX-Carobwheel-Attempt-Id: {id}\r\n\
-                 X-Carobwheel-Deadline-Ms: 2500\r\nX-Carobwheel-Key: key-1\r\n\r\n"
+                "POST /pledge/x HTTP/1.1\r\nHost: rounds.example\r\nX-Carobwheel-Attempt-Id: {id}\r\n\
+                 X-Carobwheel-Deadline-Ms: 2500\r\nX-Carobwheel-Key: key-1\r\nContent-Length: 6\r\n\r\n"
             );
             record.line(&format!("client sends {id}"));
-            let answer = send(&record, address, &id, &head, b"", Duration::from_secs(3));
-            served += u32::from(answer.status == 200 && answer.is_sealed);
+            let answer = send(&record, address, &id, &head, b"pledge", Duration::from_secs(3));
+            let is_served = answer.status == 200 && answer.is_sealed && answer.is_whole;
+            served += u32::from(is_served);
+            lost += u32::from(!is_served && answer.status != 503);
             thread::sleep(INTERVAL);
         }
-        served
+        (served, lost)
     })
 }
 
 /// DRAIN: a request reaches the engine later than `drainMs` after the store has acknowledged that it is
 /// draining. All machines are in touch and the store is stable throughout.
-fn check(record: &Record, leaving: &Engine, other: &Engine, drained_s: f64, served: u32) -> Outcome {
+fn check(
+    record: &Record,
+    leaving: &Engine,
+    other: &Engine,
+    drained_s: f64,
+    (served, lost): (u32, u32),
+) -> Outcome {
     let late: Vec<(f64, String)> =
         leaving.arrivals.lock().unwrap().iter().filter(|(at, _)| *at > drained_s + DRAIN_S).cloned().collect();
     for (at, id) in &late {
@@ -138,19 +162,19 @@
         record.line(&format!("{id} reached i-koper-1 {after_s:.3} s after it was draining"));
     }
     let (before, elsewhere) = (leaving.arrivals.lock().unwrap().len(), other.arrivals.lock().unwrap().len());
-    record.line(&format!("{served} requests served; {before} ran at i-koper-1, {elsewhere} elsewhere"));
+    record.line(&format!("{served} requests served, {lost} lost; {before} ran at i-koper-1, {elsewhere} elsewhere"));
     if served < 50 || before < 20 || elsewhere < 10 {
         return Outcome::CouldNotRun("too few requests were served".to_owned());
     }
     if late.is_empty() {
         return Outcome::Held;
     }
-    Outcome::Broken(format!("DRAIN: {} requests reached a draining engine too late", late.len()))
+    Outcome::Broken(format!("DRAIN: {} requests reached a draining engine too late, {lost} were lost", late.len()))
 }
 
-pub const CONFIG: &str = r#"{"version":3,"routes":[{"name":"r-lookup","host":"rounds.example","pathPrefix":"/lookup/",
-"routeType":"idempotent","timeoutMs":1200,"targetLatencyMs":400,"priority":2,"service":"bowl-ledger",
-"maxAttempts":2,"noAuth":false,"affinity":false,"resumable":false,"gapAimMs":0,"homeRegions":[]}],
+const CONFIG: &str = r#"{"version":3,"routes":[{"name":"r-pledge","host":"rounds.example","pathPrefix":"/pledge/",
+"routeType":"non_idempotent","timeoutMs":1200,"targetLatencyMs":400,"priority":2,"service":"bowl-ledger",
+"maxAttempts":1,"noAuth":false,"affinity":false,"resumable":false,"gapAimMs":0,"homeRegions":[]}],
 "services":[{"name":"bowl-ledger","healthCheck":"/health","maxConnections":96,"protocol":"h1","tls":false,
 "coldS":0.0,"coldPerS":0.0}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
--- a/review/standins-2/tests/main.rs
+++ b/review/standins-2/tests/main.rs
@@ -2,12 +2,12 @@
 //! folder for its record. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod client;
+mod cold;
 mod draining;
 mod engine;
 mod http;
 mod instance;
 mod json;
-mod pauses;
 mod record;
 mod restarts;
 mod store;
@@ -32,7 +32,7 @@
     std::fs::create_dir_all(&work).expect("a temporary folder");
     let outcome = match case.as_str() {
         "draining" => draining::run(&record, &work, has_trouble),
-        "pauses" => pauses::run(&record, &work, has_trouble),
+        "cold" => cold::run(&record, &work, has_trouble),
         "restarts" => restarts::run(&record, &work, has_trouble),
         other => Outcome::CouldNotRun(format!("there is no case {other}")),
     };
--- a/review/standins-2/tests/restarts.rs
+++ b/review/standins-2/tests/restarts.rs
@@ -35,9 +35,12 @@
 /// Interval between two streams at a machine.
 const INTERVAL: Duration = Duration::from_millis(250);
 /// Length of the run after the start.
-const LENGTH: Duration = Duration::from_secs(40);
+const LENGTH: Duration = Duration::from_secs(70);
 /// First stop after the start of traffic.
 const FIRST_STOP: Duration = Duration::from_secs(14);
+/// Number of times that all machines are stopped and started in turn, and the time between two of these.
+const ROUNDS: u32 = 2;
+const ROUND: Duration = Duration::from_secs(32);
 /// Time for which clients go on to use a machine after it has ceased to be ready: less than `ttlS` of the
 /// directory.
 const STALE: Duration = Duration::from_millis(2_000);
@@ -161,8 +164,9 @@
         thread::sleep(Duration::from_millis(20));
         let mut machines = machines.lock().unwrap();
         let next = stops.len();
-        if next < MACHINES.len() && start.elapsed() >= FIRST_STOP + GAP * next as u32 {
-            let (name, _) = MACHINES[next];
+        let (round, turn) = ((next / MACHINES.len()) as u32, next % MACHINES.len());
+        if round < ROUNDS && start.elapsed() >= FIRST_STOP + ROUND * round + GAP * turn as u32 {
+            let (name, _) = MACHINES[turn];
             if let Some(machine) = machines.iter().find(|machine| machine.name == name) {
                 machine.signal("TERM");
             }
