--- a/review/standins-2/tests/engine.rs
+++ b/review/standins-2/tests/engine.rs
@@ -128,13 +128,13 @@
         until.map_or(0, |until| until.saturating_duration_since(Instant::now()).as_millis() as u64)
     }
 
-    /// Ends the process with all of its channels.
-    pub fn crash(&self) {
+    /// Ends the process with all of its channels; `how` says for the record whether it crashes or exits.
+    pub fn end(&self, how: &str) {
         self.is_down.store(true, Ordering::Relaxed);
         for stream in self.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
-        self.record.line(&format!("engine {} crashes", self.id));
+        self.record.line(&format!("engine {} {how}", self.id));
     }
 
     /// Starts the process again, under the same id and cold. It crashes at more than `most` requests in one
@@ -197,7 +197,7 @@
             arrivals.iter().filter(|(at, _)| *at > started_s.max(now - 1.0)).count()
         };
         if self.cold_ms() > 0 && in_a_second as f64 > most_cold {
-            self.crash();
+            self.end("crashes: too many requests while it is cold");
             return Err(std::io::ErrorKind::ConnectionAborted.into());
         }
         let run = Run { events: 0, is_whole: false };
--- a/review/standins-2/tests/instance.rs
+++ b/review/standins-2/tests/instance.rs
@@ -100,8 +100,8 @@
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
             self.record.line(&format!("{} gets {signal}", self.name));
-            let id = child.id().to_string();
-            let _ = Command::new("kill").args(["-s", signal, &id]).status();
+            let kill = format!("kill -s {signal} {}", child.id());
+            let _ = Command::new("sh").args(["-c", &kill]).status();
         }
     }
 
--- a/review/standins-2/tests/main.rs
+++ b/review/standins-2/tests/main.rs
@@ -1,5 +1,5 @@
-//! Stand-ins and checks of the cases in `review/`. The first argument names the case, the second the
-//! folder for its record. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+//! Stand-ins and checks of the cases in `review/`. The arguments are the name of the case, the folder for its
+//! record, and `with-trouble` or `without-trouble`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod client;
 mod cold;
@@ -26,8 +26,16 @@
     let mut arguments = std::env::args().skip(1);
     let case = arguments.next().unwrap_or_default();
     let folder = PathBuf::from(arguments.next().unwrap_or_default());
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let has_trouble = match arguments.next().as_deref() {
+        Some("with-trouble") => true,
+        Some("without-trouble") => false,
+        _ => {
+            println!("the last argument is with-trouble or without-trouble");
+            exit(2);
+        }
+    };
     let record = Arc::new(Record::create(&folder.join("record.txt")));
+    record.line(if has_trouble { "with the disruption" } else { "without the disruption" });
     let work = std::env::temp_dir().join(format!("carobwheel-review-{}", std::process::id()));
     std::fs::create_dir_all(&work).expect("a temporary folder");
     let outcome = match case.as_str() {
