--- a/review/standins-2/tests/draining.rs
+++ b/review/standins-2/tests/draining.rs
@@ -34,8 +34,9 @@
 const SERVES: Duration = Duration::from_millis(6_600);
 /// Time for which clients go on after that.
 const TAIL: Duration = Duration::from_secs(4);
-/// Number of clients.
+/// Number of clients, and the time between their starts, so that some requests are always under way.
 const CLIENTS: usize = 6;
+const STAGGER: Duration = Duration::from_millis(17);
 
 /// State of the engine's entry.
 pub const READY: u8 = 0;
@@ -50,6 +51,14 @@
     let state = Arc::new(AtomicU8::new(READY));
     beat(&store, &leaving, &state);
     beat(&store, &other, &Arc::new(AtomicU8::new(READY)));
+    // The other servers of the deployment: 13 in all, of which one is cut off.
+    let zones = [("bowl-ledger", "maribor-a", 1), ("bowl-model", "ljubljana-a", 5)];
+    for (service, zone, count) in zones.into_iter().chain([("bowl-model", "maribor-a", 3), ("bowl-model", "koper-a", 2)]) {
+        for number in 1..=count {
+            let engine = Engine::start(record, &format!("i-{service}-{zone}-{number}"), service, zone);
+            beat(&store, &engine, &Arc::new(AtomicU8::new(READY)));
+        }
+    }
     let mut machines: Vec<Instance> = [("edge-koper-a-1", "koper-a"), ("edge-ljubljana-a-1", "ljubljana-a")]
         .iter()
         .map(|(name, zone)| Instance::new(record, work, name, zone, ZONES, store.address))
@@ -62,7 +71,11 @@
     }
     thread::sleep(Duration::from_secs(3));
     let is_over = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..CLIENTS).map(|client| call(record, &machines[0], client, &is_over)).collect();
+    let mut clients = Vec::new();
+    for client in 0..CLIENTS {
+        clients.push(call(record, &machines[0], client, &is_over));
+        thread::sleep(STAGGER);
+    }
     thread::sleep(DRAIN_AT);
     leaving.report(&store, "draining");
     let drained_at = Instant::now();
@@ -75,8 +88,7 @@
     thread::sleep(SERVES.saturating_sub(drained_at.elapsed()));
     state.store(SILENT, Ordering::Relaxed);
     store.remove("servers/i-koper-1");
-    record.line("i-koper-1 exits");
-    leaving.crash();
+    leaving.end("exits, as planned");
     thread::sleep(TAIL);
     is_over.store(true, Ordering::Relaxed);
     let mut total = (0, 0);
@@ -176,7 +188,10 @@
 "routeType":"non_idempotent","timeoutMs":1200,"targetLatencyMs":400,"priority":2,"service":"bowl-ledger",
 "maxAttempts":1,"noAuth":false,"affinity":false,"resumable":false,"gapAimMs":0,"homeRegions":[]}],
 "services":[{"name":"bowl-ledger","healthCheck":"/health","maxConnections":96,"protocol":"h1","tls":false,
-"coldS":0.0,"coldPerS":0.0}],
+"coldS":0.0,"coldPerS":0.0},{"name":"bowl-model","healthCheck":"/health","maxConnections":360,"protocol":"h1",
+"tls":false,"coldS":3.0,"coldPerS":2.4,"engine":{"slots":64,"kvCapacity":276278,"kvTokenBytes":18432,
+"linkMbps":370000.0,"moves":true,"backups":true,"stride":7,"most":12,"pinMs":4000.0,"holdMs":2000.0,
+"handle_s":5.0,"models":[{"name":"m"}]}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"kitchen","apiKeys":["key-1"],"priority":1,"unit":"token_count","plainTokens":200,
 "ratePerS":294350,"burst":294350,"homeRegions":[]}]}"#;
