Members: an instance with an open connection is not taken for gone

It is heard only by way of delegates; the packets of its connection did not count. Change: an instance with an open connection is not removed.

--- a/crates/edge/src/log/event.rs
+++ b/crates/edge/src/log/event.rs
@@ -185,6 +185,7 @@
     },
     MemberForgotten {
         member: &'a str,
+        unheard_ms: u64,
     },
     /// Whether this instance watches the store itself; for its region, or since others tell it too little.
     StoreWatched {
--- a/crates/edge/src/member/entry.rs
+++ b/crates/edge/src/member/entry.rs
@@ -82,6 +82,15 @@
     pub has_sums: bool,
 }
 
+/// Instance that was removed from the table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RemovedMember {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Time since it was last heard or registered, in milliseconds.
+    pub unheard_ms: u64,
+}
+
 /// State of one other instance.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -138,6 +147,12 @@
             .is_some_and(|at| now.since(at) <= max_age_ms)
     }
 
+    /// Time since it was last heard or registered, in milliseconds.
+    pub fn unheard_ms(&self, now: Millis) -> u64 {
+        let heard_at = self.last_message_at.unwrap_or(self.entry_at);
+        now.since(heard_at.max(self.entry_at))
+    }
+
     /// Whether its messages have covered enough time to tell the demand at it.
     pub fn has_known_demand(&self, now: Millis) -> bool {
         let is_established = self
--- a/crates/edge/src/member/mod.rs
+++ b/crates/edge/src/member/mod.rs
@@ -6,7 +6,7 @@
 
 mod entry;
 
-pub use entry::{Heartbeat, LinkReport, Member, MemberEntry};
+pub use entry::{Heartbeat, LinkReport, Member, MemberEntry, RemovedMember};
 
 use crate::limit::{Fleet, DEMAND_TIMEOUT_MS};
 use carobwheel_core::{
@@ -31,7 +31,8 @@
 const MAX_PERIOD_MS: u64 = 250;
 /// Time without a message after which an instance is no longer listed for callers, in milliseconds.
 const LISTED_TIMEOUT_MS: u64 = 2_200;
-/// Time without a message after which an instance without an entry is removed, in milliseconds.
+/// Time without a message after which an instance without an entry and without a connection is removed, in
+/// milliseconds.
 const REMOVE_TIMEOUT_MS: u64 = 10_000;
 /// Time after its registration for which an instance may be a delegate unheard, in milliseconds.
 const NEW_ENTRY_MS: u64 = 3_000;
@@ -304,21 +305,29 @@
         self.has_heard || self.by_name.is_empty() || now.0 >= MAX_JOIN_MS
     }
 
-    /// Removes instances without an entry and without recent messages. Returns their names.
-    pub fn sweep(&mut self, now: Millis) -> Vec<Arc<str>> {
+    /// Removes instances without an entry, without recent messages and without a connection, and returns
+    /// them. One that drains has no entry, and its messages may be lost with the delegates that pass them
+    /// on: while `is_connected` its process lives.
+    pub fn sweep(
+        &mut self,
+        now: Millis,
+        is_connected: impl Fn(&str) -> bool,
+    ) -> Vec<RemovedMember> {
         let is_removable = |member: &Member| {
-            let last_at = member
-                .last_message_at
-                .map_or(member.entry_at, |at| at.max(member.entry_at));
-            !member.has_entry && now.since(last_at) > REMOVE_TIMEOUT_MS
+            !member.has_entry
+                && member.unheard_ms(now) > REMOVE_TIMEOUT_MS
+                && !is_connected(&member.entry.name)
         };
         let removed: Vec<_> = self
             .by_name
-            .iter()
-            .filter(|(_, member)| is_removable(member))
-            .map(|(name, _)| Arc::clone(name))
+            .values()
+            .filter(|member| is_removable(member))
+            .map(|member| RemovedMember {
+                name: Arc::clone(&member.entry.name),
+                unheard_ms: member.unheard_ms(now),
+            })
             .collect();
-        for name in &removed {
+        for RemovedMember { name, .. } in &removed {
             if let Some(member) = self.by_name.remove(name) {
                 self.by_key.remove(&member.key);
             }
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -1,7 +1,7 @@
 //! Periodic work of the instance.
 
 use super::Node;
-use crate::{log::Event, rollout::Verdict, store::VerdictRecord};
+use crate::{log::Event, member::RemovedMember, rollout::Verdict, store::VerdictRecord};
 use std::sync::Arc;
 
 /// Delay per preceding instance before an instance records a verdict itself, in milliseconds.
@@ -13,9 +13,11 @@
         let now = self.now();
         let (upstreams, members) = {
             let mut state = self.state.borrow_mut();
-            let members = state.members.sweep(now);
+            let members = state
+                .members
+                .sweep(now, |name| self.links.has_connection(name));
             for upstream in state.upstreams.by_id.values_mut() {
-                for name in &members {
+                for RemovedMember { name, .. } in &members {
                     upstream.limit.forget_peer(name);
                     upstream.brittle.forget_peer(name);
                 }
@@ -26,9 +28,12 @@
             self.pools.forget(id);
             self.log.event(Event::UpstreamForgotten { upstream: id });
         }
-        for name in &members {
-            self.links.forget(name);
-            self.log.event(Event::MemberForgotten { member: name });
+        for RemovedMember { name, unheard_ms } in members {
+            self.links.forget(&name);
+            self.log.event(Event::MemberForgotten {
+                member: &name,
+                unheard_ms,
+            });
         }
         self.update_watch();
         self.publish_cut_off();
--- a/crates/edge/src/peers/links.rs
+++ b/crates/edge/src/peers/links.rs
@@ -198,6 +198,15 @@
         self.accepted.borrow_mut().remove(name);
     }
 
+    /// Whether a connection to an instance is open, also one that takes no further requests. It closes
+    /// when the process ends, or when no packet has arrived for the idle timeout.
+    pub fn has_connection(&self, name: &str) -> bool {
+        self.open.borrow().iter().any(|(known, link)| {
+            let link = link.upgrade().filter(|_| **known == *name);
+            link.is_some_and(|link| link.connection.close_reason().is_none())
+        })
+    }
+
     /// Connection to an instance that takes requests, if there is one.
     pub fn connection(&self, name: &str) -> Option<Rc<OpenLink>> {
         self.dialled_connection(name)
--- a/crates/edge/tests/small_parts.rs
+++ b/crates/edge/tests/small_parts.rs
@@ -209,5 +209,6 @@
     assert_eq!(listed(&members, 100), 1);
     assert_eq!(listed(&members, 5_000), 0);
     members.entry_removed("i");
-    assert_eq!(members.sweep(Millis(11_000)).len(), 1);
+    assert!(members.sweep(Millis(11_000), |name| name == "i").is_empty());
+    assert_eq!(members.sweep(Millis(11_000), |_| false).len(), 1);
 }
