Delegates: an instance that drains stays one until its exit

Cause: an instance that drains did not count itself as a delegate and sent no digests any more, while all others, which choose by whom they hear, counted on it until its exit. Change: it keeps its role until its exit. Whether it was heard is no argument of its own part in the choice. Measured: delegates_that_drain_still_tell_other_regions_who_is_alive failed before (the region's callers were sent to another one), passes now; platform_links, platform_fleet and the tests of edge pass.

--- a/crates/edge/src/node/catch_up.rs
+++ b/crates/edge/src/node/catch_up.rs
@@ -167,7 +167,7 @@
     pub(super) fn update_watch(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let own = self.as_peer(state.leaving_at.is_none());
+        let own = self.as_peer();
         let is_for_region = state.members.is_watcher(own, now);
         let is_watcher = is_for_region || state.must_watch(now);
         let replace = |known: &mut bool| std::mem::replace(known, is_watcher) != is_watcher;
--- a/crates/edge/src/node/duty.rs
+++ b/crates/edge/src/node/duty.rs
@@ -11,7 +11,7 @@
     pub fn duty_candidacy(&self, kind: DutyKind) -> Candidacy {
         let now = self.now();
         let state = self.state.borrow();
-        let own = self.as_peer(true);
+        let own = self.as_peer();
         let is_running = state.leaving_at.is_none()
             && state.members.has_joined(now)
             && state.store_lost_at.is_none();
--- a/crates/edge/src/node/links.rs
+++ b/crates/edge/src/node/links.rs
@@ -37,21 +37,22 @@
 }
 
 impl Node {
-    /// This instance as the choice of roles sees it.
-    pub(super) fn as_peer(&self, is_heard: bool) -> Peer<'_> {
+    /// This instance as the choice of roles sees it. While it drains the others hear it and count on it, so
+    /// it keeps its role until its exit.
+    pub(super) fn as_peer(&self) -> Peer<'_> {
         Peer {
             name: &self.name,
             region: &self.region,
             data_centre: &self.settings.data_centre,
             processor_millicores: self.settings.processor.millicores(),
-            is_heard,
+            is_heard: true,
         }
     }
 }
 
 impl State {
     fn update_topology(&mut self, node: &Node, now: Millis) {
-        let own = node.as_peer(self.leaving_at.is_none());
+        let own = node.as_peer();
         let topology = self.members.topology(own, now);
         if topology.is_delegate != self.topology.is_delegate {
             self.forget_sums();
--- a/crates/gateway/tests/platform_unheard.rs
+++ b/crates/gateway/tests/platform_unheard.rs
@@ -133,3 +133,30 @@
     }
     drop(fixture.store);
 }
+/// Guards against delegates that pass nothing on while they drain, although the others still count on them:
+/// the instances of other regions then take all of the region for gone.
+#[test]
+fn delegates_that_drain_still_tell_other_regions_who_is_alive() {
+    let fixture = Fixture::start();
+    let _streams: Vec<Caller> = (0..2)
+        .map(|north| fixture.start_stream(north, Duration::from_secs(10)))
+        .collect();
+    for north in &fixture.norths[..2] {
+        north.signal("-TERM");
+    }
+    let listed = || {
+        let body = fixture.south.resolve("north").body;
+        let answer: serde_json::Value = serde_json::from_str(&body).unwrap_or_default();
+        answer["addresses"].clone()
+    };
+    let ready = json!([fixture.norths[2].callers]);
+    wait_until("only the third instance takes callers", || {
+        listed() == ready
+    });
+    // Longer than an unheard instance is listed, and shorter than the streams.
+    let until = Instant::now() + Duration::from_secs(6);
+    while Instant::now() < until {
+        assert_eq!(listed(), ready);
+        thread::sleep(Duration::from_millis(50));
+    }
+}
