Upstreams: what is known of a process holds when its entry goes and comes back

The same process, cut off from the store for 3 heartbeats, then counts as a new one. An entry of an earlier process, as a restored store has it, replaced the later one in the same way. Change: state of processes without an entry is kept for two minutes (at most 256), and taken up again by an entry of the same id, address, service and start; another process starts afresh as before.

--- a/crates/edge/src/cold/checks.rs
+++ b/crates/edge/src/cold/checks.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Gives up the check in progress: its result may not arrive.
+    pub fn abandon(&mut self) {
+        self.is_running = false;
+    }
+
     /// Records the result of the check in progress.
     pub fn finish(&mut self, warmth: Warmth, now: Millis) -> CheckEnd {
         self.is_running = false;
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod health;
 mod load;
+mod retained;
 mod state;
 
 pub use health::{Health, Outcome};
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -1,6 +1,6 @@
 //! Table of upstreams, and the rules for when one takes requests.
 
-use super::{Health, Load};
+use super::{retained::Retained, Health, Load};
 use crate::{
     cold::{ColdGate, HealthChecks},
     hash::short_hash,
@@ -70,6 +70,8 @@
     pub region: Arc<str>,
     /// Time at which it was first seen as draining or gone.
     pub leaving_at: Option<Millis>,
+    /// End of the time for which it may get requests while it leaves if there is no other.
+    last_resort_until: Option<Millis>,
     /// Whether it has stated in a response that it is leaving; holds for the life of its process,
     /// whatever its entry says.
     pub has_stated_leaving: bool,
@@ -101,6 +103,64 @@
 }
 
 impl Upstream {
+    /// Upstream whose entry was read for the first time.
+    fn new(entry: UpstreamEntry, region: &Arc<str>, kv_cache_tokens: u64, now: Millis) -> Self {
+        Self {
+            hash: short_hash(&entry.id),
+            region: Arc::clone(region),
+            leaving_at: (entry.stage == Stage::Draining).then_some(now),
+            last_resort_until: Some(now.plus(DRAINING_USE_MS)),
+            has_stated_leaving: false,
+            gone_at: None,
+            own: Load::default(),
+            prefill_rate: MeanRate::default(),
+            peer_loads: HashMap::new(),
+            health: Health::default(),
+            cache: PrefixCache::new(kv_cache_tokens),
+            cold: ColdGate::default(),
+            checks: HealthChecks::default(),
+            limit: RateGate::default(),
+            brittle: BrittleGate::default(),
+            brittle_share: Cell::new(None),
+            prefill_tokens_per_ms: DEFAULT_PREFILL_TOKENS_PER_MS,
+            entry,
+        }
+    }
+
+    /// Whether `entry` was written by the same process.
+    pub(super) fn is_process_of(&self, entry: &UpstreamEntry) -> bool {
+        self.entry.address == entry.address
+            && self.entry.service == entry.service
+            && self.entry.started_unix_ms == entry.started_unix_ms
+    }
+
+    /// Applies a further entry of the same process.
+    fn update(&mut self, entry: UpstreamEntry, now: Millis) {
+        self.cold.set_remaining(entry.cold_left_ms, now);
+        if entry.stage == Stage::Draining || self.has_stated_leaving {
+            self.leave(now);
+        } else {
+            self.leaving_at = None;
+        }
+        self.gone_at = None;
+        self.entry = entry;
+    }
+
+    /// Records that it is leaving, unless that is known.
+    fn leave(&mut self, now: Millis) {
+        if self.leaving_at.is_none() {
+            self.leaving_at = Some(now);
+            self.last_resort_until = Some(now.plus(DRAINING_USE_MS));
+        }
+    }
+
+    /// Drops what refers to requests and checks in progress.
+    pub(super) fn detach(&mut self) {
+        self.own = Load::default();
+        self.peer_loads.clear();
+        self.checks.abandon();
+    }
+
     /// Hash that identifies its process in messages between instances.
     pub fn process_key(&self) -> u32 {
         let started = self.entry.started_unix_ms.unwrap_or_default();
@@ -153,7 +213,7 @@
 
     /// Records that it has stated that it is leaving. Returns true if that is news.
     pub fn state_leaving(&mut self, now: Millis) -> bool {
-        self.leaving_at.get_or_insert(now);
+        self.leave(now);
         !std::mem::replace(&mut self.has_stated_leaving, true)
     }
 
@@ -162,7 +222,7 @@
     pub fn accepts_requests(&self, is_last_resort: bool, now: Millis) -> bool {
         match self.leaving_at {
             None => true,
-            Some(at) => is_last_resort && now.since(at) < DRAINING_USE_MS,
+            Some(_) => is_last_resort && self.last_resort_until.is_some_and(|until| now < until),
         }
     }
 }
@@ -172,6 +232,7 @@
 pub struct Upstreams {
     /// Upstreams by identifier.
     pub by_id: HashMap<Arc<str>, Upstream>,
+    retained: Retained,
 }
 
 impl Upstreams {
@@ -184,57 +245,53 @@
         kv_cache_tokens: u64,
         now: Millis,
     ) -> bool {
-        let is_draining = entry.stage == Stage::Draining;
-        let is_same_process = |known: &Upstream| {
-            known.entry.address == entry.address
-                && known.entry.service == entry.service
-                && known.entry.started_unix_ms == entry.started_unix_ms
-        };
         if let Some(known) = self
             .by_id
             .get_mut(&entry.id)
-            .filter(|known| is_same_process(known))
+            .filter(|known| known.is_process_of(&entry))
         {
             let is_change = known.entry != entry || known.gone_at.is_some();
-            known.cold.set_remaining(entry.cold_left_ms, now);
-            let is_leaving = is_draining || known.has_stated_leaving;
-            known.leaving_at = is_leaving.then(|| known.leaving_at.unwrap_or(now));
-            known.gone_at = None;
-            known.entry = entry;
+            known.update(entry, now);
             return is_change;
         }
-        let before = self.by_id.get(&entry.id);
-        let mut cold = before.map_or_else(ColdGate::default, |before| before.cold);
-        cold.set_remaining_of_other_process(entry.cold_left_ms, now);
-        // An entry without a cold time does not end what is assumed; a check may.
-        let mut checks = HealthChecks::default();
-        let was_suspected = before.is_some_and(|before| before.checks.is_suspected());
-        if was_suspected && entry.cold_left_ms == 0 {
-            checks.suspect(now);
-        }
-        let upstream = Upstream {
-            hash: short_hash(&entry.id),
-            region: Arc::clone(region),
-            leaving_at: is_draining.then_some(now),
-            has_stated_leaving: false,
-            gone_at: None,
-            own: Load::default(),
-            prefill_rate: MeanRate::default(),
-            peer_loads: HashMap::new(),
-            health: Health::default(),
-            cache: PrefixCache::new(kv_cache_tokens),
-            cold,
-            checks,
-            limit: RateGate::default(),
-            brittle: BrittleGate::default(),
-            brittle_share: Cell::new(None),
-            prefill_tokens_per_ms: DEFAULT_PREFILL_TOKENS_PER_MS,
-            entry,
+        let id = Arc::clone(&entry.id);
+        let upstream = match self.retained.take(&entry) {
+            Some(mut returned) => {
+                returned.update(entry, now);
+                returned
+            }
+            None => self.new_process(entry, region, kv_cache_tokens, now),
         };
-        self.by_id.insert(Arc::clone(&upstream.entry.id), upstream);
+        if let Some(replaced) = self.by_id.insert(id, upstream) {
+            self.retained.keep(replaced, now);
+        }
         true
     }
 
+    /// Upstream whose process is not known. Its entry may be that of an earlier process, so it does not end
+    /// what the known one is assumed to be.
+    fn new_process(
+        &self,
+        entry: UpstreamEntry,
+        region: &Arc<str>,
+        kv_cache_tokens: u64,
+        now: Millis,
+    ) -> Upstream {
+        let cold_left_ms = entry.cold_left_ms;
+        let before = self.by_id.get(&entry.id);
+        let mut upstream = Upstream::new(entry, region, kv_cache_tokens, now);
+        if let Some(before) = before {
+            upstream.cold = before.cold;
+            if before.checks.is_suspected() && cold_left_ms == 0 {
+                upstream.checks.suspect(now);
+            }
+        }
+        upstream
+            .cold
+            .set_remaining_of_other_process(cold_left_ms, now);
+        upstream
+    }
+
     /// Records that the entry of `id` was removed. After an outage of the store the upstream stays
     /// usable for a short time, in which the entry may reappear.
     pub fn entry_removed(&mut self, id: &str, is_after_outage: bool, now: Millis) {
@@ -244,17 +301,18 @@
         if is_after_outage && upstream.leaving_at.is_none() {
             upstream.gone_at.get_or_insert(now.plus(REAPPEAR_GRACE_MS));
         } else {
-            upstream.leaving_at.get_or_insert(now);
+            upstream.leave(now);
             upstream.gone_at = Some(now);
         }
     }
 
     /// Removes upstreams that are gone and have no requests of this instance in flight. Returns
-    /// their identifiers.
+    /// their identifiers. What is known of their processes is kept for a while, since an entry may go
+    /// although its process lives.
     pub fn sweep(&mut self, now: Millis) -> Vec<Arc<str>> {
         for upstream in self.by_id.values_mut() {
             if upstream.gone_at.is_some_and(|at| now >= at) {
-                upstream.leaving_at.get_or_insert(now);
+                upstream.leave(now);
             }
             upstream
                 .peer_loads
@@ -270,8 +328,16 @@
             .map(|upstream| Arc::clone(&upstream.entry.id))
             .collect();
         for id in &removed {
-            self.by_id.remove(id);
+            if let Some(upstream) = self.by_id.remove(id) {
+                self.retained.keep(upstream, now);
+            }
         }
+        self.retained.expire(now);
         removed
     }
+
+    /// Number of processes without an entry that are remembered.
+    pub fn retained_count(&self) -> usize {
+        self.retained.len()
+    }
 }
--- a/crates/gateway/tests/platform_leaving.rs
+++ b/crates/gateway/tests/platform_leaving.rs
@@ -5,7 +5,8 @@
 mod platform_support;
 
 use platform_support::{
-    start_region, wait_until, ConfigBuilder, Engine, Instance, RawEnd, Script, Store,
+    start_region, wait_until, ConfigBuilder, Engine, Instance, InstanceOptions, RawEnd, Script,
+    Store,
 };
 use std::{
     thread,
@@ -211,3 +212,60 @@
         send_for(&instances[0], "/read/x", INTERVAL) == [200]
     });
 }
+
+/// Sends actions to an instance whose region has one upstream, which leaves, loses its entry
+/// and registers again in `state`. Returns the number of requests that reached it too late.
+fn late_after_return(states_leaving: bool, state: &str) -> usize {
+    let store = Store::start();
+    store.publish(&ConfigBuilder::new(1));
+    let (leaving, other) = (Engine::start("i-1"), Engine::start("i-2"));
+    leaving.register(&store, "registry", "north-a", "ready");
+    other.register(&store, "registry", "south-a", "ready");
+    let address = store.address;
+    let start = |name, region| {
+        Instance::start_ready(&InstanceOptions {
+            name,
+            region,
+            store: address,
+        })
+    };
+    let (north, south) = (start("north-1", "north"), start("south-1", "south"));
+    for instance in [&north, &south] {
+        wait_until("the instances hear each other", || {
+            instance
+                .metrics_text()
+                .contains("carobwheel_instances_heard 2\n")
+        });
+    }
+    send_for(&north, "/read/x", 4 * INTERVAL);
+    assert!(!leaving.seen().is_empty());
+    if states_leaving {
+        leaving.state_leaving(Some("1"));
+    } else {
+        leaving.register(&store, "registry", "north-a", "draining");
+    }
+    let left_at = Instant::now() + 2 * INTERVAL;
+    send_for(&north, "/read/x", DRAIN);
+    store.remove("servers/i-1");
+    send_for(&north, "/read/x", 10 * INTERVAL);
+    wait_until("the upstream is forgotten", || {
+        !north.logged("upstream_forgotten").is_empty()
+    });
+    leaving.register(&store, "registry", "north-a", state);
+    let statuses = send_for(&north, "/read/x", 20 * INTERVAL);
+    assert!(other.seen().len() > 10, "nothing runs elsewhere");
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    late(&leaving, left_at)
+}
+
+/// Guards against requests at an upstream that had been leaving for long, when its entry had gone and come
+/// back: it was taken for one that had just begun to leave, or for one that stays.
+#[test_case(false, "draining"; "that its entry says it drains")]
+#[test_case(true, "ready"; "that it has said so itself")]
+#[test_case(true, "draining"; "that it has said so itself and its entry says it drains")]
+fn an_upstream_that_leaves_gets_no_requests_when_its_entry_comes_back(
+    states_leaving: bool,
+    state: &str,
+) {
+    assert_eq!(late_after_return(states_leaving, state), 0);
+}
