Upstreams: one that is first seen draining gets no requests

Callers saw: requests at an engine later than drainMs after its report, if the instance had started since, and the engine was the only one of its service in the region. The entry does not say since when. Change: the last resort needs that the change was seen.

--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -70,7 +70,8 @@
     pub region: Arc<str>,
     /// Time at which it was first seen as draining or gone.
     pub leaving_at: Option<Millis>,
-    /// End of the time for which it may get requests while it leaves if there is no other.
+    /// End of the time for which it may get requests while it leaves if there is no other; `None` if it is
+    /// not known since when it leaves.
     last_resort_until: Option<Millis>,
     /// Whether it has stated in a response that it is leaving; holds for the life of its process,
     /// whatever its entry says.
@@ -109,7 +110,7 @@
             hash: short_hash(&entry.id),
             region: Arc::clone(region),
             leaving_at: (entry.stage == Stage::Draining).then_some(now),
-            last_resort_until: Some(now.plus(DRAINING_USE_MS)),
+            last_resort_until: None,
             has_stated_leaving: false,
             gone_at: None,
             own: Load::default(),
--- a/crates/edge/tests/upstream_return.rs
+++ b/crates/edge/tests/upstream_return.rs
@@ -68,6 +68,16 @@
     assert_eq!(table.upstream().leaving_at, Some(Millis(1_000)));
 }
 
+/// Guards against requests at an upstream that drains for an unknown time, since this instance has started
+/// after its report.
+#[test]
+fn an_upstream_that_is_first_seen_draining_gets_no_requests() {
+    let mut table = Table(Upstreams::default());
+    table.update(entry(Stage::Draining), 10);
+    assert!(!table.upstream().accepts_requests(false, Millis(10)));
+    assert!(!table.upstream().accepts_requests(true, Millis(10)));
+}
+
 /// Part of a prompt that the upstream has cached.
 const PART: PromptPart = PromptPart { id: 7, tokens: 40 };
 
--- a/crates/gateway/tests/platform_leaving.rs
+++ b/crates/gateway/tests/platform_leaving.rs
@@ -269,3 +269,20 @@
 ) {
     assert_eq!(late_after_return(states_leaving, state), 0);
 }
+
+/// Guards against requests at an upstream that had been draining for long when this instance started.
+#[test]
+fn an_instance_that_starts_sends_nothing_to_an_upstream_that_drains() {
+    let store = Store::start();
+    store.publish(&ConfigBuilder::new(1));
+    let (draining, other) = (Engine::start("i-1"), Engine::start("i-2"));
+    draining.register(&store, "registry", "north-a", "draining");
+    other.register(&store, "registry", "south-a", "ready");
+    let north = Instance::start_ready(&InstanceOptions {
+        name: "north-1",
+        region: "north",
+        store: store.address,
+    });
+    send_for(&north, "/read/x", 10 * INTERVAL);
+    assert!(draining.seen().is_empty());
+}
