--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod load_guard;
 mod pool;
 mod send;
+mod upstream_stream;
 
 pub(crate) use connect::is_accepting;
 pub use connect::set_liveness;
