Answers: a status out of range is a failure

Callers saw: answers with the status 101 or 600 to 999, with the upstream's seal. Cause: every status that the HTTP library reads counted as a final one. 000 to 099, four digits and text were failures already: the library does not read them. Change: only 200 to 599 are answers (core::status), also in what another instance passes on: builds of before still pass on the others. Measured: an_answer_whose_status_is_out_of_range_is_a_failure (12 statuses; actions, repeatable requests, streams, forwarded or not, kept and new connections) failed at 101 in all five cases, passes now.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod rollout;
 pub mod route;
 pub mod slot;
+pub mod status;
 pub mod time;
 pub mod upstream_limit;
 pub mod usage;
--- a/crates/edge/src/pipeline/forward.rs
+++ b/crates/edge/src/pipeline/forward.rs
@@ -10,7 +10,7 @@
     relay::AnswerBody,
 };
 use bytes::Bytes;
-use carobwheel_core::memory::Use;
+use carobwheel_core::{memory::Use, status::is_final};
 use http_body_util::Full;
 use hyper::{header::HeaderValue, Request, Response, StatusCode};
 use std::{rc::Rc, sync::Arc, time::Duration};
@@ -176,6 +176,11 @@
     if head.headers.contains_key(REFUSED_HEADER) {
         return Err(refusal_of(&head));
     }
+    if !is_final(head.status.as_u16()) {
+        // Builds of before pass on whatever the upstream has answered.
+        log_failure(node, ctx, &remote.member, "the status is out of range");
+        return Err(Refusal::may_have_run("another region failed"));
+    }
     let deadline = Box::pin(sleep(Duration::from_millis(ctx.left_ms(node))));
     let mut answer = Response::new(AnswerBody::Passthrough(body, deadline));
     *answer.status_mut() = head.status;
--- a/crates/edge/src/pipeline/head_check.rs
+++ b/crates/edge/src/pipeline/head_check.rs
@@ -9,6 +9,7 @@
 };
 use carobwheel_core::{
     brittle::{parse_max_rejections, Brittleness, InvalidMaxRejections},
+    status::is_final,
     upstream_limit::{parse_rate, InvalidRate, News},
 };
 use hyper::{HeaderMap, StatusCode};
@@ -40,6 +41,10 @@
     let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     let is_refusal = is_misdirected || headers.contains_key(&names.not_run);
     let is_sealed = headers.contains_key(&names.seal);
+    if !is_final(status.as_u16()) {
+        node.note_outcome(sent, Outcome::Failed);
+        return HeadCheck::Invalid("the status is out of range");
+    }
     if let Err(reason) = check_identity(node, ctx, reply, is_sealed) {
         node.note_outcome(sent, Outcome::Failed);
         return HeadCheck::Invalid(reason);
--- a/crates/gateway/tests/platform_early_answers.rs
+++ b/crates/gateway/tests/platform_early_answers.rs
@@ -1,4 +1,5 @@
-//! Answers that begin, and end, before the upstream has read the request.
+//! Answers that begin, and end, before the upstream has read the request, and answers with a status that is
+//! none.
 
 #![allow(clippy::unwrap_used)]
 
@@ -307,3 +308,44 @@
         }
     }
 }
+
+/// Guards against a status that is none and reaches the caller as an answer.
+#[test_case("/write/", false; "an action")]
+#[test_case("/write/", true; "a forwarded action")]
+#[test_case("/read/", false; "a request that may be repeated")]
+#[test_case("/chat/", false; "a stream")]
+#[test_case("/chat/", true; "a forwarded stream")]
+fn an_answer_whose_status_is_out_of_range_is_a_failure(path: &str, is_forwarded: bool) {
+    let fixture = Fixture::start(path, is_forwarded);
+    let statuses = [
+        "000 X", "001 X", "099 X", "101 X", "199 X", "600 X", "777 X", "999 X", "1000 X", "20 X",
+        "-20 X", "2x0 X",
+    ];
+    for (number, status) in statuses.into_iter().enumerate() {
+        let script = Script {
+            status,
+            read_bytes: 8,
+            ..script(path, 21, 0, End::Exit)
+        };
+        let before = fixture.upstream.large.load(Ordering::SeqCst);
+        let mut answer = None;
+        wait_until("the request reaches the upstream", || {
+            *fixture.upstream.script.lock().unwrap() = Some(script.clone());
+            let mut caller = fixture.near.caller();
+            let id = format!("a-{number}");
+            caller.send(
+                "POST",
+                &format!("{path}x"),
+                &id,
+                "",
+                &format!("{number:08}"),
+            );
+            answer = Some(caller.answer());
+            fixture.upstream.large.load(Ordering::SeqCst) > before
+        });
+        let answer = answer.unwrap();
+        assert!(matches!(answer.status, 502 | 504), "{status}: {answer:?}");
+        let seal = answer.header("x-carobwheel-server-seal");
+        assert!(seal.is_none(), "{status}: {answer:?}");
+    }
+}
