serve: a status out of range is a failure

Callers saw: answers with the status 600 to 999 (600 and 999 in the test, before). 000, 099, 101 and four digits were failures already. Cause: as on the platform's path, every status that the HTTP library reads counted as a final one. Change: only 200 to 599 are answers (core::status), also in what another instance passes on. Measured: an_answer_whose_status_is_out_of_range_is_a_failure of promise_framing failed in 2 of 6 cases before, passes now.

--- a/crates/gateway/src/dispatch/exchange.rs
+++ b/crates/gateway/src/dispatch/exchange.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use carobwheel_core::{
     memory::{Owner, Use},
+    status::is_final,
     time::Clock,
 };
 use reqwest::Response;
@@ -56,9 +57,15 @@
             return;
         }
     };
+    let status = response.status().as_u16();
+    if !is_final(status) {
+        let error = ExchangeError::Broken(format!("the status {status} is out of range"));
+        let _ = call.reply.send(Err(error));
+        return;
+    }
     let (sender, chunks) = mpsc::channel(CHUNK_QUEUE_LENGTH);
     let head = AnswerHead {
-        status: response.status().as_u16(),
+        status,
         headers: response.headers().clone(),
         chunks,
     };
--- a/crates/gateway/src/intake/forward.rs
+++ b/crates/gateway/src/intake/forward.rs
@@ -19,6 +19,7 @@
     id::{AccountId, KeyId, RequestId},
     identity::{Caller, Credential},
     route::Hops,
+    status::is_final,
 };
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
@@ -174,7 +175,9 @@
     running: InFlightGuard,
     buffering: Buffering<'_>,
 ) -> Result<Answer, Refusal> {
-    let Ok(head) = postcard::from_bytes::<ForwardedAnswerHead>(&answer.head) else {
+    let head = postcard::from_bytes::<ForwardedAnswerHead>(&answer.head);
+    // Builds of before pass on whatever status an upstream has sent.
+    let Some(head) = head.ok().filter(|head| is_final(head.status)) else {
         let message = "the other instance sent a malformed answer";
         return Err(Refusal::may_have_run(Cause::UpstreamFailed, message));
     };
--- a/crates/gateway/tests/promise_framing.rs
+++ b/crates/gateway/tests/promise_framing.rs
@@ -7,7 +7,7 @@
 
 use std::{
     io::{Read as _, Write as _},
-    net::TcpListener,
+    net::{Shutdown, TcpListener, TcpStream},
     sync::{
         atomic::{AtomicUsize, Ordering},
         Arc,
@@ -15,7 +15,7 @@
     thread,
     time::{Duration, Instant},
 };
-use support::{eventually, Caller, Fleet, FleetOptions, CONDITION_TIMEOUT};
+use support::{eventually, send, Caller, Fleet, FleetOptions, CONDITION_TIMEOUT};
 use test_case::test_case;
 
 /// Deadline of all requests, in milliseconds.
@@ -35,6 +35,18 @@
 
 impl RawUpstream {
     fn start(start: &'static str, unit: &'static str, pause_ms: u64) -> Self {
+        let serve = move |mut stream: TcpStream| {
+            let _ = stream.write_all(start.as_bytes());
+            while !unit.is_empty() && stream.write_all(unit.as_bytes()).is_ok() {
+                thread::sleep(Duration::from_millis(pause_ms));
+            }
+        };
+        Self::start_with(serve)
+    }
+
+    /// Upstream that answers each request as `serve` does, and then resets its connection if it has not read
+    /// all of the request.
+    fn start_with(serve: impl Fn(TcpStream) + Clone + Send + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let url = format!("http://{}", listener.local_addr().unwrap());
         let (requests, closed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
@@ -46,15 +58,13 @@
         thread::spawn(move || {
             for mut stream in listener.incoming().flatten() {
                 let (requests, closed) = (Arc::clone(&requests), Arc::clone(&closed));
+                let serve = serve.clone();
                 thread::spawn(move || {
                     if !matches!(stream.read(&mut [0; 65_536]), Ok(1..)) {
                         return;
                     }
                     requests.fetch_add(1, Ordering::SeqCst);
-                    let _ = stream.write_all(start.as_bytes());
-                    while !unit.is_empty() && stream.write_all(unit.as_bytes()).is_ok() {
-                        thread::sleep(Duration::from_millis(pause_ms));
-                    }
+                    serve(stream);
                     closed.fetch_add(1, Ordering::SeqCst);
                 });
             }
@@ -173,3 +183,74 @@
     assert_eq!(reply.status, 200);
     assert_eq!(reply.body.as_deref(), Ok("{\"whole\":true}"));
 }
+
+/// Guards against a status that is none and reaches the caller as an answer.
+#[test_case("000"; "zero")]
+#[test_case("099"; "below the range")]
+#[test_case("101"; "switches protocols unasked")]
+#[test_case("600"; "above the range")]
+#[test_case("999"; "far above the range")]
+#[test_case("1000"; "four digits")]
+#[tokio::test]
+async fn an_answer_whose_status_is_out_of_range_is_a_failure(status: &'static str) {
+    let body = "content-type: application/json\r\ncontent-length: 2\r\n\r\n{}";
+    let answer = format!("HTTP/1.1 {status} X\r\n{body}");
+    let upstream = RawUpstream::start(answer.leak(), "", 0);
+    let fleet = fleet(&upstream).await;
+    let url = &fleet.instance("north").url;
+    let caller = Caller::of("north-office");
+    for number in 0..4 {
+        let reply = if number % 2 == 0 {
+            caller.confirm(url, &format!("status-{number}")).await
+        } else {
+            caller.chat(url, "status", number == 3).await
+        };
+        let reply = reply.unwrap();
+        assert!(matches!(reply.status, 409 | 502 | 503), "{reply:?}");
+    }
+}
+
+/// Size of an upload that does not fit into the buffers of a connection, in bytes.
+const UPLOAD_BYTES: usize = 3 * 1024 * 1024;
+
+/// Sends uploads to the upstream and asserts that none is answered with a success.
+async fn assert_uploads_fail(upstream: &RawUpstream) {
+    let fleet = fleet(upstream).await;
+    let url = &fleet.instance("north").url;
+    let caller = Caller::of("north-office");
+    let mut sent = 0;
+    for number in 0..12 {
+        let before = upstream.requests.load(Ordering::SeqCst);
+        let request = caller.request("POST", &format!("{url}/ledger/confirmations"));
+        let request = request.header("idempotency-key", format!("upload-{number}"));
+        let reply = send(request.body("u".repeat(UPLOAD_BYTES))).await;
+        sent += upstream.requests.load(Ordering::SeqCst) - before;
+        // The instance may answer, and close the connection, before it has read all of the upload.
+        if let Ok(reply) = reply {
+            assert!(reply.is_failure(), "{reply:?}");
+        }
+    }
+    assert!(sent > 0, "no upload has reached the upstream");
+}
+
+/// Guards against a part of an answer that counts as the whole one, since the connection broke while the
+/// request was still being written.
+#[test_case("HTTP/1.1 200 X\r\n\r\npart"; "no media type")]
+#[test_case("HTTP/1.1 200 X\r\ncontent-type: application/json\r\n\r\n{}"; "JSON")]
+#[test_case("HTTP/1.1 200 X\r\ncontent-type: text/event-stream\r\n\r\ndata: {}\n\n"; "events")]
+#[tokio::test]
+async fn an_answer_that_is_reset_during_the_upload_is_never_complete(start: &'static str) {
+    assert_uploads_fail(&RawUpstream::start(start, "", 0)).await;
+}
+
+/// Guards against the same if the upstream ends its side before it resets the connection.
+#[tokio::test]
+async fn an_answer_that_ends_and_is_reset_during_the_upload_is_never_complete() {
+    let upstream = RawUpstream::start_with(|mut stream| {
+        let answer = "HTTP/1.1 200 X\r\ncontent-type: application/json\r\n\r\n{}";
+        let _ = stream.write_all(answer.as_bytes());
+        let _ = stream.shutdown(Shutdown::Write);
+        thread::sleep(Duration::from_millis(20));
+    });
+    assert_uploads_fail(&upstream).await;
+}
