--- a/crates/gateway/tests/platform_early_answers.rs
+++ b/crates/gateway/tests/platform_early_answers.rs
@@ -34,11 +34,11 @@
     /// It exits, so that its kernel resets the connection for the bytes that it has not read.
     Exit,
     /// It ends its side, and resets the connection afterwards.
-    EndThenReset,
+    CloseThenReset,
     /// It ends its side, and reads the request to its end.
-    EndThenRead,
+    CloseThenRead,
     /// It reads the request to its end, and then ends the answer.
-    ReadThenEnd,
+    ReadThenClose,
 }
 
 /// Answer to a large request.
@@ -128,7 +128,7 @@
     let text = format!("HTTP/1.1 {status}\r\n{fields}\r\n{body}");
     // The caller may have closed the connection.
     let _ = stream.write_all(text.as_bytes());
-    if script.end == End::ReadThenEnd {
+    if script.end == End::ReadThenClose {
         read(stream, length - script.read_bytes);
     }
     thread::sleep(script.pause);
@@ -138,11 +138,11 @@
             socket.set_linger(Some(Duration::ZERO)).unwrap();
         }
         End::Exit => {}
-        End::EndThenReset => {
+        End::CloseThenReset => {
             let _ = stream.shutdown(Shutdown::Write);
             thread::sleep(Duration::from_millis(20));
         }
-        End::EndThenRead | End::ReadThenEnd => {
+        End::CloseThenRead | End::ReadThenClose => {
             let _ = stream.shutdown(Shutdown::Write);
             read(stream, length);
         }
@@ -270,7 +270,7 @@
     let pauses_ms: &[u64] = if path == "/chat/" { &[5] } else { &[0, 5, 50] };
     let mut number = 0;
     let mut complete = Vec::new();
-    for end in [End::Reset, End::Exit, End::EndThenReset] {
+    for end in [End::Reset, End::Exit, End::CloseThenReset] {
         for body_bytes in [21, 300_000] {
             for pause_ms in pauses_ms {
                 number += 1;
@@ -294,7 +294,7 @@
 fn an_answer_without_a_length_is_whole_if_the_request_is_read(path: &str, is_forwarded: bool) {
     let fixture = Fixture::start(path, is_forwarded);
     let mut number = 0;
-    for end in [End::EndThenRead, End::ReadThenEnd] {
+    for end in [End::CloseThenRead, End::ReadThenClose] {
         for body_bytes in [21, 300_000] {
             number += 1;
             let script = script(path, body_bytes, 5, end);
