Members: the entry of an earlier process does not replace one that is heard

Callers would see: forwarded answers cut when a store comes back from a copy that holds an instance's entry from before its restart. Cause: update_entry took every other entry of a name for a new process: the state of the running one was dropped and its links were closed, for an earlier lifetime as well as for another entry of the same one. Change: the entry of an earlier lifetime waits while the later process is heard (a clock may have gone back, so it is not dropped); another entry of the same lifetime keeps what is known. Measured: two tests of member_heartbeats failed before (without the lines on waiting entries, which the code before has not), pass now.

--- a/crates/edge/src/member/mod.rs
+++ b/crates/edge/src/member/mod.rs
@@ -58,6 +58,8 @@
     has_heard: bool,
     /// Names by the keys of heartbeats.
     by_key: HashMap<u32, Arc<str>>,
+    /// Entries of earlier lifetimes of processes that are heard, by name.
+    deferred: HashMap<Arc<str>, MemberEntry>,
     /// Time of the last sums from a delegate; `None` if this instance is a delegate itself.
     last_digest_at: Option<Millis>,
     /// Time at which an instance last became ready or ceased to be, or told of other services that it does
@@ -68,12 +70,20 @@
 }
 
 impl Members {
-    /// Adds or updates an entry. Returns true for a new instance or a new lifetime of a known one.
+    /// Adds or updates an entry. Returns true for a new instance or a new lifetime of a known one. The entry
+    /// of an earlier lifetime than that of a process which is heard waits until it is heard no more: a store
+    /// that was restored from a copy holds such entries.
     pub fn update_entry(&mut self, entry: MemberEntry, now: Millis) -> bool {
+        self.deferred.remove(&entry.name);
         if let Some(known) = self.by_name.get_mut(&entry.name) {
+            if entry.life < known.entry.life && known.has_message_within(LISTED_TIMEOUT_MS, now) {
+                self.deferred.insert(Arc::clone(&entry.name), entry);
+                return false;
+            }
             known.has_entry = true;
             known.entry_at = now;
-            if known.entry == entry {
+            if known.entry.life == entry.life {
+                known.entry = entry;
                 return false;
             }
         }
@@ -108,8 +118,20 @@
         true
     }
 
+    /// Removes and returns the entries that have waited for processes which are heard no more.
+    pub fn due_entries(&mut self, now: Millis) -> Vec<MemberEntry> {
+        let by_name = &self.by_name;
+        let is_due = |name: &Arc<str>, _: &mut MemberEntry| {
+            let known = by_name.get(name);
+            known.is_none_or(|known| !known.has_message_within(LISTED_TIMEOUT_MS, now))
+        };
+        let due = self.deferred.extract_if(is_due);
+        due.map(|(_, entry)| entry).collect()
+    }
+
     /// Records that the entry of `name` was removed.
     pub fn entry_removed(&mut self, name: &str) {
+        self.deferred.remove(name);
         if let Some(member) = self.by_name.get_mut(name) {
             member.has_entry = false;
         }
--- a/crates/edge/src/node/apply.rs
+++ b/crates/edge/src/node/apply.rs
@@ -283,7 +283,7 @@
     }
 
     /// Adds or updates another instance. A link to an earlier process of it ends.
-    fn apply_member(&self, entry: MemberEntry) {
+    pub(super) fn apply_member(&self, entry: MemberEntry) {
         if entry.name == self.name {
             return;
         }
--- a/crates/edge/src/node/tick.rs
+++ b/crates/edge/src/node/tick.rs
@@ -11,6 +11,10 @@
     /// Removes expired upstreams and members, updates what is watched and advances rollouts.
     pub fn tick(&self) {
         let now = self.now();
+        let due_entries = self.state.borrow_mut().members.due_entries(now);
+        for entry in due_entries {
+            self.apply_member(entry);
+        }
         let (upstreams, members) = {
             let mut state = self.state.borrow_mut();
             let members = state
--- a/crates/edge/tests/member_heartbeats.rs
+++ b/crates/edge/tests/member_heartbeats.rs
@@ -122,6 +122,45 @@
     assert!(members.record_heartbeat(of_new, &reaching_all(), Millis(200)));
 }
 
+/// Guards against a restored store whose copy has the entry of an earlier process: the running one was
+/// forgotten, and its links were closed with the answers under way on them.
+#[test]
+fn an_entry_of_an_earlier_process_waits_while_the_later_one_is_heard() {
+    let mut members = Members::default();
+    let restarted = MemberEntry {
+        life: 2,
+        ..entry("a")
+    };
+    assert!(members.update_entry(restarted.clone(), Millis(0)));
+    assert!(members.record_message("a", 2, true, Millis(1_000)));
+    assert!(!members.update_entry(entry("a"), Millis(1_100)));
+    assert_eq!(members.by_name["a"].entry.life, 2);
+    assert!(members.due_entries(Millis(3_000)).is_empty());
+    // The clock of the machine may have gone back: then the process that is heard no more was the earlier one.
+    assert_eq!(members.due_entries(Millis(3_300)), [entry("a")]);
+    assert!(members.due_entries(Millis(3_300)).is_empty());
+    // Another entry takes the place of one that waits.
+    assert!(members.record_message("a", 2, true, Millis(3_400)));
+    assert!(!members.update_entry(entry("a"), Millis(3_500)));
+    assert!(!members.update_entry(restarted, Millis(3_600)));
+    assert!(members.due_entries(Millis(60_000)).is_empty());
+}
+
+/// Guards against an instance that counts as a new one since its entry says something else: what it has sent
+/// was forgotten.
+#[test]
+fn another_entry_of_the_same_process_keeps_what_is_known_of_it() {
+    let mut members = members();
+    hear(&mut members, "a", 1_000);
+    let larger = MemberEntry {
+        processor_millicores: 500,
+        ..entry("a")
+    };
+    assert!(!members.update_entry(larger, Millis(1_100)));
+    assert_eq!(listed(&members, 1_200), ["a"]);
+    assert_eq!(members.by_name["a"].entry.processor_millicores, 500);
+}
+
 /// Without a delegate nobody can be told from the dead, so nobody is taken off the list at once.
 #[test]
 fn ages_stand_still_while_no_delegate_is_heard() {
