Upstreams: a process that comes back stays cold with the one that it replaces

Change: a process that takes the place of another is cold for as long as either of them, known before or not.

--- a/crates/edge/src/cold/mod.rs
+++ b/crates/edge/src/cold/mod.rs
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Adds what is known of another process of the upstream: it is cold for as long as either of them.
+    pub fn join(&mut self, other: Self) {
+        self.stated_until = self.stated_until.max(other.stated_until);
+        self.assumed_until = self.assumed_until.max(other.assumed_until);
+        self.next_at = self.next_at.max(other.next_at);
+    }
+
     /// Assumes that the upstream is cold for at least another `remaining_ms` milliseconds. Returns
     /// whether it counted as warm before.
     pub fn assume(&mut self, remaining_ms: u64, now: Millis) -> bool {
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -106,6 +106,8 @@
 impl Upstream {
     /// Upstream whose entry was read for the first time.
     fn new(entry: UpstreamEntry, region: &Arc<str>, kv_cache_tokens: u64, now: Millis) -> Self {
+        let mut cold = ColdGate::default();
+        cold.set_remaining(entry.cold_left_ms, now);
         Self {
             hash: short_hash(&entry.id),
             region: Arc::clone(region),
@@ -118,7 +120,7 @@
             peer_loads: HashMap::new(),
             health: Health::default(),
             cache: PrefixCache::new(kv_cache_tokens),
-            cold: ColdGate::default(),
+            cold,
             checks: HealthChecks::default(),
             limit: RateGate::default(),
             brittle: BrittleGate::default(),
@@ -147,6 +149,16 @@
         self.entry = entry;
     }
 
+    /// Takes the place of another process, by an entry with this cold time. The entry may be that of an earlier
+    /// process, so it does not end what the known one is assumed to be.
+    fn follow(&mut self, before: &Self, cold_left_ms: u64, now: Millis) {
+        self.cold.join(before.cold);
+        self.cold.set_remaining_of_other_process(cold_left_ms, now);
+        if before.checks.is_suspected() && cold_left_ms == 0 {
+            self.checks.suspect(now);
+        }
+    }
+
     /// Records that it is leaving, unless that is known.
     fn leave(&mut self, now: Millis) {
         if self.leaving_at.is_none() {
@@ -255,44 +267,23 @@
             known.update(entry, now);
             return is_change;
         }
-        let id = Arc::clone(&entry.id);
-        let upstream = match self.retained.take(&entry) {
+        let (id, cold_left_ms) = (Arc::clone(&entry.id), entry.cold_left_ms);
+        let mut upstream = match self.retained.take(&entry) {
             Some(mut returned) => {
                 returned.update(entry, now);
                 returned
             }
-            None => self.new_process(entry, region, kv_cache_tokens, now),
+            None => Upstream::new(entry, region, kv_cache_tokens, now),
         };
+        if let Some(before) = self.by_id.get(&id) {
+            upstream.follow(before, cold_left_ms, now);
+        }
         if let Some(replaced) = self.by_id.insert(id, upstream) {
             self.retained.keep(replaced, now);
         }
         true
     }
 
-    /// Upstream whose process is not known. Its entry may be that of an earlier process, so it does not end
-    /// what the known one is assumed to be.
-    fn new_process(
-        &self,
-        entry: UpstreamEntry,
-        region: &Arc<str>,
-        kv_cache_tokens: u64,
-        now: Millis,
-    ) -> Upstream {
-        let cold_left_ms = entry.cold_left_ms;
-        let before = self.by_id.get(&entry.id);
-        let mut upstream = Upstream::new(entry, region, kv_cache_tokens, now);
-        if let Some(before) = before {
-            upstream.cold = before.cold;
-            if before.checks.is_suspected() && cold_left_ms == 0 {
-                upstream.checks.suspect(now);
-            }
-        }
-        upstream
-            .cold
-            .set_remaining_of_other_process(cold_left_ms, now);
-        upstream
-    }
-
     /// Records that the entry of `id` was removed. After an outage of the store the upstream stays
     /// usable for a short time, in which the entry may reappear.
     pub fn entry_removed(&mut self, id: &str, is_after_outage: bool, now: Millis) {
