Upstreams: a process that has reported draining does not become ready again

Callers would see: actions lost with a draining engine whose entry a restored store gives back as ready, until the engine has written it again. Cause: an entry of the same process that says ready ended the time since which it is leaving. A process that has reported draining ends; only another one becomes ready. Change: the report holds for the life of the process, if entries tell when it was started. Measured: an_upstream_that_has_reported_draining_does_not_become_ready failed before for a known process, passes now; for processes that cannot be told apart it is as before.

--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -76,6 +76,9 @@
     /// Whether it has stated in a response that it is leaving; holds for the life of its process,
     /// whatever its entry says.
     pub has_stated_leaving: bool,
+    /// Whether an entry has reported that it is draining; holds for the life of its process, if the entries
+    /// tell one process from the next: a restored store may hold an earlier entry.
+    has_reported_draining: bool,
     /// Time from which it counts as gone; set while its entry is missing.
     pub gone_at: Option<Millis>,
     /// Load by requests of this instance, without the prefill rate.
@@ -114,6 +117,7 @@
             leaving_at: (entry.stage == Stage::Draining).then_some(now),
             last_resort_until: None,
             has_stated_leaving: false,
+            has_reported_draining: entry.stage == Stage::Draining,
             gone_at: None,
             own: Load::default(),
             prefill_rate: MeanRate::default(),
@@ -140,7 +144,10 @@
     /// Applies a further entry of the same process.
     fn update(&mut self, entry: UpstreamEntry, now: Millis) {
         self.cold.set_remaining(entry.cold_left_ms, now);
-        if entry.stage == Stage::Draining || self.has_stated_leaving {
+        let is_draining = entry.stage == Stage::Draining;
+        self.has_reported_draining |= is_draining;
+        let has_drained = self.has_reported_draining && entry.started_unix_ms.is_some();
+        if is_draining || has_drained || self.has_stated_leaving {
             self.leave(now);
         } else {
             self.leaving_at = None;
--- a/crates/edge/tests/upstream_return.rs
+++ b/crates/edge/tests/upstream_return.rs
@@ -68,6 +68,30 @@
     assert_eq!(table.upstream().leaving_at, Some(Millis(1_000)));
 }
 
+/// Guards against requests at a draining upstream whose entry says once more that it is ready, as one in a
+/// restored store does until the upstream has written it again.
+#[test_case(Some(STARTED_UNIX_MS), false; "of a known process")]
+#[test_case(None, true; "of processes that cannot be told apart")]
+fn an_upstream_that_has_reported_draining_does_not_become_ready(
+    started_unix_ms: Option<u64>,
+    is_usable: bool,
+) {
+    let mut table = Table(Upstreams::default());
+    let entry = |stage| UpstreamEntry {
+        started_unix_ms,
+        ..entry(stage)
+    };
+    table.update(entry(Stage::Ready), 0);
+    table.update(entry(Stage::Draining), 1_000);
+    table.update(entry(Stage::Ready), 8_000);
+    assert_eq!(
+        table.upstream().accepts_requests(false, Millis(8_000)),
+        is_usable
+    );
+    table.update(entry(Stage::Draining), 9_000);
+    assert!(!table.upstream().accepts_requests(false, Millis(9_000)));
+}
+
 /// Guards against requests at an upstream that drains for an unknown time, since this instance has started
 /// after its report.
 #[test]
