--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -4,7 +4,9 @@
 mod load;
 mod retained;
 mod state;
+mod table;
 
 pub use health::{Health, Outcome};
 pub use load::Load;
-pub use state::{Stage, Upstream, UpstreamEntry, Upstreams};
+pub use state::{Stage, Upstream, UpstreamEntry};
+pub use table::Upstreams;
--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -1,6 +1,6 @@
-//! Table of upstreams, and the rules for when one takes requests.
+//! State of one upstream, and the rules for when it takes requests.
 
-use super::{retained::Retained, Health, Load};
+use super::{Health, Load};
 use crate::{
     cold::{ColdGate, HealthChecks},
     hash::short_hash,
@@ -14,12 +14,10 @@
 };
 use std::{cell::Cell, collections::HashMap, net::SocketAddr, sync::Arc};
 
-/// Time for which an entry may be missing after an outage of the store, in milliseconds.
-const REAPPEAR_GRACE_MS: u64 = 2_300;
 /// Time for which a draining upstream may get requests if there is no other, in milliseconds.
 const DRAINING_USE_MS: u64 = 1_500;
 /// Maximum age of a peer's load report, in milliseconds.
-const MAX_REPORT_AGE_MS: u64 = 1_500;
+pub(super) const MAX_REPORT_AGE_MS: u64 = 1_500;
 /// Assumed prefill speed of an engine without measurements, in tokens a millisecond.
 const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 40.0;
 /// Weight of one measurement in the moving average of the prefill speed.
@@ -108,7 +106,12 @@
 
 impl Upstream {
     /// Upstream whose entry was read for the first time.
-    fn new(entry: UpstreamEntry, region: &Arc<str>, kv_cache_tokens: u64, now: Millis) -> Self {
+    pub(super) fn new(
+        entry: UpstreamEntry,
+        region: &Arc<str>,
+        kv_cache_tokens: u64,
+        now: Millis,
+    ) -> Self {
         let mut cold = ColdGate::default();
         cold.set_remaining(entry.cold_left_ms, now);
         Self {
@@ -142,7 +145,7 @@
     }
 
     /// Applies a further entry of the same process.
-    fn update(&mut self, entry: UpstreamEntry, now: Millis) {
+    pub(super) fn update(&mut self, entry: UpstreamEntry, now: Millis) {
         self.cold.set_remaining(entry.cold_left_ms, now);
         let is_draining = entry.stage == Stage::Draining;
         self.has_reported_draining |= is_draining;
@@ -158,7 +161,7 @@
 
     /// Takes the place of another process, by an entry with this cold time. The entry may be that of an earlier
     /// process, so it does not end what the known one is assumed to be.
-    fn follow(&mut self, before: &Self, cold_left_ms: u64, now: Millis) {
+    pub(super) fn follow(&mut self, before: &Self, cold_left_ms: u64, now: Millis) {
         self.cold.join(before.cold);
         self.cold.set_remaining_of_other_process(cold_left_ms, now);
         if before.checks.is_suspected() && cold_left_ms == 0 {
@@ -167,7 +170,7 @@
     }
 
     /// Records that it is leaving, unless that is known.
-    fn leave(&mut self, now: Millis) {
+    pub(super) fn leave(&mut self, now: Millis) {
         if self.leaving_at.is_none() {
             self.leaving_at = Some(now);
             self.last_resort_until = Some(now.plus(DRAINING_USE_MS));
@@ -246,97 +249,3 @@
         }
     }
 }
-
-/// All known upstreams.
-#[derive(Clone, Debug, Default)]
-pub struct Upstreams {
-    /// Upstreams by identifier.
-    pub by_id: HashMap<Arc<str>, Upstream>,
-    retained: Retained,
-}
-
-impl Upstreams {
-    /// Adds or updates the entry of an upstream whose KV cache holds `kv_cache_tokens` (0 if it has
-    /// none). Returns true if the entry is new, has changed or had been missing.
-    pub fn update_entry(
-        &mut self,
-        entry: UpstreamEntry,
-        region: &Arc<str>,
-        kv_cache_tokens: u64,
-        now: Millis,
-    ) -> bool {
-        if let Some(known) = self
-            .by_id
-            .get_mut(&entry.id)
-            .filter(|known| known.is_process_of(&entry))
-        {
-            let is_change = known.entry != entry || known.gone_at.is_some();
-            known.update(entry, now);
-            return is_change;
-        }
-        let (id, cold_left_ms) = (Arc::clone(&entry.id), entry.cold_left_ms);
-        let mut upstream = match self.retained.take(&entry) {
-            Some(mut returned) => {
-                returned.update(entry, now);
-                returned
-            }
-            None => Upstream::new(entry, region, kv_cache_tokens, now),
-        };
-        if let Some(before) = self.by_id.get(&id) {
-            upstream.follow(before, cold_left_ms, now);
-        }
-        if let Some(replaced) = self.by_id.insert(id, upstream) {
-            self.retained.keep(replaced, now);
-        }
-        true
-    }
-
-    /// Records that the entry of `id` was removed. After an outage of the store the upstream stays
-    /// usable for a short time, in which the entry may reappear.
-    pub fn entry_removed(&mut self, id: &str, is_after_outage: bool, now: Millis) {
-        let Some(upstream) = self.by_id.get_mut(id) else {
-            return;
-        };
-        if is_after_outage && upstream.leaving_at.is_none() {
-            upstream.gone_at.get_or_insert(now.plus(REAPPEAR_GRACE_MS));
-        } else {
-            upstream.leave(now);
-            upstream.gone_at = Some(now);
-        }
-    }
-
-    /// Removes upstreams that are gone and have no requests of this instance in flight. Returns
-    /// their identifiers. What is known of their processes is kept for a while, since an entry may go
-    /// although its process lives.
-    pub fn sweep(&mut self, now: Millis) -> Vec<Arc<str>> {
-        for upstream in self.by_id.values_mut() {
-            if upstream.gone_at.is_some_and(|at| now >= at) {
-                upstream.leave(now);
-            }
-            upstream
-                .peer_loads
-                .retain(|_, (_, at)| now.since(*at) <= MAX_REPORT_AGE_MS);
-        }
-        let is_removable = |upstream: &Upstream| {
-            upstream.gone_at.is_some_and(|at| now >= at) && upstream.own.requests == 0
-        };
-        let removed: Vec<_> = self
-            .by_id
-            .values()
-            .filter(|upstream| is_removable(upstream))
-            .map(|upstream| Arc::clone(&upstream.entry.id))
-            .collect();
-        for id in &removed {
-            if let Some(upstream) = self.by_id.remove(id) {
-                self.retained.keep(upstream, now);
-            }
-        }
-        self.retained.expire(now);
-        removed
-    }
-
-    /// Number of processes without an entry that are remembered.
-    pub fn retained_count(&self) -> usize {
-        self.retained.len()
-    }
-}
