Upstreams: the prompt parts of one without an entry are not kept

Cause: with the state of processes that is kept since, each engine that is gone for good kept up to 4,096 cached parts for two minutes, after a rollout as many engines again as there are. Change: only the parts are dropped; they are an estimate, and caches answer for themselves.

--- a/crates/edge/src/upstream/state.rs
+++ b/crates/edge/src/upstream/state.rs
@@ -177,9 +177,11 @@
         }
     }
 
-    /// Drops what refers to requests and checks in progress.
+    /// Drops what refers to requests and checks in progress, and the cached prompt parts, which take most of
+    /// its memory.
     pub(super) fn detach(&mut self) {
         self.own = Load::default();
+        self.cache.clear();
         self.peer_loads.clear();
         self.checks.abandon();
     }
