serve: the end of a connection counts once the upload is written

Cause: as on the platform's path. The client library stops writing at the end of the connection, and gives no access to the bytes below it. Change: bodies of more than 32 KiB to upstreams without TLS go on connections of their own, with the stream that the platform's path has; errors are classed as before. The limit on unsent bytes stands with the stream.

--- a/crates/edge/src/dispatch/connect.rs
+++ b/crates/edge/src/dispatch/connect.rs
@@ -17,9 +17,6 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Bytes of a request that the kernel takes beyond those that the upstream's window allows. What the
-/// upstream does not take stays with the HTTP client, which so knows whether the request was written.
-const MAX_UNSENT_BYTES: u32 = 16 * 1024;
 /// Maximum size of the read buffer for an upstream's responses, in bytes.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -39,8 +36,6 @@
 pub(super) async fn connect(target: &Target) -> io::Result<Connection> {
     let stream = open(target).await?;
     set_liveness(&stream)?;
-    // Where the option is missing the kernel takes more, and only the end of larger requests is known.
-    let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(READ_BYTES)
         .handshake(TokioIo::new(UpstreamStream::new(stream)))
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -17,3 +17,4 @@
 pub use pool::{Connection, Pools};
 pub(crate) use send::{is_closed_by_upstream, is_hop_header};
 pub use send::{send, ConnectionCheckout, Reply, SendError, Target};
+pub use upstream_stream::UpstreamStream;
--- a/crates/edge/src/dispatch/upstream_stream.rs
+++ b/crates/edge/src/dispatch/upstream_stream.rs
@@ -1,5 +1,6 @@
 //! Byte stream to an upstream.
 
+use socket2::SockRef;
 use std::{
     io,
     pin::Pin,
@@ -10,13 +11,17 @@
     net::TcpStream,
 };
 
+/// Bytes of a request that the kernel takes beyond those that the upstream's window allows. What the
+/// upstream does not take stays with the HTTP client, which so knows whether the request was written.
+const MAX_UNSENT_BYTES: u32 = 16 * 1024;
+
 /// TCP connection to an upstream, which reports that the upstream has ended its side only after the request
 /// was written.
 ///
 /// An answer without a length ends with its connection. If the upstream has not taken the request by then,
 /// the connection may still be reset, and what has arrived may be a part of the answer. The HTTP client
 /// stops writing once it has read the end, and would not notice.
-pub(super) struct UpstreamStream {
+pub struct UpstreamStream {
     stream: TcpStream,
     /// Whether bytes were written since the last flush, which the HTTP client does when none are left.
     is_writing: bool,
@@ -27,7 +32,10 @@
 }
 
 impl UpstreamStream {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    /// Stream on which nothing was written yet.
+    pub fn new(stream: TcpStream) -> Self {
+        // Where the option is missing the kernel takes more, and only the end of larger requests is known.
+        let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         Self {
             stream,
             is_writing: false,
--- a/crates/gateway/src/dispatch/client.rs
+++ b/crates/gateway/src/dispatch/client.rs
@@ -2,10 +2,12 @@
 
 use anyhow::Context as _;
 use reqwest::{redirect, retry, Client, ClientBuilder};
-use std::time::Duration;
+use socket2::{SockRef, TcpKeepalive};
+use std::{io, time::Duration};
+use tokio::net::TcpStream;
 
 /// Timeout for a new connection. A lost SYN is repeated once within it.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Idle time before the first keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -45,10 +47,10 @@
 
     /// Client for a request with a body of `body_bytes`.
     pub(super) fn get(&self, body_bytes: usize, fresh_connection: bool) -> &Client {
-        let kinds = if body_bytes <= MAX_SMALL_BODY_BYTES {
-            &self.small
-        } else {
+        let kinds = if is_large(body_bytes) {
             &self.large
+        } else {
+            &self.small
         };
         if fresh_connection {
             &kinds.fresh
@@ -58,6 +60,22 @@
     }
 }
 
+/// Whether an upstream may acknowledge only a part of a body of `body_bytes` while it reads nothing.
+pub(super) fn is_large(body_bytes: usize) -> bool {
+    body_bytes > MAX_SMALL_BODY_BYTES
+}
+
+/// Sets the options of a connection for a large body by which it fails soon after its network path is lost.
+pub(super) fn set_liveness(stream: &TcpStream) -> io::Result<()> {
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(LARGE_BODY_UNACKNOWLEDGED_TIMEOUT))?;
+    stream.set_nodelay(true)
+}
+
 impl ConnectionKinds {
     fn new(unacknowledged_timeout: Duration) -> anyhow::Result<Self> {
         let build = |builder: ClientBuilder| {
--- a/crates/gateway/src/dispatch/exchange.rs
+++ b/crates/gateway/src/dispatch/exchange.rs
@@ -1,6 +1,6 @@
 //! An HTTP exchange with an upstream, from the first byte sent to the last byte received.
 
-use super::{client::Clients, AnswerHead, ExchangeError, UpstreamCall};
+use super::{client::Clients, upload, AnswerHead, ExchangeError, UpstreamCall};
 use crate::caller_memory::{held_bytes, CallerMemory};
 use bytes::Bytes;
 use carobwheel_core::{
@@ -8,6 +8,8 @@
     status::is_final,
     time::Clock,
 };
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, Uri};
 use reqwest::Response;
 use std::{io, sync::Arc, time::Duration};
 use tokio::{
@@ -32,12 +34,14 @@
         let _ = call.reply.send(Err(error));
         return;
     }
-    let sent = clients
-        .get(call.body.len(), call.fresh_connection)
-        .request(call.method, &call.url)
-        .headers(call.headers)
-        .body(call.body)
-        .send();
+    let sent = send(
+        &clients,
+        call.method,
+        &call.url,
+        call.headers,
+        call.body,
+        call.fresh_connection,
+    );
     let answer = tokio::select! {
         answer = time::timeout(call.head_timeout, sent) => answer,
         () = call.cancel.cancelled() => {
@@ -48,8 +52,8 @@
     };
     let response = match answer {
         Ok(Ok(response)) => response,
-        Ok(Err(err)) => {
-            let _ = call.reply.send(Err(error_of(&err)));
+        Ok(Err(error)) => {
+            let _ = call.reply.send(Err(error));
             return;
         }
         Err(_) => {
@@ -80,6 +84,29 @@
     }
 }
 
+/// Sends a request and waits for the head of the response.
+async fn send(
+    clients: &Clients,
+    method: Method,
+    url: &str,
+    headers: HeaderMap,
+    body: Bytes,
+    fresh_connection: bool,
+) -> Result<Response, ExchangeError> {
+    let body_bytes = body.len();
+    let uri = url.parse::<Uri>().ok();
+    if let Some(uri) = uri.filter(|uri| upload::is_upload(uri, body_bytes)) {
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = uri;
+        *request.headers_mut() = headers;
+        return upload::send(request).await;
+    }
+    let client = clients.get(body_bytes, fresh_connection);
+    let request = client.request(method, url).headers(headers).body(body);
+    request.send().await.map_err(|err| client_error(&err))
+}
+
 /// Queue of the chunks of one answer, bounded in number and bytes.
 struct ChunkQueue {
     sender: mpsc::Sender<Result<Bytes, ExchangeError>>,
@@ -131,7 +158,7 @@
         let chunk = match received {
             Ok(Ok(Some(chunk))) => Ok(chunk),
             Ok(Ok(None)) => return,
-            Ok(Err(err)) => Err(error_of(&err)),
+            Ok(Err(err)) => Err(client_error(&err)),
             Err(_) => Err(ExchangeError::Timeout),
         };
         let is_last = chunk.is_err();
@@ -141,28 +168,36 @@
     }
 }
 
-fn error_of(err: &reqwest::Error) -> ExchangeError {
+fn client_error(err: &reqwest::Error) -> ExchangeError {
+    if !err.is_connect() {
+        return error_of(err);
+    }
+    let cause = root_cause(err);
+    match cause.downcast_ref::<io::Error>().map(io::Error::kind) {
+        Some(io::ErrorKind::ConnectionRefused) => ExchangeError::ConnectionRefused,
+        _ => ExchangeError::NotConnected(cause.to_string()),
+    }
+}
+
+/// Error of an exchange on an open connection.
+pub(super) fn error_of(err: &(dyn std::error::Error + 'static)) -> ExchangeError {
     let cause = root_cause(err);
-    let kind = cause.downcast_ref::<io::Error>().map(io::Error::kind);
-    match (err.is_connect(), kind) {
-        (true, Some(io::ErrorKind::ConnectionRefused)) => ExchangeError::ConnectionRefused,
-        (true, _) => ExchangeError::NotConnected(cause.to_string()),
+    match cause.downcast_ref::<io::Error>().map(io::Error::kind) {
         // The path is lost, which says nothing about the upstream's process.
-        (
-            false,
-            Some(
-                io::ErrorKind::TimedOut
-                | io::ErrorKind::HostUnreachable
-                | io::ErrorKind::NetworkUnreachable,
-            ),
+        Some(
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable,
         ) => ExchangeError::Timeout,
-        (false, _) => ExchangeError::Broken(cause.to_string()),
+        _ => ExchangeError::Broken(cause.to_string()),
     }
 }
 
 // The outer errors contain the upstream's URL, which must not be disclosed to callers.
-fn root_cause(err: &reqwest::Error) -> &(dyn std::error::Error + 'static) {
-    let mut cause: &(dyn std::error::Error + 'static) = err;
+fn root_cause<'a>(
+    err: &'a (dyn std::error::Error + 'static),
+) -> &'a (dyn std::error::Error + 'static) {
+    let mut cause = err;
     while let Some(source) = cause.source() {
         cause = source;
     }
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod call;
 mod client;
 mod exchange;
+mod upload;
 
 pub use call::{AnswerHead, ExchangeError, UpstreamCall};
 
--- a/crates/gateway/tests/promise_framing.rs
+++ b/crates/gateway/tests/promise_framing.rs
@@ -254,3 +254,22 @@
     });
     assert_uploads_fail(&upstream).await;
 }
+
+/// Guards against whole answers that are refused since they end before the upload is through.
+#[tokio::test]
+async fn an_answer_that_ends_during_the_upload_is_whole_if_the_upload_is_read() {
+    let upstream = RawUpstream::start_with(|mut stream| {
+        let answer = "HTTP/1.1 200 X\r\ncontent-type: application/json\r\n\r\n{}";
+        let _ = stream.write_all(answer.as_bytes());
+        let _ = stream.shutdown(Shutdown::Write);
+        let _ = std::io::copy(&mut stream, &mut std::io::sink());
+    });
+    let fleet = fleet(&upstream).await;
+    let url = &fleet.instance("north").url;
+    let request = Caller::of("north-office")
+        .request("POST", &format!("{url}/ledger/confirmations"))
+        .header("idempotency-key", "upload");
+    let reply = send(request.body("u".repeat(UPLOAD_BYTES))).await.unwrap();
+    assert_eq!(reply.status, 200, "{reply:?}");
+    assert_eq!(reply.body.as_deref(), Ok("{}"));
+}
