Restarts: the end of the last idle connection to an upstream makes a health check due

Cause: an end of a connection was a sign of the process's end only if a request was under way on it; the driver of an idle connection and the pool dropped the news. Change: connections record their end; when the upstream has ended all idle ones and no request is under way, it is asked at once, at most twice a second. Nothing is assumed before the answer: sound upstreams close idle connections too.

--- a/crates/edge/src/cold/checks.rs
+++ b/crates/edge/src/cold/checks.rs
@@ -12,6 +12,9 @@
 /// Minimum time between two checks of one upstream, in milliseconds. Bounds the checks of one that
 /// breaks off many answers.
 const MIN_INTERVAL_MS: u64 = 20;
+/// The same for checks of an upstream that has ended idle connections. Bounds the checks of one that closes each
+/// connection after its response.
+const IDLE_END_INTERVAL_MS: u64 = 500;
 /// Remaining cold time at which an instance that does not use the cold upstream repeats its check, in
 /// milliseconds. Without an answer the upstream must not come to count as warm.
 const RENEW_LEFT_MS: u64 = 500;
@@ -61,8 +64,18 @@
     /// Suspects a restart since a connection broke just now: no earlier check answers that. Returns
     /// whether none was suspected before.
     pub fn connection_lost(&mut self, now: Millis) -> bool {
+        self.suspect_after(MIN_INTERVAL_MS, now)
+    }
+
+    /// Suspects a restart since idle connections have ended, unless one is suspected already. Returns whether
+    /// that is new.
+    pub fn idle_connections_ended(&mut self, now: Millis) -> bool {
+        self.suspicion.is_none() && self.suspect_after(IDLE_END_INTERVAL_MS, now)
+    }
+
+    fn suspect_after(&mut self, min_interval_ms: u64, now: Millis) -> bool {
         self.is_outdated = self.is_running;
-        let earliest = self.asked_at.map(|at| at.plus(MIN_INTERVAL_MS));
+        let earliest = self.asked_at.map(|at| at.plus(min_interval_ms));
         let suspicion = Suspicion {
             next_at: earliest.map_or(now, |at| at.max(now)),
             repeat_ms: FIRST_REPEAT_MS,
--- a/crates/edge/src/dispatch/connect.rs
+++ b/crates/edge/src/dispatch/connect.rs
@@ -1,10 +1,12 @@
 //! Establishing of connections to upstreams.
 
-use super::{upstream_stream::UpstreamStream, Connection, SendError, Target};
+use super::{
+    ended::EndedConnections, upstream_stream::UpstreamStream, Connection, SendError, Target,
+};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::{io, time::Duration};
+use std::{io, rc::Rc, sync::Arc, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
 /// Time for which an accepted connection has to stay open, where no request can test it.
@@ -32,8 +34,11 @@
     stream.set_nodelay(true)
 }
 
-/// Opens a connection and spawns the task that drives it.
-pub(super) async fn connect(target: &Target) -> io::Result<Connection> {
+/// Opens a connection and spawns the task that drives it, which records its end in `ended`.
+pub(super) async fn connect(
+    target: &Target,
+    ended: &Rc<EndedConnections>,
+) -> io::Result<Connection> {
     let stream = open(target).await?;
     set_liveness(&stream)?;
     let (sender, driver) = http1::Builder::new()
@@ -41,8 +46,12 @@
         .handshake(TokioIo::new(UpstreamStream::new(stream)))
         .await
         .map_err(io::Error::other)?;
-    // Errors of the driver are also returned by the request that they affect.
-    tokio::task::spawn_local(async move { drop(driver.await) });
+    let (ended, upstream) = (Rc::clone(ended), Arc::clone(&target.id));
+    tokio::task::spawn_local(async move {
+        // Errors of the driver are also returned by the request that they affect.
+        drop(driver.await);
+        ended.add(upstream);
+    });
     Ok(sender)
 }
 
--- a/crates/edge/src/dispatch/mod.rs
+++ b/crates/edge/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! the connections are pooled here.
 
 mod connect;
+mod ended;
 mod interim;
 mod load_guard;
 mod pool;
--- a/crates/edge/src/dispatch/pool.rs
+++ b/crates/edge/src/dispatch/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of idle connections.
 
+use super::ended::EndedConnections;
 use bytes::Bytes;
 use carobwheel_core::time::Millis;
 use http_body_util::Full;
@@ -7,6 +8,7 @@
 use std::{
     cell::RefCell,
     collections::{HashMap, VecDeque},
+    rc::Rc,
     sync::Arc,
 };
 
@@ -32,6 +34,7 @@
     /// Maximum number of idle connections in all.
     max_idle: usize,
     idle: RefCell<HashMap<Arc<str>, VecDeque<Idle>>>,
+    pub(super) ended: Rc<EndedConnections>,
 }
 
 impl Pools {
@@ -40,6 +43,7 @@
         Self {
             max_idle,
             idle: RefCell::default(),
+            ended: Rc::default(),
         }
     }
 
@@ -95,6 +99,28 @@
         }
     }
 
+    /// Waits until a connection to an upstream ends.
+    pub async fn connection_ended(&self) {
+        self.ended.wait().await;
+    }
+
+    /// Upstreams that have ended all idle connections to them since the last call. Connections that this
+    /// instance has closed are none of these.
+    pub fn take_ended(&self) -> Vec<Arc<str>> {
+        let mut idle = self.idle.borrow_mut();
+        let upstreams = self.ended.take().into_iter();
+        upstreams
+            .filter(|upstream| {
+                let Some(connections) = idle.get_mut(upstream) else {
+                    return false;
+                };
+                let before = connections.len();
+                connections.retain(|idle| !idle.connection.is_closed());
+                connections.is_empty() && before > 0
+            })
+            .collect()
+    }
+
     /// Closes the idle connections to an upstream.
     pub fn close_idle(&self, upstream: &str) {
         if let Some(connections) = self.idle.borrow_mut().get_mut(upstream) {
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -144,7 +144,7 @@
         }
     }
     let mut connection = tokio::select! {
-        connection = connect(target) => {
+        connection = connect(target, &node.pools.ended) => {
             connection.map_err(|err| SendError::Unreachable(err.to_string()))?
         }
         () = watched_cut_off(node, target) => {
--- a/crates/edge/src/health_check/mod.rs
+++ b/crates/edge/src/health_check/mod.rs
@@ -71,7 +71,10 @@
 /// Runs the checks of upstreams that may have restarted, as soon as they are due.
 pub async fn run_restart_checks(node: Rc<Node>) {
     loop {
-        node.restart_suspected.notified().await;
+        tokio::select! {
+            () = node.restart_suspected.notified() => {}
+            () = node.pools.connection_ended() => node.note_idle_ends(),
+        }
         start_restart_checks(&node);
     }
 }
--- a/crates/edge/src/node/restart.rs
+++ b/crates/edge/src/node/restart.rs
@@ -61,6 +61,27 @@
         self.restart_suspected.notify_one();
     }
 
+    /// Makes health checks due of upstreams that have ended all idle connections to them while no request
+    /// was under way: their processes may have ended, and others have started. A sound one closes such
+    /// connections too, so that nothing is assumed before the check.
+    pub fn note_idle_ends(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let config = state.config.clone().unwrap_or_default();
+        for id in self.pools.take_ended() {
+            let Some(upstream) = state.upstreams.by_id.get_mut(&id) else {
+                continue;
+            };
+            let service = config.services.get(&upstream.entry.service);
+            let is_checkable =
+                service.is_some_and(|service| service.cold_ms > 0 && service.health_path.is_some());
+            let is_idle = upstream.own.requests == 0 && upstream.leaving_at.is_none();
+            if is_checkable && is_idle && upstream.checks.idle_connections_ended(now) {
+                self.metrics.restarts_suspected.add(1);
+            }
+        }
+    }
+
     /// Starts the checks that are due of upstreams that may have restarted.
     pub fn due_restart_checks(&self) -> Vec<HealthCheck> {
         let now = self.now();
--- a/crates/gateway/tests/platform_restart.rs
+++ b/crates/gateway/tests/platform_restart.rs
@@ -158,3 +158,83 @@
     let most = region.most_in_a_second(start);
     assert!(most > 2 * MAX_IN_A_SECOND, "{most} in a second");
 }
+
+impl Region {
+    /// Sends short streams at each instance and reads them to their ends, so that only idle connections to
+    /// the engine are left.
+    fn leave_idle_connections(&self, at_each: usize) {
+        let short = Script::Events {
+            until: 2,
+            pause_ms: 40,
+            is_complete: true,
+        };
+        self.engine
+            .script(vec![short; at_each * self.instances.len()]);
+        let mut callers = Vec::new();
+        for instance in &self.instances {
+            for number in 0..at_each {
+                let mut caller = instance.caller();
+                caller.send("POST", "/chat/x", &format!("idle-{number}"), "", "");
+                callers.push(caller);
+            }
+        }
+        for caller in &mut callers {
+            assert!(caller.answer().is_complete);
+        }
+    }
+}
+
+/// Guards against an engine that ends and starts again between two requests: the end of idle connections was no
+/// sign, so that all requests went there as to a warm engine.
+#[test_case(&["north-1"], 0; "one instance, back at once")]
+#[test_case(&["north-1"], 200; "one instance, back after a pause")]
+#[test_case(&["north-1", "north-2", "north-3"], 200; "three instances")]
+fn an_upstream_that_restarts_while_only_idle_connections_are_open_is_not_flooded(
+    names: &[&'static str],
+    down_ms: u64,
+) {
+    let region = start(names);
+    region.leave_idle_connections(4);
+    region.engine.stop();
+    thread::sleep(Duration::from_millis(down_ms));
+    region.engine.start_again(COLD_MS);
+    // The time of a health check and of its report to the region.
+    thread::sleep(Duration::from_millis(100));
+    let start = Instant::now();
+    region.send_for(0, Duration::from_millis(2_500));
+    let most = region.most_in_a_second(start);
+    assert!(most <= MAX_IN_A_SECOND, "{most} in a second");
+    assert!(most > 0, "the engine is not used");
+}
+
+/// Guards against a sound engine that counts as cold since it closes idle connections.
+#[test]
+fn an_upstream_that_closes_idle_connections_stays_warm() {
+    let region = start(&["north-1"]);
+    region.leave_idle_connections(4);
+    let checks = region.engine.health_checks();
+    region.engine.break_connections();
+    wait_until("the engine is asked", || {
+        region.engine.health_checks() > checks
+    });
+    let instance = &region.instances[0];
+    assert!(instance.logged("upstream_assumed_cold").is_empty());
+    let start = Instant::now();
+    region.send_for(0, Duration::from_millis(1_000));
+    assert!(region.most_in_a_second(start) > MAX_IN_A_SECOND);
+}
+
+/// Guards against checks without end of an engine that closes each connection after its response.
+#[test]
+fn an_upstream_that_closes_each_connection_is_asked_now_and_then() {
+    let region = start(&["north-1"]);
+    region.leave_idle_connections(1);
+    let checks = region.engine.health_checks();
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(2) {
+        region.engine.break_connections();
+        thread::sleep(Duration::from_millis(5));
+    }
+    let asked = region.engine.health_checks() - checks;
+    assert!((1..=6).contains(&asked), "{asked}");
+}
