--- a/crates/edge/tests/gossip_encoding.rs
+++ b/crates/edge/tests/gossip_encoding.rs
@@ -2,51 +2,19 @@
 
 #![allow(clippy::unwrap_used)]
 
-use carobwheel_core::{
-    crash::{CrashReport, HeldPart},
-    time::Millis,
-    upstream_limit::LimitReport,
-    usage::{Counter, Source, UsageMessage},
-};
+mod gossip_support;
+
+use carobwheel_core::{crash::CrashReport, time::Millis};
 use carobwheel_edge::{
-    cold::ColdReport,
-    member::Heartbeat,
-    node::{
-        Additions, Digest, DigestScope, DutyReport, FleetReport, Gossip, RelayedReport, UnmetLoad,
-    },
+    node::{Additions, DutyReport, Gossip},
     peers::{decode, encode},
 };
+use gossip_support::{
+    additions, digest_of, gossip, report, with_cold, with_cut_off, with_duties, with_fleet,
+};
 use rand::{rngs::StdRng, Rng as _, SeedableRng as _};
 use std::collections::BTreeSet;
 
-/// Message with these crash reports.
-fn gossip(crashes: CrashReport) -> Gossip {
-    Gossip {
-        life: 7,
-        is_ready: true,
-        has_store: true,
-        revisions: vec![3, 4],
-        loads: Vec::new(),
-        asked: vec![(9, 10)],
-        forecasts: Vec::new(),
-        trials: Vec::new(),
-        crashes,
-        additions: Additions::default(),
-    }
-}
-
-/// Report of one held part.
-fn report() -> CrashReport {
-    CrashReport {
-        held: vec![HeldPart {
-            part: 5,
-            age_ms: 100,
-            left_ms: 900,
-        }],
-        ..CrashReport::default()
-    }
-}
-
 #[test]
 fn crash_reports_survive_the_encoding() {
     let decoded = decode(&encode(&gossip(report())).unwrap()).unwrap();
@@ -72,22 +40,6 @@
     );
 }
 
-/// Additions with a report about one limited upstream.
-fn additions() -> Additions {
-    let report = LimitReport {
-        rate_per_s: 1.4,
-        age_ms: Some(20),
-        sent: 3,
-        is_user: true,
-    };
-    Additions {
-        limits: vec![(11, report)],
-        eras: vec![1, 1],
-        config_version: 9,
-        ..Additions::default()
-    }
-}
-
 #[test]
 fn reports_on_requests_survive_the_encoding_with_and_without_other_parts() {
     for (crashes, limits) in [(CrashReport::default(), false), (report(), true)] {
@@ -143,37 +95,6 @@
     assert_eq!((old.life, crashes), (7, report()));
 }
 
-/// Message of a delegate.
-fn with_fleet() -> Gossip {
-    let mut message = gossip(report());
-    message.additions = additions();
-    let heartbeat = Heartbeat {
-        key: 5,
-        beat: 6,
-        is_ready: true,
-        has_store: false,
-    };
-    message.additions.fleet = Some(FleetReport {
-        beat: 9,
-        subscribes: true,
-        digest: Some(Digest {
-            scope: DigestScope::Region,
-            instances: 3,
-            heartbeats: vec![heartbeat],
-            relayed: vec![RelayedReport {
-                key: 8,
-                made_at: Millis(77),
-                age_ms: 20,
-                crashes: report(),
-                ..RelayedReport::default()
-            }],
-            ..Digest::default()
-        }),
-        made_at: Millis(900),
-    });
-    message
-}
-
 /// Guards against builds that do not tell when reports were made.
 #[test]
 fn the_part_of_the_fleet_is_understood_without_the_times_of_its_reports() {
@@ -205,30 +126,6 @@
     assert_eq!(known.limits, additions().limits);
 }
 
-/// Message with the input of duties.
-fn with_duties() -> Gossip {
-    let mut message = with_fleet();
-    message.additions.duties = Some(DutyReport {
-        usage: Some(UsageMessage {
-            number: 4,
-            acks: vec![2, 3],
-            committed_before: 353_445_120,
-            accounts: 6,
-            counters: vec![Counter {
-                window: 353_445_120,
-                source: Source::Process(77),
-                counts: vec![(3_000_000_000, 412)],
-            }],
-        }),
-        unmet: vec![UnmetLoad {
-            service: 5,
-            requests_per_1000_s: 1_500,
-            prefill_tokens_per_s: 9_000,
-        }],
-    });
-    message
-}
-
 #[test]
 fn the_input_of_duties_survives_the_encoding() {
     let decoded = decode(&encode(&with_duties()).unwrap()).unwrap();
@@ -259,19 +156,6 @@
     }
 }
 
-/// Message with reports of restarts, own ones and one that is passed on.
-fn with_cold(mut message: Gossip) -> Gossip {
-    let cold = |process| ColdReport {
-        process,
-        left_ms: 2_900,
-        age_ms: 40,
-    };
-    message.additions.cold = vec![cold(u32::MAX), cold(2)];
-    let digest = message.additions.fleet.as_mut().unwrap().digest.as_mut();
-    digest.unwrap().relayed[0].cold = vec![cold(3)];
-    message
-}
-
 #[test]
 fn reports_of_restarts_survive_the_encoding_with_and_without_duties() {
     for message in [with_cold(with_fleet()), with_cold(with_duties())] {
@@ -280,19 +164,6 @@
     }
 }
 
-/// Message of a delegate that reaches none of some services, and has heard the same of another instance.
-fn with_cut_off(mut message: Gossip) -> Gossip {
-    message.additions.cut_off = [3, 4].into();
-    if let Some(digest) = digest_of(&mut message) {
-        digest.cut_off = [(0, [4, 5].into())].into();
-    }
-    message
-}
-
-fn digest_of(message: &mut Gossip) -> Option<&mut Digest> {
-    message.additions.fleet.as_mut()?.digest.as_mut()
-}
-
 #[test]
 fn services_out_of_reach_survive_the_encoding_with_and_without_duties_and_a_digest() {
     let mut alone = with_fleet();
