--- a/crates/edge/src/dispatch/ended.rs
+++ b/crates/edge/src/dispatch/ended.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::HashSet, sync::Arc};
 use tokio::sync::Notify;
 
-/// Upstreams to which a connection has ended since they were last taken, on either side's account.
+/// Upstreams to which a connection has ended since they were last taken, whichever side has ended it.
 #[derive(Debug, Default)]
 pub(super) struct EndedConnections {
     upstreams: RefCell<HashSet<Arc<str>>>,
