--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -506,15 +506,16 @@
 class Traffic:
     """Clients that send at a steady rate, to the gateways in turn, each request on a new connection."""
 
-    def __init__(self, record, gateways, per_s, deadline_ms=2500):
+    def __init__(self, record, gateways, per_s, deadline_ms=2500, first=0):
         self.record, self.gateways, self.per_s, self.deadline_ms = record, gateways, per_s, deadline_ms
+        self.first = first
         # Time of sending, attempt id, status or None, name of the gateway.
         self.answers = []
         self.is_sending = True
         self.task = asyncio.create_task(self.send_all())
 
     async def send_all(self):
-        number, tasks = 0, []
+        number, tasks = self.first, []
         next_at = time.monotonic()
         while self.is_sending:
             tasks.append(asyncio.create_task(self.send(number)))
