--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -506,9 +506,11 @@
 class Traffic:
     """Clients that send at a steady rate, to the gateways in turn, each request on a new connection."""
 
-    def __init__(self, record, gateways, per_s, deadline_ms=2500, first=0):
+    def __init__(self, record, gateways, per_s, deadline_ms=2500, first=0, target=None):
         self.record, self.gateways, self.per_s, self.deadline_ms = record, gateways, per_s, deadline_ms
         self.first = first
+        # Called with the number of a request; returns its method and path.
+        self.target = target or (lambda number: "POST /certify/x" if number // len(gateways) % 2 == 0 else "GET /lookup/x")
         # Time of sending, attempt id, status or None, name of the gateway.
         self.answers = []
         self.is_sending = True
@@ -526,8 +528,8 @@
 
     async def send(self, number):
         gateway = self.gateways[number % len(self.gateways)]
-        is_action = number // len(self.gateways) % 2 == 0
-        target = "POST /certify/x" if is_action else "GET /lookup/x"
+        target = self.target(number)
+        is_action = target.startswith("POST")
         attempt = f"{number:016x}"
         headers = {
             "X-Carobwheel-Attempt-Id": attempt,
