--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,8 @@
-"""A completed rollout, then a drill of the store and a loss of power of all gateways at the same moment."""
+"""One machine is restarted in order several times; just before it is back a server leaves without a notice."""
 
 import asyncio
 import os
+import signal
 import sys
 import time
 
@@ -9,30 +10,34 @@
 sys.path.insert(0, os.path.join(CASE, "..", "standins-3"))
 import rig  # noqa: E402
 
-# 1: both; 0: neither; restore, power: only one of them.
+# 1: restarts, all reads of the store are current; 0: no restart, the same servers leave; stale: one restart, a later page
+# of a stale listing is older than the first.
 TROUBLE = os.environ.get("TROUBLE", "1")
-SERVICE = "registry-app"
+SERVICE, OTHER = "registry-app", "appraisal-model"
 ZONES = {"port-of-spain": "north-trinidad", "arima": "north-trinidad"}
-DURATION_S = 12
-RECOVERY_S = 12.0
-# Age of the copy from which the store comes back.
-COPY_AGE_S = 4.0
-AWAY_S = 1.5
-JUDGED_S = 14.0
+PAGE_ITEMS = 50
+STALE_S = 3.0
+STABLE_S, DRAIN_S, GRACE_S = 6.0, 4.0, 8.0
+ROUNDS = 6
+# Time for which a server that has left goes on serving.
+LINGER_S = 16.0
 
 
 async def play(record, folder, gateways):
     store = rig.Store(record)
+    store.page_items = PAGE_ITEMS
+    if TROUBLE == "stale":
+        store.staleness_s = lambda query: STALE_S if "after" in query else 0.0
     await store.start()
     routes = [
         rig.route("lookup", "/lookup/", "idempotent", SERVICE),
         rig.route("certify", "/certify/", "non_idempotent", SERVICE),
     ]
-    document = rig.config(7, routes, [rig.service(SERVICE)])
-    store.put("op/config", document)
+    store.put("op/config", rig.config(7, routes, [rig.service(SERVICE), rig.service(OTHER)]))
     zones = list(ZONES)
-    old = [rig.Server(store, record, f"i-old{n}", SERVICE, zones[n % 2], "v1", slots=6) for n in range(2)]
-    for server in old:
+    others = [rig.Server(store, record, f"i-a{n:02}", OTHER, zones[n % 2]) for n in range(PAGE_ITEMS)]
+    servers = [rig.Server(store, record, f"i-b{n}", SERVICE, zones[n % 2], slots=6, work_ms=60) for n in range(ROUNDS + 2)]
+    for server in others + servers:
         await server.start()
     for n in range(3):
         gateways.append(rig.Gateway(store, record, f"edge-{n + 1}", zones[n % 2], ZONES, folder))
@@ -40,84 +45,57 @@
     for gateway in gateways:
         if not await gateway.ready():
             return None
-    traffic = rig.Traffic(record, gateways, per_s=30)
-    await asyncio.sleep(2)
+    traffic = rig.Traffic(record, gateways, per_s=60)
+    restarted = gateways[1]
+    # Times between which the restarted gateway is in touch; the others are all the time.
+    touch = [[time.monotonic(), float("inf")]]
+    left, background = {}, []
 
-    # The operator orders a rollout; the new servers are started beside the old ones.
-    new = [rig.Server(store, record, f"i-new{n}", SERVICE, zones[n % 2], "v2", slots=6) for n in range(2)]
-    for server in new:
-        await server.start()
-    order = {"service": SERVICE, "target": "v2", "durationS": DURATION_S}
-    store.put(f"op/rollout/{SERVICE}", order)
-    record.line("operator orders v2")
-
-    def rollout_state():
-        return (store.get(f"status/rollout/{SERVICE}") or {}).get("state")
-
-    copies = []
-    end = time.monotonic() + DURATION_S
-    while time.monotonic() < end and rollout_state() != "complete":
-        copies.append((time.monotonic(), store.copy()))
-        await asyncio.sleep(0.1)
-    state = rollout_state()
-    record.line(f"state of the rollout: {state}")
-    if state != "complete":
-        return None
-    for server in old:
+    async def exit_later(server):
+        await asyncio.sleep(LINGER_S)
+        record.line(f"server {server.ident} exits")
         await server.stop()
-        store.remove(f"servers/{server.ident}")
-    record.line("the old servers stop")
-    await asyncio.sleep(1.5)
-    trouble_at = time.monotonic()
-
-    if TROUBLE in ("1", "restore"):
-        copy = [copy for at, copy in copies if at <= trouble_at - COPY_AGE_S][-1]
-        record.line("the store goes away")
-        store.go_away()
-    if TROUBLE in ("1", "power"):
-        for gateway in gateways:
-            gateway.kill()
-    await asyncio.sleep(AWAY_S)
-    if TROUBLE in ("1", "restore"):
-        store.restore(copy)
-        store.is_away = False
-        record.line(f"the store is back from a copy that is {COPY_AGE_S} s old; state of the rollout there: {rollout_state()}")
-        # What the operator and the servers wrote is written again.
-        store.put("op/config", document)
-        store.put(f"op/rollout/{SERVICE}", order)
-        for server in new:
-            server.write_entry()
-
-        async def lapse():
-            await asyncio.sleep(3 * rig.HEARTBEAT_S)
-            for server in old:
-                store.remove(f"servers/{server.ident}")
 
-        lapsing = asyncio.create_task(lapse())
-    if TROUBLE in ("1", "power"):
-        for gateway in gateways:
-            gateway.process.wait()
-            gateway.start()
-    for gateway in gateways:
-        if not await gateway.ready():
-            return None
-    back_at = time.monotonic()
-    record.line("all gateways are back")
-    while time.monotonic() < back_at + RECOVERY_S + JUDGED_S:
-        await asyncio.sleep(0.2)
-        if rollout_state() != state:
-            state = rollout_state()
-            record.line(f"state of the rollout: {state}")
+    await asyncio.sleep(STABLE_S + 1)
+    for _ in range(1 if TROUBLE == "stale" else ROUNDS):
+        if TROUBLE != "0":
+            touch[-1][1] = time.monotonic()
+            restarted.kill(signal.SIGTERM)
+            end = time.monotonic() + GRACE_S
+            while restarted.process.poll() is None and time.monotonic() < end:
+                await asyncio.sleep(0.02)
+            restarted.end()
+        leaving = max((server for server in servers if server.ident not in left), key=lambda server: len(server.runs))
+        leaving.leave_without_notice()
+        left[leaving.ident] = time.monotonic()
+        record.line(f"server {leaving.ident} leaves; the store has confirmed that it is gone")
+        background.append(asyncio.create_task(exit_later(leaving)))
+        await asyncio.sleep(0.1)
+        if TROUBLE != "0":
+            restarted.start()
+            if not await restarted.ready():
+                return None
+            touch.append([time.monotonic() + STABLE_S, float("inf")])
+        await asyncio.sleep(9)
+    await asyncio.sleep(8)
     await traffic.end()
-    before = traffic.sent_between(trouble_at - 3, trouble_at - 0.5)
-    served_before = sum(status == 200 for _, _, status, _ in before)
-    judged = traffic.sent_between(back_at + RECOVERY_S, time.monotonic())
-    served = sum(status == 200 for _, _, status, _ in judged)
-    record.line(f"before: {served_before} of {len(before)} served")
-    record.line(f"sent later than {RECOVERY_S} s after the machines were back: {served} of {len(judged)} served")
-    if served_before < len(before) / 4 or len(judged) < 100:
-        return None
-    return served >= len(judged) / 4
+
+    senders = {attempt: (sent_at, status, gateway) for sent_at, attempt, status, gateway in traffic.answers}
+    late = []
+    for server in servers:
+        for at, attempt in server.runs:
+            sent_at, status, gateway = senders.get(attempt, (0.0, None, ""))
+            after_s = sent_at - left.get(server.ident, float("inf"))
+            is_in_touch = gateway != restarted.name or any(begin <= sent_at and at <= end for begin, end in touch)
+            if after_s > DRAIN_S and is_in_touch:
+                late.append((server.ident, gateway))
+                record.line(f"{attempt} reached {server.ident} by {gateway}, sent {after_s:.1f} s after it was gone")
+    for server, gateway in sorted(set(late)):
+        record.line(f"{late.count((server, gateway))} requests by {gateway} reached {server} too late")
+    record.line(f"{len(late)} of {len(traffic.answers)} requests reached servers later than {DRAIN_S} s after they were gone")
+    failed = [(attempt, status, gateway) for _, attempt, status, gateway in traffic.answers if status not in (200, 429, 503)]
+    record.line(f"failed: {failed}")
+    return not late
 
 
 rig.main(CASE, play)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,8 +1,8 @@
-"""One machine is restarted in order several times; just before it is back a server leaves without a notice."""
+"""A bad version is ordered while the requests are spread over many routes, or in a quiet hour."""
 
 import asyncio
 import os
-import signal
+import random
 import sys
 import time
 
@@ -10,91 +10,91 @@
 sys.path.insert(0, os.path.join(CASE, "..", "standins-3"))
 import rig  # noqa: E402
 
-# 1: restarts, all reads of the store are current; 0: no restart, the same servers leave; stale: one restart, a later page
-# of a stale listing is older than the first.
+# 1: a bad version, usual traffic on many routes; 0: a good version in the same; quiet: a bad version in a quiet hour;
+# busy: a bad version, usual traffic on two routes.
 TROUBLE = os.environ.get("TROUBLE", "1")
-SERVICE, OTHER = "registry-app", "appraisal-model"
+SERVICE = "registry-app"
 ZONES = {"port-of-spain": "north-trinidad", "arima": "north-trinidad"}
-PAGE_ITEMS = 50
-STALE_S = 3.0
-STABLE_S, DRAIN_S, GRACE_S = 6.0, 4.0, 8.0
-ROUNDS = 6
-# Time for which a server that has left goes on serving.
-LINGER_S = 16.0
+STABLE_S, ROLLBACK_S = 6.0, 5.0
+DURATION_S = 12
+BAD_ANSWERS = 50
+QUIET_PER_S, USUAL_PER_S = 0.2, 20
+OFFICES = 200
 
 
 async def play(record, folder, gateways):
     store = rig.Store(record)
-    store.page_items = PAGE_ITEMS
-    if TROUBLE == "stale":
-        store.staleness_s = lambda query: STALE_S if "after" in query else 0.0
     await store.start()
     routes = [
         rig.route("lookup", "/lookup/", "idempotent", SERVICE),
         rig.route("certify", "/certify/", "non_idempotent", SERVICE),
     ]
-    store.put("op/config", rig.config(7, routes, [rig.service(SERVICE), rig.service(OTHER)]))
+    is_spread = TROUBLE in ("0", "1")
+    if is_spread:
+        # Each office has a route of its own.
+        routes += [rig.route(f"certify-{n}", f"/office-{n}/", "non_idempotent", SERVICE) for n in range(OFFICES)]
+    store.put("op/config", rig.config(7, routes, [rig.service(SERVICE)]))
     zones = list(ZONES)
-    others = [rig.Server(store, record, f"i-a{n:02}", OTHER, zones[n % 2]) for n in range(PAGE_ITEMS)]
-    servers = [rig.Server(store, record, f"i-b{n}", SERVICE, zones[n % 2], slots=6, work_ms=60) for n in range(ROUNDS + 2)]
-    for server in others + servers:
-        await server.start()
+    failures = []
+
+    async def start_version(version, is_bad):
+        servers = [rig.Server(store, record, f"i-{version}-{n}", SERVICE, zones[n % 2], version, slots=6) for n in range(2)]
+        for server in servers:
+            if is_bad:
+
+                def fail(line, headers, body, own):
+                    failures.append(time.monotonic())
+                    return rig.message(500, "Internal Server Error", own, b"failed")
+
+                server.run = fail
+            await server.start()
+        return servers
+
+    old = await start_version("v1", is_bad=False)
     for n in range(3):
         gateways.append(rig.Gateway(store, record, f"edge-{n + 1}", zones[n % 2], ZONES, folder))
         gateways[-1].start()
     for gateway in gateways:
         if not await gateway.ready():
             return None
-    traffic = rig.Traffic(record, gateways, per_s=60)
-    restarted = gateways[1]
-    # Times between which the restarted gateway is in touch; the others are all the time.
-    touch = [[time.monotonic(), float("inf")]]
-    left, background = {}, []
-
-    async def exit_later(server):
-        await asyncio.sleep(LINGER_S)
-        record.line(f"server {server.ident} exits")
-        await server.stop()
-
+    target = (lambda number: f"POST /office-{random.randrange(OFFICES)}/x") if is_spread else None
+    is_usual = TROUBLE != "quiet"
+    traffic = rig.Traffic(record, gateways, per_s=USUAL_PER_S if is_usual else QUIET_PER_S, target=target)
     await asyncio.sleep(STABLE_S + 1)
-    for _ in range(1 if TROUBLE == "stale" else ROUNDS):
-        if TROUBLE != "0":
-            touch[-1][1] = time.monotonic()
-            restarted.kill(signal.SIGTERM)
-            end = time.monotonic() + GRACE_S
-            while restarted.process.poll() is None and time.monotonic() < end:
-                await asyncio.sleep(0.02)
-            restarted.end()
-        leaving = max((server for server in servers if server.ident not in left), key=lambda server: len(server.runs))
-        leaving.leave_without_notice()
-        left[leaving.ident] = time.monotonic()
-        record.line(f"server {leaving.ident} leaves; the store has confirmed that it is gone")
-        background.append(asyncio.create_task(exit_later(leaving)))
-        await asyncio.sleep(0.1)
-        if TROUBLE != "0":
-            restarted.start()
-            if not await restarted.ready():
-                return None
-            touch.append([time.monotonic() + STABLE_S, float("inf")])
-        await asyncio.sleep(9)
-    await asyncio.sleep(8)
+
+    new = await start_version("v2", is_bad=TROUBLE != "0")
+    store.put(f"op/rollout/{SERVICE}", {"service": SERVICE, "target": "v2", "durationS": DURATION_S})
+    ordered_at = time.monotonic()
+    record.line("operator orders v2")
+    state = None
+    while time.monotonic() < ordered_at + DURATION_S + 2:
+        await asyncio.sleep(0.05)
+        now_state = (store.get(f"status/rollout/{SERVICE}") or {}).get("state")
+        if now_state == state:
+            continue
+        state = now_state
+        answered = sum(len(server.runs) for server in new) - len(failures)
+        record.line(f"state of the rollout: {state}; v2 has answered {answered} requests well and {len(failures)} badly")
+        if state == "complete":
+            for server in old:
+                await server.stop()
+                store.remove(f"servers/{server.ident}")
+            record.line("the old servers stop")
+    record.line("further traffic at the usual rate")
+    usual = rig.Traffic(record, gateways, per_s=USUAL_PER_S, first=1 << 32, target=target)
+    await asyncio.sleep(25)
+    await usual.end()
     await traffic.end()
 
-    senders = {attempt: (sent_at, status, gateway) for sent_at, attempt, status, gateway in traffic.answers}
-    late = []
-    for server in servers:
-        for at, attempt in server.runs:
-            sent_at, status, gateway = senders.get(attempt, (0.0, None, ""))
-            after_s = sent_at - left.get(server.ident, float("inf"))
-            is_in_touch = gateway != restarted.name or any(begin <= sent_at and at <= end for begin, end in touch)
-            if after_s > DRAIN_S and is_in_touch:
-                late.append((server.ident, gateway))
-                record.line(f"{attempt} reached {server.ident} by {gateway}, sent {after_s:.1f} s after it was gone")
-    for server, gateway in sorted(set(late)):
-        record.line(f"{late.count((server, gateway))} requests by {gateway} reached {server} too late")
-    record.line(f"{len(late)} of {len(traffic.answers)} requests reached servers later than {DRAIN_S} s after they were gone")
-    failed = [(attempt, status, gateway) for _, attempt, status, gateway in traffic.answers if status not in (200, 429, 503)]
-    record.line(f"failed: {failed}")
+    sent = {attempt: sent_at for sent_at, attempt, _, _ in traffic.answers + usual.answers}
+    failures.sort()
+    record.line(f"clients got {sum(status == 200 for _, _, status, _ in usual.answers)} good answers of {len(usual.answers)} in the further traffic")
+    if len(failures) < BAD_ANSWERS:
+        record.line(f"v2 gave {len(failures)} bad answers")
+        return True
+    bound = failures[BAD_ANSWERS - 1] + ROLLBACK_S
+    late = [attempt for server in new for _, attempt in server.runs if sent.get(attempt, 0) > bound]
+    record.line(f"v2 got {len(late)} requests that were sent later than {ROLLBACK_S} s after its {BAD_ANSWERS}th bad answer")
     return not late
 
 
