--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""One machine is restarted in order several times; just before it is back a server leaves without a notice."""
+"""Two of three machines are restarted in order, in turn; just before one is back a server leaves without a notice."""
 
 import asyncio
 import os
@@ -18,7 +18,8 @@
 PAGE_ITEMS = 50
 STALE_S = 3.0
 STABLE_S, DRAIN_S, GRACE_S = 6.0, 4.0, 8.0
-ROUNDS = 6
+ROUNDS = 8
+PAUSE_S = 5.5
 # Time for which a server that has left goes on serving.
 LINGER_S = 16.0
 
@@ -46,9 +47,8 @@
         if not await gateway.ready():
             return None
     traffic = rig.Traffic(record, gateways, per_s=60)
-    restarted = gateways[1]
-    # Times between which the restarted gateway is in touch; the others are all the time.
-    touch = [[time.monotonic(), float("inf")]]
+    # Times between which each gateway is in touch.
+    touch = {gateway.name: [[time.monotonic() + STABLE_S, float("inf")]] for gateway in gateways}
     left, background = {}, []
 
     async def exit_later(server):
@@ -57,9 +57,10 @@
         await server.stop()
 
     await asyncio.sleep(STABLE_S + 1)
-    for _ in range(1 if TROUBLE == "stale" else ROUNDS):
+    for number in range(1 if TROUBLE == "stale" else ROUNDS):
+        restarted = gateways[(number + 1) % 2]
         if TROUBLE != "0":
-            touch[-1][1] = time.monotonic()
+            touch[restarted.name][-1][1] = time.monotonic()
             restarted.kill(signal.SIGTERM)
             end = time.monotonic() + GRACE_S
             while restarted.process.poll() is None and time.monotonic() < end:
@@ -70,14 +71,15 @@
         left[leaving.ident] = time.monotonic()
         record.line(f"server {leaving.ident} leaves; the store has confirmed that it is gone")
         background.append(asyncio.create_task(exit_later(leaving)))
-        await asyncio.sleep(0.1)
+        if TROUBLE == "stale":
+            await asyncio.sleep(0.1)
         if TROUBLE != "0":
             restarted.start()
             if not await restarted.ready():
                 return None
-            touch.append([time.monotonic() + STABLE_S, float("inf")])
-        await asyncio.sleep(9)
-    await asyncio.sleep(8)
+            touch[restarted.name].append([time.monotonic() + STABLE_S, float("inf")])
+        await asyncio.sleep(PAUSE_S)
+    await asyncio.sleep(10)
     await traffic.end()
 
     senders = {attempt: (sent_at, status, gateway) for sent_at, attempt, status, gateway in traffic.answers}
@@ -86,7 +88,7 @@
         for at, attempt in server.runs:
             sent_at, status, gateway = senders.get(attempt, (0.0, None, ""))
             after_s = sent_at - left.get(server.ident, float("inf"))
-            is_in_touch = gateway != restarted.name or any(begin <= sent_at and at <= end for begin, end in touch)
+            is_in_touch = any(begin <= sent_at and at <= end for begin, end in touch.get(gateway, []))
             if after_s > DRAIN_S and is_in_touch:
                 late.append((server.ident, gateway))
                 record.line(f"{attempt} reached {server.ident} by {gateway}, sent {after_s:.1f} s after it was gone")
--- a/review/standins-3/rig.py
+++ b/review/standins-3/rig.py
@@ -314,10 +314,12 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
         self.is_registered = True
+        self.write_entry()
         self.task = asyncio.create_task(self.beat())
-        await asyncio.sleep(0)
 
     async def beat(self):
+        # Servers write at times of their own.
+        await asyncio.sleep(random.uniform(0, HEARTBEAT_S))
         while True:
             if self.is_registered and not self.store.is_away:
                 self.write_entry()
