--- a/review/12/case.py
+++ b/review/12/case.py
@@ -19,6 +19,8 @@
 STALE_S = 3.0
 STABLE_S, DRAIN_S, GRACE_S = 6.0, 4.0, 8.0
 ROUNDS = 5
+# Servers of the service, of which one leaves in each round.
+SERVERS = 20
 PAUSE_S = 5.5
 # Time for which a server that has left goes on serving.
 LINGER_S = 16.0
@@ -37,7 +39,7 @@
     store.put("op/config", rig.config(7, routes, [rig.service(SERVICE), rig.service(OTHER)]))
     zones = list(ZONES)
     others = [rig.Server(store, record, f"i-a{n:02}", OTHER, zones[n % 2]) for n in range(PAGE_ITEMS)]
-    servers = [rig.Server(store, record, f"i-b{n}", SERVICE, zones[n % 2], slots=6, work_ms=60) for n in range(ROUNDS + 2)]
+    servers = [rig.Server(store, record, f"i-b{n:02}", SERVICE, zones[n % 2], slots=6, work_ms=60) for n in range(SERVERS)]
     for server in others + servers:
         await server.start()
     for n in range(4):
